cell: Decide once for a batch of events, try each request once

Change: targets are viewed once a decision, a request is tried once in it, nothing is tried while no target takes anything; the mesh loop takes a batch of events and decides once. Placements tell which shared tokens are read again and why (log, counters).

--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -35,6 +35,9 @@
 	begun   bool
 }
 
+// Begun tells whether the first event of the run came.
+func (r *Run) Begun() bool { return r.begun }
+
 // Engine is the model of one target. It is not safe for concurrent use.
 type Engine struct {
 	slots int
--- a/core/cell/account.go
+++ b/core/cell/account.go
@@ -28,6 +28,8 @@
 	ask     Ask
 	arrived time.Time
 	until   time.Time // until is when it is refused.
+	scores  []uint64  // scores are the targets' hashes for it, as of layout number scored.
+	scored  uint64
 }
 
 // levelHalf is the time in which the service that an account has had fades to a
@@ -47,6 +49,15 @@
 	served  float64   // served is all it was given in this cell.
 	told    float64   // told is served as the other cells know it.
 	queue   []*waiter // by rank, then by arrival
+	tried   int       // tried is how many of the queue have found no target in this decision.
+}
+
+// before tells whether the account goes before another one.
+func (a *account) before(b *account) bool {
+	if a.level != b.level {
+		return a.level < b.level
+	}
+	return a.name < b.name
 }
 
 func (c *Cell) account(name string) *account {
@@ -75,10 +86,6 @@
 	a.at = now
 }
 
-func (a *account) levelAt(now time.Time) float64 {
-	return a.level * math.Exp2(-float64(max(now.Sub(a.at), 0))/float64(levelHalf))
-}
-
 // push adds a request.
 func (a *account) push(w *waiter) {
 	at := sort.Search(len(a.queue), func(i int) bool { return a.queue[i].ask.Rank > w.ask.Rank })
@@ -100,77 +107,54 @@
 // Ranks order the requests of one account only: no account can take another's
 // share by calling its work urgent.
 func (c *Cell) order(now time.Time) []*account {
-	var waiting []*account
+	waiting := c.queued[:0]
 	for _, a := range c.accounts {
 		if len(a.queue) > 0 {
 			a.fade(now)
+			a.tried = 0
 			waiting = append(waiting, a)
 		}
 	}
-	sort.Slice(waiting, func(i, j int) bool {
-		if waiting[i].level != waiting[j].level {
-			return waiting[i].level < waiting[j].level
-		}
-		return waiting[i].name < waiting[j].name
-	})
+	sort.Slice(waiting, func(i, j int) bool { return waiting[i].before(waiting[j]) })
+	c.queued = waiting
 	return waiting
 }
 
 // mayWaitOn tells whether a request waits on beyond its time: one of an account
 // that has had far less than another that waits is next in line, and would only
 // come back to the same line.
-func (c *Cell) mayWaitOn(now time.Time, w *waiter) bool {
+func (c *Cell) mayWaitOn(now time.Time, w *waiter, a *account) bool {
 	if w.ask.Objective <= 0 || now.Sub(w.arrived) >= time.Duration(waitOnShare*float64(w.ask.Objective)) {
 		return false
 	}
-	if c.siblings > 0 && c.starved(now, w) {
+	if c.siblings > 0 && a.starved(c.most) {
 		return false // another cell may have what this one has not
 	}
-	return c.underserved(now, w)
-}
-
-// underserved tells whether a request's account has had far less than another
-// account that waits.
-func (c *Cell) underserved(now time.Time, w *waiter) bool {
-	a := c.account(w.ask.Account)
-	a.fade(now)
-	for _, other := range c.accounts {
-		if len(other.queue) > 0 && other != a && other.levelAt(now)*waitOnLevel >= a.level {
-			return true
-		}
-	}
-	return false
+	return a.underserved(c.most)
 }
 
-// starved tells whether a request's account has had far less than another that
-// waits, and is refused so often that it gets less than it may claim.
-func (c *Cell) starved(now time.Time, w *waiter) bool {
-	a := c.account(w.ask.Account)
-	a.fade(now)
-	return a.refused > starvedShare*(a.refused+a.placed) && a.refused > 1 && c.underserved(now, w)
+// underserved tells whether the account has had far less than another account
+// that waits, most being the highest level of those.
+func (a *account) underserved(most float64) bool {
+	return most > a.level && most*waitOnLevel >= a.level
 }
 
-// ahead returns the service that a request's account has had beyond the least
-// served of the accounts that wait.
-func (c *Cell) ahead(now time.Time, w *waiter) float64 {
-	a := c.account(w.ask.Account)
-	a.fade(now)
-	least := a.level
-	if waiting := c.order(now); len(waiting) > 0 {
-		least = min(least, waiting[0].level)
-	}
-	return a.level - least
+// starved tells whether the account has had far less than another that waits,
+// and is refused so often that it gets less than it may claim.
+func (a *account) starved(most float64) bool {
+	return a.refused > starvedShare*(a.refused+a.placed) && a.refused > 1 && a.underserved(most)
 }
 
 // retryAfter tells a refused caller when its account's queue will have moved
-// on: the time in which the engines read what the account is ahead by.
-func (c *Cell) retryAfter(now time.Time, w *waiter) time.Duration {
+// on: the time in which the engines read what the account is ahead by, beside so
+// many accounts that wait.
+func (c *Cell) retryAfter(ahead float64, waiting int) time.Duration {
 	capacity := c.speed * float64(max(len(c.targets), 1))
 	if capacity <= 0 {
 		return minRetryAfter
 	}
-	share := capacity / float64(max(len(c.order(now)), 1))
-	d := time.Duration(c.ahead(now, w) / share * float64(time.Second))
+	share := capacity / float64(max(waiting, 1))
+	d := time.Duration(ahead / share * float64(time.Second))
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
 
--- /dev/null
+++ b/core/cell/bench_test.go
@@ -0,0 +1,24 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package cell
+
+import (
+	"testing"
+	"time"
+)
+
+// BenchmarkOverload plays two seconds of a cell that is asked for four times
+// what its engines read, by thirty accounts of which one floods.
+func BenchmarkOverload(b *testing.B) {
+	const length = 2 * time.Second
+	steps := 0
+	for b.Loop() {
+		s := newSim(9, 45_000, 570_000)
+		accounts := even(30, 130, 0, 0)
+		accounts = append(accounts, &simAccount{name: "flood", perSecond: 260, subjects: 20, shared: 13_000, own: 3_700, base: 1000})
+		s.run(length, accounts)
+		steps += s.steps
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(steps), "ns/step")
+}
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -53,6 +53,11 @@
 	siblings int
 	started  time.Time
 	counts   Counts
+	layout   uint64     // layout counts the changes of the list of targets.
+	most     float64    // most is the highest level of an account that waits.
+	views    []view     // views are the targets as one decision sees them, in the order of sorted.
+	unheard  []*waiter  // unheard are waiters that arrived since the last decision.
+	queued   []*account // queued is what order returns, kept for its memory.
 	scratch  []option
 	out      []Action
 }
@@ -60,6 +65,11 @@
 // Counts are what a cell has decided since its start.
 type Counts struct {
 	Asked, Placed, Refused, Expired uint64
+	// Tried counts how often a target was looked for, for a request that waits.
+	Tried uint64
+	// Anew counts the tokens of shared parts that placements let engines read
+	// again, by the reason of the placement.
+	Anew [reasons]uint64
 }
 
 // New returns a cell without targets.
@@ -72,7 +82,13 @@
 
 // Step takes one event and returns what is to be done.
 func (c *Cell) Step(now time.Time, ev Event) []Action {
-	c.out = nil
+	c.Take(now, ev)
+	return c.Decide(now)
+}
+
+// Take notes one event. What follows from it is decided by the next Decide, so
+// that events that come together cost one decision.
+func (c *Cell) Take(now time.Time, ev Event) {
 	if c.started.IsZero() {
 		c.started = now
 	}
@@ -98,7 +114,19 @@
 	case Tick:
 		c.forget(now)
 	}
+}
+
+// Decide refuses what is too late, places what may be placed and tells those
+// that have arrived and wait.
+func (c *Cell) Decide(now time.Time) []Action {
+	c.out = nil
 	c.dispatch(now)
+	for _, w := range c.unheard {
+		if c.waiting[w.key] == w {
+			c.emit(Wait{w.key.entry, w.key.id})
+		}
+	}
+	c.unheard = c.unheard[:0]
 	return c.out
 }
 
@@ -113,10 +141,7 @@
 	w := &waiter{key: key, ask: e.Ask, arrived: now, until: now.Add(e.Ask.Hold)}
 	c.waiting[key] = w
 	c.account(e.Ask.Account).push(w)
-	c.dispatch(now)
-	if c.waiting[key] != nil {
-		c.emit(Wait{e.Entry, e.Ask.ID})
-	}
+	c.unheard = append(c.unheard, w)
 }
 
 func (c *Cell) withdraw(now time.Time, key requestKey) {
@@ -211,76 +236,35 @@
 		c.sorted = append(c.sorted, t)
 	}
 	sort.Slice(c.sorted, func(i, j int) bool { return c.sorted[i].info.ID < c.sorted[j].info.ID })
+	c.layout++
 }
 
-// dispatch places what may be placed, the account with the least service
-// first, and refuses what has waited too long.
-func (c *Cell) dispatch(now time.Time) {
-	c.refuseLate(now)
-	for placed := true; placed && len(c.waiting) > 0; {
-		placed = false
-		for _, a := range c.order(now) {
-			if c.tryAccount(now, a) {
-				placed = true
-				break
-			}
-		}
-	}
-}
-
-func (c *Cell) refuseLate(now time.Time) {
-	for _, w := range c.waiting {
-		if now.Before(w.until) || c.mayWaitOn(now, w) {
-			continue
-		}
-		elsewhere := c.siblings > 0 && c.starved(now, w)
-		c.drop(w)
-		c.counts.Refused++
-		c.account(w.ask.Account).refused++
-		c.emit(Refuse{
-			Elsewhere: elsewhere,
-			Entry:     w.key.entry, ID: w.key.id, RetryAfter: c.retryAfter(now, w), Account: w.ask.Account, Waited: now.Sub(w.arrived),
-			Ahead: c.ahead(now, w), Booked: c.leastBooked(now), Waiting: len(c.waiting),
-		})
+func (c *Cell) place(now time.Time, w *waiter, t *target, why Reason) {
+	p := w.ask.Prompt
+	anew := sharedOf(p, t.engine.Missing(p))
+	if anew > 0 && why == ReasonCheapest && !c.kept(p) {
+		why = ReasonUnseen
 	}
+	c.counts.Placed++
+	c.counts.Anew[why] += uint64(anew)
+	c.account(w.ask.Account).placed++
+	c.start(now, w.key, w.ask.Account, t, p)
+	c.emit(Place{
+		Entry: w.key.entry, ID: w.key.id, Target: t.info.ID, Waited: now.Sub(w.arrived),
+		Account: w.ask.Account, Subject: p.Affinity(), Anew: anew, Why: why,
+	})
 }
 
-// leastBooked returns how long the reading of the least busy target is given
-// away.
-func (c *Cell) leastBooked(now time.Time) time.Duration {
-	least := time.Duration(-1)
+// kept tells whether some engine of the cell keeps all the shared parts.
+func (c *Cell) kept(p *routing.Prompt) bool {
 	for _, t := range c.sorted {
-		if b := t.engine.Booked(now); !t.info.Leaving && t.engine.Usable(now) && (least < 0 || b < least) {
-			least = b
+		if sharedOf(p, t.engine.Missing(p)) == 0 {
+			return true
 		}
 	}
-	return least
-}
-
-// tryAccount places the first request of the account that finds a target.
-func (c *Cell) tryAccount(now time.Time, a *account) bool {
-	for i, w := range a.queue {
-		if i == scanLimit {
-			return false
-		}
-		t := c.choose(now, w)
-		if t == nil {
-			continue
-		}
-		c.drop(w)
-		c.place(now, w, t)
-		return true
-	}
 	return false
 }
 
-func (c *Cell) place(now time.Time, w *waiter, t *target) {
-	c.counts.Placed++
-	c.account(w.ask.Account).placed++
-	c.start(now, w.key, w.ask.Account, t, w.ask.Prompt)
-	c.emit(Place{w.key.entry, w.key.id, t.info.ID, now.Sub(w.arrived)})
-}
-
 func (c *Cell) start(now time.Time, key requestKey, account string, t *target, p *routing.Prompt) *run {
 	r := &run{key: key, account: account, target: t}
 	r.model = t.engine.Start(now, p, p.OutputEstimate())
--- a/core/cell/choose.go
+++ b/core/cell/choose.go
@@ -4,6 +4,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -42,62 +43,53 @@
 
 // option is a target that could take a request.
 type option struct {
-	full   bool // full tells that all slots are taken.
-	target *target
-	booked time.Duration // booked is how long the target's reading is given away.
-	wait   time.Duration // wait is the time to the first event.
-	cost   time.Duration // cost is the wait, and what the choice takes from others.
-	tie    uint64
+	at      int           // at is the target's place among the views.
+	missing int           // missing are the tokens that it would read.
+	wait    time.Duration // wait is the time to the first event.
+	cost    time.Duration // cost is the wait, and what the choice takes from others.
+	tie     uint64
 }
 
-// choose returns the target for a request, or nil where it is better to wait.
-// The cheapest one is taken once its backlog is short; a request that has
-// waited for some time takes any target where it is still in time.
-func (c *Cell) choose(now time.Time, w *waiter) *target {
+// choose returns the place among the views of the target for a request, or -1
+// where it is better to wait. The cheapest one is taken once its backlog is
+// short; a request that has waited for some time takes any target where it is
+// still in time.
+func (c *Cell) choose(now time.Time, w *waiter) (int, Reason) {
 	options := c.options(now, w)
 	if len(options) == 0 {
-		return nil
+		return -1, ReasonCheapest
 	}
 	best := slices.MinFunc(options, func(a, b option) int { return compare(a, b, a.cost, b.cost) })
-	if best.open(backlogLimit) {
-		return best.target
+	if c.views[best.at].open(backlogLimit) {
+		return best.at, ReasonCheapest
 	}
 	if now.Sub(w.arrived) < time.Duration(spillShare*float64(w.ask.Hold)) {
-		return nil
+		return -1, ReasonCheapest
 	}
 	// Work of an account that is refused much while another gets much goes before
 	// that of the other, wherever that is: what it costs to read is the price of
 	// fairness.
-	limit := spillBacklog
-	if c.starved(now, w) {
-		limit = backlogLimit
+	limit, why := spillBacklog, ReasonSpilled
+	if c.account(w.ask.Account).starved(c.most) {
+		limit, why = backlogLimit, ReasonStarved
 	}
 	open := options[:0]
 	for _, o := range options {
-		if o.open(limit) && w.inTime(now, o.wait) {
+		if c.views[o.at].open(limit) && w.inTime(now, o.wait) {
 			open = append(open, o)
 		}
 	}
 	if len(open) == 0 {
-		return nil
+		return -1, why
 	}
-	return slices.MinFunc(open, func(a, b option) int { return compare(a, b, a.wait, b.wait) }).target
+	return slices.MinFunc(open, func(a, b option) int { return compare(a, b, a.wait, b.wait) }).at, why
 }
 
-// open tells whether the target takes a request now.
-func (o option) open(limit time.Duration) bool { return !o.full && o.booked < limit }
-
 func compare(a, b option, x, y time.Duration) int {
-	switch {
-	case x != y:
-		return int(max(min(x-y, 1), -1))
-	case a.tie > b.tie:
-		return -1
-	case a.tie < b.tie:
-		return 1
-	default:
-		return 0
+	if x != y {
+		return cmp.Compare(x, y)
 	}
+	return cmp.Compare(b.tie, a.tie)
 }
 
 // inTime tells whether a first event that comes after a wait meets the
@@ -113,19 +105,21 @@
 // options returns the targets that could take the request now or soon.
 func (c *Cell) options(now time.Time, w *waiter) []option {
 	p := w.ask.Prompt
-	affinity := p.Affinity()
+	output := p.OutputEstimate()
+	scores := c.scores(w)
 	out := c.scratch[:0]
 	home := -1
-	for _, t := range c.sorted {
-		if t.info.Leaving || slices.Contains(w.ask.Deny, t.info.ID) || !t.engine.Usable(now) {
+	for i := range c.views {
+		v := &c.views[i]
+		if !v.usable || slices.Contains(w.ask.Deny, v.target.info.ID) {
 			continue
 		}
-		missing := t.engine.Missing(p)
-		if !t.engine.Fits(missing, p.OutputEstimate()) {
+		missing := v.target.engine.Missing(p)
+		if !v.target.engine.Fits(missing, output) {
 			continue
 		}
-		o := c.option(now, t, p, missing)
-		o.tie = place.Score(t.info.ID, affinity)
+		o := v.option(p, missing)
+		o.at, o.tie = i, scores[i]
 		out = append(out, o)
 		if home < 0 || o.tie > out[home].tie {
 			home = len(out) - 1
@@ -138,16 +132,24 @@
 	return out
 }
 
-func (c *Cell) option(now time.Time, t *target, p *routing.Prompt, missing int) option {
-	read := float64(missing) / t.engine.Speed()
-	reread := (rereadWeight - 1) * float64(sharedOf(p, missing)) / t.engine.Speed()
-	crowd := float64(t.engine.Running()) / float64(max(t.info.Slots, 1))
-	slot := t.engine.SlotWait()
-	o := option{target: t, booked: t.engine.Booked(now), full: slot > 0}
-	o.wait = t.engine.Backlog(now) + slot + seconds(read) + time.Duration(t.engine.Errors(now)*float64(errorPenalty)) +
-		time.Duration(crowd*float64(crowdPenalty))
-	o.cost = o.wait + seconds(reread)
-	return o
+// scores returns the hash of each target for the request, in the order of the
+// views.
+func (c *Cell) scores(w *waiter) []uint64 {
+	if w.scored == c.layout {
+		return w.scores
+	}
+	w.scored, w.scores = c.layout, w.scores[:0]
+	affinity := w.ask.Prompt.Affinity()
+	for _, t := range c.sorted {
+		w.scores = append(w.scores, place.Score(t.info.ID, affinity))
+	}
+	return w.scores
+}
+
+func (v *view) option(p *routing.Prompt, missing int) option {
+	wait := v.base + seconds(float64(missing)/v.speed)
+	reread := (rereadWeight - 1) * float64(sharedOf(p, missing)) / v.speed
+	return option{missing: missing, wait: wait, cost: wait + seconds(reread)}
 }
 
 // believe makes the home cheaper by what it probably keeps.
@@ -156,8 +158,8 @@
 	if now.Sub(c.started) < youngFor {
 		belief = homeBeliefYoung
 	}
-	shared := float64(sharedOf(p, o.target.engine.Missing(p)))
-	o.cost -= seconds(belief * rereadWeight * shared / o.target.engine.Speed())
+	shared := float64(sharedOf(p, o.missing))
+	o.cost -= seconds(belief * rereadWeight * shared / c.views[o.at].speed)
 }
 
 // sharedOf returns how many of the missing tokens belong to parts that other
--- /dev/null
+++ b/core/cell/dispatch.go
@@ -0,0 +1,139 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package cell
+
+import (
+	"sort"
+	"time"
+)
+
+// view is a target as one decision sees it. It is made once for all requests
+// that wait, and anew where something was placed.
+type view struct {
+	target *target
+	usable bool
+	full   bool          // full tells that all slots are taken.
+	booked time.Duration // booked is how long the target's reading is given away.
+	base   time.Duration // base is the wait before a request that goes there is read.
+	speed  float64       // tokens of prompts read in a second
+}
+
+// open tells whether the target takes a request while less than the limit of its
+// reading is given away.
+func (v *view) open(limit time.Duration) bool { return v.usable && !v.full && v.booked < limit }
+
+func makeView(now time.Time, t *target) view {
+	e := t.engine
+	slot := e.SlotWait()
+	crowd := float64(e.Running()) / float64(max(t.info.Slots, 1))
+	return view{
+		target: t, usable: !t.info.Leaving && e.Usable(now), full: slot > 0, booked: e.Booked(now), speed: e.Speed(),
+		base: e.Backlog(now) + slot + time.Duration(e.Errors(now)*float64(errorPenalty)) + time.Duration(crowd*float64(crowdPenalty)),
+	}
+}
+
+// look makes the views of all targets and tells whether one takes requests.
+func (c *Cell) look(now time.Time) bool {
+	c.views = c.views[:0]
+	open := false
+	for _, t := range c.sorted {
+		v := makeView(now, t)
+		open = open || v.open(backlogLimit)
+		c.views = append(c.views, v)
+	}
+	return open
+}
+
+// dispatch refuses what has waited too long and places what may be placed, the
+// account with the least service first. A request is tried once: what is placed
+// takes room away and makes none.
+func (c *Cell) dispatch(now time.Time) {
+	if len(c.waiting) == 0 {
+		return
+	}
+	open := c.look(now)
+	accounts := c.order(now)
+	c.most = accounts[len(accounts)-1].level
+	c.refuseLate(now, accounts)
+	for open && len(accounts) > 0 {
+		a := accounts[0]
+		if !c.tryAccount(now, a) {
+			accounts = accounts[1:]
+			continue
+		}
+		open = c.anyOpen()
+		sink(accounts)
+	}
+}
+
+// sink moves the first account, which has just been given something, to its
+// place among the others.
+func sink(accounts []*account) {
+	first := accounts[0]
+	at := sort.Search(len(accounts)-1, func(i int) bool { return !accounts[i+1].before(first) })
+	copy(accounts, accounts[1:at+1])
+	accounts[at] = first
+}
+
+func (c *Cell) anyOpen() bool {
+	for i := range c.views {
+		if c.views[i].open(backlogLimit) {
+			return true
+		}
+	}
+	return false
+}
+
+// refuseLate refuses the requests of these accounts that have waited too long.
+func (c *Cell) refuseLate(now time.Time, accounts []*account) {
+	least := accounts[0].level
+	for _, w := range c.waiting {
+		if now.Before(w.until) {
+			continue
+		}
+		a := c.account(w.ask.Account)
+		if c.mayWaitOn(now, w, a) {
+			continue
+		}
+		elsewhere := c.siblings > 0 && a.starved(c.most)
+		c.drop(w)
+		c.counts.Refused++
+		a.refused++
+		c.emit(Refuse{
+			Elsewhere: elsewhere,
+			Entry:     w.key.entry, ID: w.key.id, RetryAfter: c.retryAfter(a.level-least, len(accounts)), Account: a.name,
+			Waited: now.Sub(w.arrived), Ahead: a.level - least, Booked: c.leastBooked(), Waiting: len(c.waiting),
+		})
+	}
+}
+
+// leastBooked returns how long the reading of the least busy target is given
+// away, or -1 where no target is usable.
+func (c *Cell) leastBooked() time.Duration {
+	least := time.Duration(-1)
+	for i := range c.views {
+		if v := &c.views[i]; v.usable && (least < 0 || v.booked < least) {
+			least = v.booked
+		}
+	}
+	return least
+}
+
+// tryAccount places the next request of the account that finds a target.
+func (c *Cell) tryAccount(now time.Time, a *account) bool {
+	for i := a.tried; i < len(a.queue) && i < scanLimit; i++ {
+		w := a.queue[i]
+		c.counts.Tried++
+		at, why := c.choose(now, w)
+		if at < 0 {
+			a.tried++
+			continue
+		}
+		c.drop(w)
+		c.place(now, w, c.views[at].target, why)
+		c.views[at] = makeView(now, c.views[at].target)
+		return true
+	}
+	return false
+}
--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -128,8 +128,30 @@
 	ID     RequestID
 	Target string
 	Waited time.Duration
+	// What follows explains the decision.
+	Account string
+	Subject uint64 // Subject is the deepest shared part of the prompt.
+	Anew    int    // Anew is how many tokens of shared parts the engine reads again.
+	Why     Reason
 }
 
+// Reason is why a request went to the engine that it went to.
+type Reason uint8
+
+// The reasons.
+const (
+	ReasonCheapest Reason = iota // the least wait, what is kept counted in
+	ReasonUnseen                 // the same, but no engine of the cell keeps the shared parts
+	ReasonSpilled                // the engines that keep them were busy for too long
+	ReasonStarved                // the same, and the account was owed far more than others
+	reasons        = 4
+)
+
+var reasonNames = [reasons]string{"cheapest", "unseen", "spilled", "starved"}
+
+// String returns the reason as logs and metrics show it.
+func (r Reason) String() string { return reasonNames[r] }
+
 // Wait tells an entry gateway that its request waits.
 type Wait struct {
 	Entry string
--- a/core/cell/sim_test.go
+++ b/core/cell/sim_test.go
@@ -114,6 +114,7 @@
 	engines   map[string]*simEngine
 	queue     simQueue
 	seq       int
+	steps     int
 	rng       *rand.Rand
 	next      RequestID
 	asks      map[RequestID]simAsk
@@ -151,6 +152,7 @@
 }
 
 func (s *sim) step(ev Event) {
+	s.steps++
 	for _, a := range s.cell.Step(s.now, ev) {
 		switch a := a.(type) {
 		case Place:
--- a/router/gatewaystate.go
+++ b/router/gatewaystate.go
@@ -13,6 +13,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"madderway/core/cell"
 	"madderway/services/mesh"
 )
 
@@ -83,6 +84,9 @@
 		for name, n := range map[string]uint64{"asked": c.Counts.Asked, "placed": c.Counts.Placed, "refused": c.Counts.Refused} {
 			fmt.Fprintf(w, "madderway_gateway_cell_decisions_total{cell=%q,decision=%q} %d\n", c.Key, name, n)
 		}
+		for reason, tokens := range c.Counts.Anew {
+			fmt.Fprintf(w, "madderway_gateway_cell_shared_tokens_anew_total{cell=%q,reason=%q} %d\n", c.Key, cell.Reason(reason), tokens)
+		}
 		fmt.Fprintf(w, "madderway_gateway_cell_waiting{cell=%q} %d\n", c.Key, c.Waiting)
 	}
 	metrics.WriteProcessMetrics(w)
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -79,6 +79,8 @@
 	members *member.List
 	entry   *entry.Machine
 	cells   map[cell.Key]*scheduled
+	// undecided are the cells that have taken events since they decided last.
+	undecided map[cell.Key]*scheduled
 	layout  *cell.Layout
 	index   *routing.Index
 	targets *routing.TargetSet
@@ -102,7 +104,7 @@
 func NewLoop(t *tomb.Tomb, logger log.Logger, o Options) *Loop {
 	l := &Loop{
 		t: t, log: logger, opts: o, inputs: ring.New[input]("mesh", inputRing), members: member.New(o.Member, o.Self),
-		entry: entry.New(o.Self.ID), cells: map[cell.Key]*scheduled{}, layout: &cell.Layout{},
+		entry: entry.New(o.Self.ID), cells: map[cell.Key]*scheduled{}, undecided: map[cell.Key]*scheduled{}, layout: &cell.Layout{},
 		answers: map[cell.RequestID]chan Decision{}, links: map[string]*peernet.Link{}, out: peerwire.NewOutbox(lazyDelay),
 	}
 	l.requests.Store(firstID(o.Self.Incarnation))
--- a/services/mesh/outbox.go
+++ b/services/mesh/outbox.go
@@ -10,8 +10,9 @@
 	"madderway/modules/wire"
 )
 
-// flush sends the frames that are due.
+// flush decides what is open and sends the frames that are due.
 func (l *Loop) flush(now time.Time) {
+	l.decideCells(now)
 	l.out.Flush(now, l.send)
 }
 
--- a/services/mesh/step.go
+++ b/services/mesh/step.go
@@ -149,8 +149,20 @@
 }
 
 func (l *Loop) schedule(now time.Time, key cell.Key, s *scheduled, ev cell.Event) {
-	for _, a := range s.cell.Step(now, ev) {
-		l.cellAction(now, key, a)
+	s.cell.Take(now, ev)
+	l.undecided[key] = s
+}
+
+// decideCells decides in all cells that have taken events; what comes of it may
+// be an event for another one.
+func (l *Loop) decideCells(now time.Time) {
+	for len(l.undecided) > 0 {
+		for key, s := range l.undecided {
+			delete(l.undecided, key)
+			for _, a := range s.cell.Decide(now) {
+				l.cellAction(now, key, a)
+			}
+		}
 	}
 }
 
@@ -158,6 +170,10 @@
 	self := l.opts.Self.ID
 	switch a := a.(type) {
 	case cell.Place:
+		if a.Anew > 0 {
+			l.log.Info("Shared part read again.", "cell", key, "entry", a.Entry, "number", a.ID, "account", a.Account,
+				"subject", a.Subject, "target", a.Target, "tokens", a.Anew, "why", a.Why, "waited", a.Waited)
+		}
 		if a.Entry == self {
 			l.enter(now, entry.PlacementSeen{From: self, Cell: key, ID: a.ID, Target: a.Target})
 			return
