entry: Tell own delay from a scheduler's silence; refuse floods before the body

Change: ticks tell how late they come, and that time does not count as silence. A throttled request is refused before its body is read.

--- a/core/entry/event.go
+++ b/core/entry/event.go
@@ -66,8 +66,9 @@
 // PeerRestarted tells that a gateway has ended or begun a new life.
 type PeerRestarted struct{ ID string }
 
-// Tick lets time pass.
-type Tick struct{}
+// Tick lets time pass. Lag is how late it comes: in that time the gateway did
+// not hear what it was sent.
+type Tick struct{ Lag time.Duration }
 
 func (Submitted) isEvent()     {}
 func (Withdrawn) isEvent()     {}
--- a/core/entry/machine.go
+++ b/core/entry/machine.go
@@ -32,7 +32,8 @@
 	to      string
 	arrived time.Time
 	askedAt time.Time
-	waits   bool // waits tells that the scheduler has said that it waits.
+	askedIn time.Duration // askedIn is the machine's lag when it was asked.
+	waits   bool          // waits tells that the scheduler has said that it waits.
 	tried   map[string]bool
 }
 
@@ -60,6 +61,7 @@
 	running  map[cell.RequestID]*running
 	seats    map[cell.Key]*seat
 	suspects map[string]*suspicion
+	lag      time.Duration // lag is how late all ticks came, together.
 	out      []Action
 }
 
@@ -98,6 +100,7 @@
 	case PeerRestarted:
 		m.forget(e.ID)
 	case Tick:
+		m.lag += e.Lag
 		m.tick(now)
 	}
 	return m.out
@@ -135,7 +138,7 @@
 		}
 	}
 	p.tried[p.to] = true
-	p.askedAt, p.waits = now, false
+	p.askedAt, p.askedIn, p.waits = now, m.lag, false
 	m.sit(now, p.cell, p.to)
 	ask := p.ask
 	ask.Hold = max(p.ask.Hold-now.Sub(p.arrived), 0)
@@ -272,11 +275,12 @@
 	if p.to == m.self {
 		return false
 	}
+	late := m.lag - p.askedIn
 	if p.waits {
 		// A scheduler may let a request wait on that is next in line.
-		return now.Sub(p.arrived) > max(p.ask.Hold, p.ask.Objective/2)+overHold
+		return now.Sub(p.arrived)-late > max(p.ask.Hold, p.ask.Objective/2)+overHold
 	}
-	return now.Sub(p.askedAt) > silentAfter
+	return now.Sub(p.askedAt)-late > silentAfter
 }
 
 func (m *Machine) suspect(now time.Time, p *pending) {
--- a/core/entry/machine_test.go
+++ b/core/entry/machine_test.go
@@ -127,6 +127,19 @@
 
 // Where nobody answers, the gateway schedules by itself: no request waits for
 // peers.
+// A gateway that comes to its work late finds the answers late: that says
+// nothing of the scheduler.
+func TestOwnDelayIsNotSilence(t *testing.T) {
+	f := setUp(t)
+	f.Step(f.now, submit(1))
+	if actions := f.after(200*time.Millisecond, Tick{Lag: 180 * time.Millisecond}); len(actions) != 0 {
+		t.Fatalf("%#v after the gateway itself was late", actions)
+	}
+	if to := asked(f.after(50*time.Millisecond, Tick{})); to != f.second {
+		t.Errorf("asked %q after 70 ms of silence, want %q", to, f.second)
+	}
+}
+
 func TestAloneItSchedulesItself(t *testing.T) {
 	f := setUp(t)
 	f.after(0, submit(1))
--- a/handlers/gateway/gateway.go
+++ b/handlers/gateway/gateway.go
@@ -134,6 +134,9 @@
 	if service == nil {
 		return nil, result.New(result.NoTarget, "the route has no service").After(notReadyAfter)
 	}
+	if err := h.opts.Forward.Admit(&call, service, account); err != nil {
+		return nil, err
+	}
 	patience := route.Timeout
 	if call.Patience > 0 && (call.Patience < patience || patience == 0) {
 		patience = call.Patience
--- a/models/routing/configuration.go
+++ b/models/routing/configuration.go
@@ -75,6 +75,14 @@
 	Rank *int `json:"rank,omitempty"`
 }
 
+// NameOf returns the account's name, "" for requests that need no account.
+func (a *ClientAccount) NameOf() string {
+	if a == nil {
+		return ""
+	}
+	return a.Name
+}
+
 // Limits bound what a caller may send.
 type Limits struct {
 	MaxHeaderBytes  int           `json:"max_header_bytes"`
--- a/services/forward/counters.go
+++ b/services/forward/counters.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"madderway/models/result"
+	"madderway/models/routing"
 )
 
 // counters are the figures that a gateway tells of its requests.
@@ -34,7 +35,8 @@
 	}
 }
 
-func (c *counters) note(r *Request, err error, now time.Time) {
+// note counts a request of a service that ended so, so long after it was read.
+func (c *counters) note(service *routing.Service, err error, after time.Duration) {
 	outcome := "done"
 	switch e, numbered := result.From(err); {
 	case numbered:
@@ -44,8 +46,8 @@
 	case err != nil:
 		outcome = "aborted"
 	}
-	c.set.GetOrCreateCounter(fmt.Sprintf("madderway_gateway_requests_total{service=%q,outcome=%q}", r.Service.Name, outcome)).Inc()
-	c.set.GetOrCreateHistogram(fmt.Sprintf("madderway_gateway_request_seconds{service=%q}", r.Service.Name)).Update(now.Sub(r.Received).Seconds())
+	c.set.GetOrCreateCounter(fmt.Sprintf("madderway_gateway_requests_total{service=%q,outcome=%q}", service.Name, outcome)).Inc()
+	c.set.GetOrCreateHistogram(fmt.Sprintf("madderway_gateway_request_seconds{service=%q}", service.Name)).Update(after.Seconds())
 }
 
 // WriteMetrics writes the figures in text form.
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -18,6 +18,7 @@
 	"madderway/core/balance"
 	"madderway/core/budget"
 	"madderway/core/throttle"
+	"madderway/models/result"
 	"madderway/models/routing"
 	"madderway/modules/clock"
 	"madderway/modules/log"
@@ -82,12 +83,7 @@
 	Deadline time.Time
 }
 
-func (r *Request) account() string {
-	if r.Account == nil {
-		return ""
-	}
-	return r.Account.Name
-}
+func (r *Request) account() string { return r.Account.NameOf() }
 
 // Serve answers a request. It returns ErrAborted where the connection must end,
 // and a numbered error where nothing has been written yet.
@@ -97,7 +93,7 @@
 	j := &job{s: s, ctx: ctx, w: w, r: r, lastEvent: r.Call.LastEvent, history: attempt.History{Route: r.Route}}
 	j.repeat = func() bool { return s.repeat(r.Service.Name) }
 	err := j.run()
-	s.counters.note(r, err, s.opts.Clock.Now())
+	s.counters.note(r.Service, err, s.opts.Clock.Now().Sub(r.Received))
 	s.logEnd(j, err)
 	return err
 }
@@ -129,15 +125,33 @@
 	return w
 }
 
-// admits tells whether a scheduler is to be asked for a place for an account.
-func (s *Service) admits(account string) bool {
+// throttledAfter is when a request that was refused without asking may come
+// back.
+const throttledAfter = time.Second
+
+// Admit counts a request and refuses it where its account asks for far more than
+// it is given. It is asked before the body is read, so that a flood costs little.
+func (s *Service) Admit(call *upstream.Call, service *routing.Service, account *routing.ClientAccount) error {
+	if !scheduled(service, call) {
+		return nil
+	}
+	now := s.opts.Clock.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	ok := s.throttle.Admit(s.opts.Clock.Now(), account, rand.Float64())
-	if !ok {
-		s.counters.throttled.Inc()
+	ok := s.throttle.Admit(now, account.NameOf(), rand.Float64())
+	s.mu.Unlock()
+	if ok {
+		return nil
 	}
-	return ok
+	s.counters.throttled.Inc()
+	err := result.New(result.QueueFull, "the account asks for far more than it is given").After(throttledAfter)
+	s.counters.note(service, err, 0)
+	s.log.Info("Request throttled.", "id", call.ID, "account", account.NameOf(), "service", service.Name, "retry_after", throttledAfter)
+	return err
+}
+
+// scheduled tells whether a scheduler decides where a request goes.
+func scheduled(service *routing.Service, call *upstream.Call) bool {
+	return service.Engine != nil && call.Prompt != nil
 }
 
 func (s *Service) accepted(account string) {
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -113,7 +113,7 @@
 }
 
 func (j *job) place() (place, error) {
-	if j.r.Service.Engine != nil && j.r.Call.Prompt != nil {
+	if scheduled(j.r.Service, &j.r.Call) {
 		return j.placeEngine()
 	}
 	return j.placePlain()
--- a/services/forward/place.go
+++ b/services/forward/place.go
@@ -20,9 +20,6 @@
 	// target: one refused by then may still be served in time elsewhere.
 	holdShare = 0.25
 	holdSlack = 20 * time.Millisecond
-	// throttledAfter is when a request that was refused without asking may come
-	// back.
-	throttledAfter = time.Second
 	// firstFactor is how many objectives the first event of a stream that may
 	// be repeated can take before another target is tried.
 	firstFactor = 2
@@ -39,9 +36,6 @@
 }
 
 func (j *job) placeEngine() (place, error) {
-	if j.history.Sent == 0 && j.history.Unsent == 0 && !j.s.admits(j.r.account()) {
-		return nil, result.New(result.QueueFull, "the account asks for far more than it is given").After(throttledAfter)
-	}
 	id := j.s.opts.Mesh.NextID()
 	hold := time.Duration(holdShare*float64(j.r.Route.Objective)) - holdSlack - j.s.opts.Clock.Now().Sub(j.r.Received)
 	if j.history.Sent > 0 || j.history.Unsent > 0 {
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -36,7 +36,8 @@
 	linkRing   = 512
 	tickBusy   = 10 * time.Millisecond
 	tickIdle   = 100 * time.Millisecond
-	batchLimit = 256 // inputs taken before the frames go out
+	tickSlack  = 2 * time.Millisecond // timers fire slightly late
+	batchLimit = 256                  // inputs taken before the frames go out
 	lazyDelay  = 15 * time.Millisecond
 	seedEvery  = 500 * time.Millisecond
 	seedCalm   = 5 * time.Second // between calls to seeds once members are known
@@ -81,17 +82,18 @@
 	cells   map[cell.Key]*scheduled
 	// undecided are the cells that have taken events since they decided last.
 	undecided map[cell.Key]*scheduled
-	layout  *cell.Layout
-	index   *routing.Index
-	targets *routing.TargetSet
-	answers map[cell.RequestID]chan Decision
-	links   map[string]*peernet.Link
-	seeds   []*peernet.Link
-	seedsAt []string // seedsAt are the addresses of the seeds.
-	out     *peerwire.Outbox
+	layout    *cell.Layout
+	index     *routing.Index
+	targets   *routing.TargetSet
+	answers   map[cell.RequestID]chan Decision
+	links     map[string]*peernet.Link
+	seeds     []*peernet.Link
+	seedsAt   []string // seedsAt are the addresses of the seeds.
+	out       *peerwire.Outbox
 	nextSeed,
 	nextTally,
-	nextTick time.Time
+	nextTick,
+	tickDue time.Time // tickDue is when the next tick comes at the latest, unless this process is late.
 	told follow.Versions
 
 	size     atomic.Int64
@@ -155,6 +157,14 @@
 	}
 }
 
+// expectTick notes when the next tick should come; work that has just come up
+// can only bring that forward.
+func (l *Loop) expectTick(now time.Time) {
+	if due := now.Add(l.tickAfter()); due.Before(l.tickDue) {
+		l.tickDue = due
+	}
+}
+
 func (l *Loop) timed(work func()) {
 	start := time.Now()
 	work()
@@ -191,6 +201,7 @@
 		return
 	}
 	l.flush(now)
+	l.expectTick(now)
 }
 
 func (l *Loop) take(in input) {
@@ -227,8 +238,18 @@
 		}
 	}
 	l.tellTallies(now)
-	l.enter(now, entry.Tick{})
+	l.enter(now, entry.Tick{Lag: l.lag(now)})
 	l.flush(now)
+	l.tickDue = now.Add(l.tickAfter())
+}
+
+// lag returns how late a tick is: a process that was not given the processor
+// has not read what it was sent either.
+func (l *Loop) lag(now time.Time) time.Duration {
+	if l.tickDue.IsZero() {
+		return 0
+	}
+	return max(now.Sub(l.tickDue)-tickSlack, 0)
 }
 
 // callSeeds makes this gateway known to the seeds, often until any member is
