overload: Measure lateness by a byte through a pipe; many silent schedulers are one's own delay

Cause: ticks come in time while what peers and callers send lies unread: with the processor short, timers run before the poller. The governor noticed one second of a flood of 25 s; refusals took 100 to 700 ms, answers were late.

Change: modules/lateness sends a byte through a pipe 40 times a second and tells how late it is read. Where most schedulers seem silent at once they are given three times as long.

--- a/core/entry/machine.go
+++ b/core/entry/machine.go
@@ -12,6 +12,10 @@
 const (
 	// silentAfter is how long a scheduler may leave an ask without any word.
 	silentAfter = 60 * time.Millisecond
+	// ownDelayFactor is how many times longer that may be where most schedulers
+	// seem silent at once: the cause is likely in this process, which has not read
+	// what they sent.
+	ownDelayFactor = 3
 	// overHold is how long after the end of the wait a scheduler's word may come.
 	overHold = 60 * time.Millisecond
 	// suspectFirst is how long a silent scheduler is passed over, twice as long
@@ -257,8 +261,9 @@
 }
 
 func (m *Machine) tick(now time.Time) {
+	patience := m.patience(now)
 	for _, p := range m.pending {
-		if m.silent(now, p) {
+		if m.silent(now, p, patience) {
 			m.suspect(now, p)
 			m.askNext(now, p)
 		}
@@ -271,16 +276,40 @@
 	}
 }
 
-func (m *Machine) silent(now time.Time, p *pending) bool {
+// patience returns how long a scheduler may say nothing.
+func (m *Machine) patience(now time.Time) time.Duration {
+	waiting, overdue := map[string]bool{}, map[string]bool{}
+	for _, p := range m.pending {
+		if p.to == m.self || p.waits {
+			continue
+		}
+		waiting[p.to] = true
+		if m.unheard(now, p) > silentAfter {
+			overdue[p.to] = true
+		}
+	}
+	if len(overdue) < 2 || 2*len(overdue) <= len(waiting) {
+		return silentAfter
+	}
+	return ownDelayFactor * silentAfter
+}
+
+// unheard returns how long a scheduler has said nothing of a request, less the
+// time in which this process did not run.
+func (m *Machine) unheard(now time.Time, p *pending) time.Duration {
+	return now.Sub(p.askedAt) - (m.lag - p.askedIn)
+}
+
+func (m *Machine) silent(now time.Time, p *pending, patience time.Duration) bool {
 	if p.to == m.self {
 		return false
 	}
-	late := m.lag - p.askedIn
 	if p.waits {
 		// A scheduler may let a request wait on that is next in line.
+		late := m.lag - p.askedIn
 		return now.Sub(p.arrived)-late > max(p.ask.Hold, p.ask.Objective/2)+overHold
 	}
-	return now.Sub(p.askedAt)-late > silentAfter
+	return m.unheard(now, p) > patience
 }
 
 func (m *Machine) suspect(now time.Time, p *pending) {
--- a/core/entry/machine_test.go
+++ b/core/entry/machine_test.go
@@ -140,6 +140,38 @@
 	}
 }
 
+// Where the schedulers of several cells seem silent at the same time, the cause
+// is likely here: they are given longer.
+func TestManySilentSchedulersAreOwnDelay(t *testing.T) {
+	x := routing.NewIndex(&routing.Configuration{Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 8, CacheTokens: 1000}}}})
+	var targets routing.TargetSet
+	for i := range 60 {
+		targets.Targets = append(targets.Targets, routing.Target{ID: fmt.Sprintf("t%d", i), Service: "s"})
+	}
+	var nodes []place.Node
+	for i := range 40 {
+		nodes = append(nodes, place.Node{ID: fmt.Sprintf("g%d", i)})
+	}
+	m := New("self")
+	m.Step(start, LayoutSeen{cell.NewLayout(x, targets.Build(), nodes)})
+	to := map[string]bool{}
+	for id := range cell.RequestID(40) {
+		e := submit(id)
+		e.Ask.Prompt = &routing.Prompt{Tokens: 10, MaxOutput: 1, Parts: []routing.PromptPart{{ID: uint64(id), Tokens: 5}, {ID: 1000, Tokens: 5}}}
+		to[asked(m.Step(start, e))] = true
+	}
+	if len(to) < 3 {
+		t.Fatalf("only %d schedulers were asked", len(to))
+	}
+	now := start.Add(silentAfter + 30*time.Millisecond)
+	if actions := m.Step(now, Tick{}); len(actions) != 0 {
+		t.Errorf("%d actions after all seemed silent for %v", len(actions), now.Sub(start))
+	}
+	if to := asked(m.Step(start.Add(ownDelayFactor*silentAfter+time.Millisecond), Tick{})); to == "" {
+		t.Error("silent schedulers are waited for without end")
+	}
+}
+
 func TestAloneItSchedulesItself(t *testing.T) {
 	f := setUp(t)
 	f.after(0, submit(1))
--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -73,7 +73,8 @@
 		return false
 	}
 	before := g.share
-	if g.samples > 1 && g.least >= late {
+	// A sample that is late by a whole window stands for all of it.
+	if (g.samples > 1 || lateness >= window) && g.least >= late {
 		g.share = max(lessShare*g.share, leastShare)
 	} else {
 		g.share = min(g.share+moreShare, 1)
--- /dev/null
+++ b/modules/lateness/lateness.go
@@ -0,0 +1,73 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+// Package lateness measures how late a process comes to what it is sent. A byte
+// goes through a pipe at regular times; how long after its time it is read tells
+// what a request or an answer waits for timers, the poller and the run queue,
+// whether the processor is short, given in portions, or stood still.
+package lateness
+
+import (
+	"os"
+	"time"
+
+	"gopkg.in/tomb.v2"
+)
+
+// Probe sends itself bytes until its tomb dies.
+type Probe struct {
+	t      *tomb.Tomb
+	every  time.Duration
+	report func(lateness time.Duration)
+	reader *os.File
+	writer *os.File
+	due    chan time.Time // due holds the time of the byte that is under way.
+}
+
+// Start runs a probe that reports a lateness for each span of time; report must
+// not wait.
+func Start(t *tomb.Tomb, every time.Duration, report func(lateness time.Duration)) error {
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		return err
+	}
+	p := &Probe{t: t, every: every, report: report, reader: reader, writer: writer, due: make(chan time.Time, 1)}
+	t.Go(p.send)
+	t.Go(p.receive)
+	return nil
+}
+
+// send writes a byte at each time, unless the last one has not been read yet.
+func (p *Probe) send() error {
+	defer p.writer.Close()
+	due := time.Now().Add(p.every)
+	timer := time.NewTimer(p.every)
+	defer timer.Stop()
+	for {
+		select {
+		case <-p.t.Dying():
+			return nil
+		case <-timer.C:
+		}
+		select {
+		case p.due <- due:
+			if _, err := p.writer.Write([]byte{0}); err != nil {
+				return nil
+			}
+		default:
+		}
+		due = time.Now().Add(p.every)
+		timer.Reset(p.every)
+	}
+}
+
+func (p *Probe) receive() error {
+	defer p.reader.Close()
+	one := make([]byte, 1)
+	for {
+		if _, err := p.reader.Read(one); err != nil {
+			return nil // the sender has ended
+		}
+		p.report(max(time.Since(<-p.due), 0))
+	}
+}
--- /dev/null
+++ b/modules/lateness/lateness_test.go
@@ -0,0 +1,62 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package lateness
+
+import (
+	"testing"
+	"time"
+
+	"gopkg.in/tomb.v2"
+)
+
+// A probe reports again and again, and ends with its tomb.
+func TestProbeReportsUntilTheEnd(t *testing.T) {
+	var owner tomb.Tomb
+	reports := make(chan time.Duration)
+	err := Start(&owner, time.Millisecond, func(d time.Duration) {
+		select {
+		case reports <- d:
+		case <-owner.Dying():
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 5 {
+		if d := <-reports; d < 0 {
+			t.Errorf("reported %v", d)
+		}
+	}
+	owner.Kill(nil)
+	if err := owner.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A byte that is read late is reported with all of its delay.
+func TestDelayIsReported(t *testing.T) {
+	var owner tomb.Tomb
+	const delay = 20 * time.Millisecond
+	first := true
+	reports := make(chan time.Duration, 1)
+	err := Start(&owner, time.Millisecond, func(d time.Duration) {
+		if first {
+			first = false
+			time.Sleep(delay) // the reader stands still while the next byte is under way
+			return
+		}
+		select {
+		case reports <- d:
+		default:
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := <-reports; d < delay/2 {
+		t.Errorf("%v told of a delay of %v", d, delay)
+	}
+	owner.Kill(nil)
+	_ = owner.Wait()
+}
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -19,6 +19,7 @@
 	"madderway/handlers/gateway"
 	"madderway/modules/clock"
 	"madderway/modules/ident"
+	"madderway/modules/lateness"
 	"madderway/modules/log"
 	"madderway/modules/netopt"
 	"madderway/modules/peernet"
@@ -39,6 +40,7 @@
 	// take; each may need another one to a target.
 	callerShare = 0.45
 	drainPoll   = 20 * time.Millisecond
+	probeEvery  = 25 * time.Millisecond
 	// memoryShare is the part of the memory that the runtime aims to stay under,
 	// bodyShare the part that bodies may take.
 	memoryShare = 0.6
@@ -120,12 +122,11 @@
 	members := member.DefaultConfig()
 	members.Interval, members.SuspectAfter, members.DeadAfter = 400*time.Millisecond, 1200*time.Millisecond, 1500*time.Millisecond
 	members.Greet = true
-	guard := forward.NewGuard(log.New("guard").With(s.ID), g.clock)
 	g.loop = mesh.NewLoop(&g.t, log.New("mesh").With(s.ID), mesh.Options{
 		Self: g.self, Seeds: s.Seeds, Clock: g.clock, Auth: auth, Meter: g.meter, Member: members, Follow: g.follow,
-		Late: guard.Late,
 	})
 	peernet.NewServer(&g.t, log.New("peer").With(s.ID), auth, g.meter, peers, g.loop)
+	guard := forward.NewGuard(log.New("guard").With(s.ID), g.clock)
 	g.forward = forward.New(log.New("forward").With(s.ID), forward.Options{
 		DataHall: s.DataHall, Clock: g.clock, Follow: g.follow, Mesh: g.loop, Client: upstream.NewClient(g.pool, platform.Dialect{}),
 		Guard: guard, Retry: retryBudget(s),
@@ -134,6 +135,9 @@
 		Clock: g.clock, Dialect: platform.Dialect{}, Follow: g.follow, Forward: g.forward,
 		MaxBodies: int64(bodyShare * float64(s.MemoryMB<<20)),
 	})
+	if err := lateness.Start(&g.t, probeEvery, guard.Late); err != nil {
+		g.log.Error(err, "No probe of lateness; overload is not noticed.")
+	}
 }
 
 func retryBudget(s *setting.Gateway) forward.RetryBudget {
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -63,8 +63,6 @@
 	Meter  *peernet.Meter
 	Member member.Config
 	Follow *follow.Service
-	// Late is told at each tick how late it comes; it must not wait.
-	Late func(lateness time.Duration)
 }
 
 type scheduled struct {
@@ -240,9 +238,7 @@
 		}
 	}
 	l.tellTallies(now)
-	lateness := l.lag(now)
-	l.opts.Late(lateness)
-	l.enter(now, entry.Tick{Lag: lateness})
+	l.enter(now, entry.Tick{Lag: l.lag(now)})
 	l.flush(now)
 	l.tickDue = now.Add(l.tickAfter())
 }
