cell: Learn what engines keep at a take-over; begun streams look for a target longer

Causes: a scheduler that takes a cell over guesses where prompts are kept; shared parts are read again for it. TestFewSubjectsAreNoReasonToGetLess failed once: waiting on and the dearer reading gave a flood more, and late requests were refused in random order.

Change: the first scheduler of a cell asks its engines once what they keep, and believes that. A begun stream asks for a place again for 1.2 s.

--- a/core/batch/cache.go
+++ b/core/batch/cache.go
@@ -9,16 +9,18 @@
 
 import (
 	"container/list"
+	"time"
 
 	"madderway/models/routing"
 )
 
 // kept is one part of a prompt in the engine's memory. A part counts only
-// together with all parts before it, so it is known by the whole chain.
+// together with all parts before it; its name is its own, as engines tell it.
 type kept struct {
-	chain  uint64
+	id     uint64
 	tokens int
 	pins   int // pins counts the running requests that use it.
+	usedAt time.Time
 	at     *list.Element
 }
 
@@ -37,19 +39,11 @@
 	return &cache{capacity: capacity, parts: map[uint64]*kept{}, order: list.New()}
 }
 
-// chainOf mixes a part into the name of the chain before it.
-func chainOf(before, part uint64) uint64 {
-	const prime = 0x9E3779B97F4A7C15
-	x := (before ^ part) * prime
-	return x ^ x>>29
-}
-
 // hit returns the tokens at the beginning of the prompt that are kept.
 func (c *cache) hit(parts []routing.PromptPart) int {
-	chain, tokens := uint64(0), 0
+	tokens := 0
 	for _, p := range parts {
-		chain = chainOf(chain, p.ID)
-		if _, ok := c.parts[chain]; !ok {
+		if _, ok := c.parts[p.ID]; !ok {
 			break
 		}
 		tokens += p.Tokens
@@ -58,18 +52,17 @@
 }
 
 // pin marks the parts of a request that begins as in use and kept.
-func (c *cache) pin(parts []routing.PromptPart) {
-	chain := uint64(0)
+func (c *cache) pin(now time.Time, parts []routing.PromptPart) {
 	for _, p := range parts {
-		chain = chainOf(chain, p.ID)
-		k, ok := c.parts[chain]
+		k, ok := c.parts[p.ID]
 		if !ok {
-			k = &kept{chain: chain, tokens: p.Tokens}
+			k = &kept{id: p.ID, tokens: p.Tokens}
 			k.at = c.order.PushBack(k)
-			c.parts[chain] = k
+			c.parts[p.ID] = k
 			c.used += p.Tokens
 		}
 		c.order.MoveToBack(k.at)
+		k.usedAt = now
 		if k.pins == 0 {
 			c.pinned += k.tokens
 		}
@@ -79,15 +72,14 @@
 }
 
 // unpin marks the parts of a request that ended as no longer in use.
-func (c *cache) unpin(parts []routing.PromptPart) {
-	chain := uint64(0)
+func (c *cache) unpin(now time.Time, parts []routing.PromptPart) {
 	for _, p := range parts {
-		chain = chainOf(chain, p.ID)
-		k, ok := c.parts[chain]
+		k, ok := c.parts[p.ID]
 		if !ok || k.pins == 0 {
 			continue
 		}
 		k.pins--
+		k.usedAt = now
 		if k.pins == 0 {
 			c.pinned -= k.tokens
 		}
@@ -100,13 +92,40 @@
 	for at := c.order.Front(); at != nil && c.used+c.outputs > c.capacity; {
 		k, next := at.Value.(*kept), at.Next()
 		if k.pins == 0 {
-			c.order.Remove(at)
-			delete(c.parts, k.chain)
-			c.used -= k.tokens
+			c.drop(k)
 		}
 		at = next
 	}
 }
 
+// learn makes the parts those that the engine says it keeps, as of a time. Parts
+// in use, or used since, stay; new ones count as used longest ago: when they were
+// used the engine does not say.
+func (c *cache) learn(at time.Time, parts []routing.PromptPart) {
+	told := make(map[uint64]bool, len(parts))
+	for _, p := range parts {
+		told[p.ID] = true
+		if _, ok := c.parts[p.ID]; ok || p.Tokens <= 0 {
+			continue
+		}
+		k := &kept{id: p.ID, tokens: p.Tokens, usedAt: at}
+		k.at = c.order.PushFront(k)
+		c.parts[p.ID] = k
+		c.used += p.Tokens
+	}
+	for _, k := range c.parts {
+		if !told[k.id] && k.pins == 0 && k.usedAt.Before(at) {
+			c.drop(k)
+		}
+	}
+	c.evict()
+}
+
+func (c *cache) drop(k *kept) {
+	c.order.Remove(k.at)
+	delete(c.parts, k.id)
+	c.used -= k.tokens
+}
+
 // room returns the tokens that are free or can be made free.
 func (c *cache) room() int { return c.capacity - c.pinned - c.outputs }
--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -102,7 +102,7 @@
 	e.runs[r] = struct{}{}
 	e.queue = append(e.queue, r)
 	e.cache.outputs += output
-	e.cache.pin(p.Parts)
+	e.cache.pin(now, p.Parts)
 	r.dueAt = e.pace.add(now, r.Read, len(e.runs))
 	return r
 }
@@ -125,7 +125,7 @@
 	r := &Run{Prompt: p, Output: output, granted: now, begun: begun}
 	e.runs[r] = struct{}{}
 	e.cache.outputs += output
-	e.cache.pin(p.Parts)
+	e.cache.pin(now, p.Parts)
 	if !begun {
 		r.Read = min(p.Own(), p.Tokens)
 		e.queue = append(e.queue, r)
@@ -134,6 +134,9 @@
 	return r
 }
 
+// Learn takes the parts of prompts that the engine itself says it kept at a time.
+func (e *Engine) Learn(at time.Time, parts []routing.PromptPart) { e.cache.learn(at, parts) }
+
 func (e *Engine) unqueue(r *Run) {
 	r.begun = true
 	if i := slices.Index(e.queue, r); i >= 0 {
@@ -156,7 +159,7 @@
 		e.pace.resume(now, e.queue)
 	}
 	e.cache.outputs -= r.Output
-	e.cache.unpin(r.Prompt.Parts)
+	e.cache.unpin(now, r.Prompt.Parts)
 }
 
 // Usable tells whether new work may be sent to the engine.
--- a/core/cell/account.go
+++ b/core/cell/account.go
@@ -126,8 +126,8 @@
 
 // mayWaitOn tells whether a request waits on beyond its time. One of an account
 // that has had far less than another that waits is next in line, and would only
-// come back to the same line. Any other one waits on where what goes before it
-// will be read soon enough.
+// come back to the same line. Any other one, but for those of the account that
+// has had the most, waits on where what goes before it will be read soon enough.
 func (c *Cell) mayWaitOn(now time.Time, w *waiter, a *account) bool {
 	if w.ask.Objective <= 0 || now.Sub(w.arrived) >= time.Duration(waitOnShare*float64(w.ask.Objective)) {
 		return false
@@ -138,7 +138,7 @@
 	if a.underserved(c.most) {
 		return true
 	}
-	if !c.soon(now, w, a) {
+	if a.level >= c.most && len(c.queued) > 1 || !c.soon(now, w, a) {
 		return false
 	}
 	w.until = now.Add(waitOnStep)
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -111,6 +111,10 @@
 		c.setTargets(e)
 	case TallySeen:
 		c.takeTally(now, e)
+	case KeptSeen:
+		if t := c.targets[e.Target]; t != nil {
+			t.engine.Learn(e.At, e.Parts)
+		}
 	case Tick:
 		c.forget(now)
 	}
--- a/core/cell/choose.go
+++ b/core/cell/choose.go
@@ -15,8 +15,10 @@
 // Weights of the choice of a target.
 const (
 	// rereadWeight makes reading a shared part anew dearer than its time alone:
-	// it also pushes out what others will need.
-	rereadWeight = 3.0
+	// it also pushes out what others will need. For an account that has had far
+	// less than another it weighs less: it must not get less for its few subjects.
+	rereadWeight     = 3.0
+	rereadWeightOwed = 1.5
 	// errorPenalty is the wait that a share of failed runs of 1 stands for.
 	errorPenalty = 2 * time.Second
 	// crowdPenalty is the wait that a full batch stands for: its tokens come
@@ -118,6 +120,10 @@
 	p := w.ask.Prompt
 	output := p.OutputEstimate()
 	scores := c.scores(w)
+	weight := rereadWeight
+	if c.account(w.ask.Account).underserved(c.most) {
+		weight = rereadWeightOwed
+	}
 	out := c.scratch[:0]
 	home := -1
 	for i := range c.views {
@@ -129,7 +135,7 @@
 		if !v.target.engine.Fits(missing, output) {
 			continue
 		}
-		o := v.option(p, missing)
+		o := v.option(p, missing, weight)
 		o.at, o.tie = i, scores[i]
 		out = append(out, o)
 		if home < 0 || o.tie > out[home].tie {
@@ -138,7 +144,7 @@
 	}
 	c.scratch = out
 	if home >= 0 {
-		c.believe(now, &out[home], p)
+		c.believe(now, &out[home], p, weight)
 	}
 	return out
 }
@@ -157,20 +163,20 @@
 	return w.scores
 }
 
-func (v *view) option(p *routing.Prompt, missing int) option {
+func (v *view) option(p *routing.Prompt, missing int, weight float64) option {
 	wait := v.base + seconds(float64(missing)/v.speed)
-	reread := (rereadWeight - 1) * float64(sharedOf(p, missing)) / v.speed
+	reread := (weight - 1) * float64(sharedOf(p, missing)) / v.speed
 	return option{missing: missing, wait: wait, cost: wait + seconds(reread)}
 }
 
 // believe makes the home cheaper by what it probably keeps.
-func (c *Cell) believe(now time.Time, o *option, p *routing.Prompt) {
+func (c *Cell) believe(now time.Time, o *option, p *routing.Prompt, weight float64) {
 	belief := homeBelief
 	if now.Sub(c.started) < youngFor {
 		belief = homeBeliefYoung
 	}
 	shared := float64(sharedOf(p, o.missing))
-	o.cost -= seconds(belief * rereadWeight * shared / c.views[o.at].speed)
+	o.cost -= seconds(belief * weight * shared / c.views[o.at].speed)
 }
 
 // sharedOf returns how many of the missing tokens belong to parts that other
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -91,24 +91,30 @@
 // refuseLate refuses the requests of these accounts that have waited too long.
 func (c *Cell) refuseLate(now time.Time, accounts []*account) {
 	least := accounts[0].level
-	for _, w := range c.waiting {
-		if now.Before(w.until) {
-			continue
+	for _, a := range accounts {
+		for _, w := range c.lateOf(now, a) {
+			elsewhere := c.siblings > 0 && a.starved(c.most)
+			c.drop(w)
+			c.counts.Refused++
+			a.refused++
+			c.emit(Refuse{
+				Elsewhere: elsewhere,
+				Entry:     w.key.entry, ID: w.key.id, RetryAfter: c.retryAfter(a.level-least, len(accounts)), Account: a.name,
+				Waited: now.Sub(w.arrived), Ahead: a.level - least, Booked: c.leastBooked(), Waiting: len(c.waiting),
+			})
 		}
-		a := c.account(w.ask.Account)
-		if c.mayWaitOn(now, w, a) {
-			continue
+	}
+}
+
+// lateOf returns the requests of an account that have waited for too long.
+func (c *Cell) lateOf(now time.Time, a *account) []*waiter {
+	var late []*waiter
+	for _, w := range a.queue {
+		if !now.Before(w.until) && !c.mayWaitOn(now, w, a) {
+			late = append(late, w)
 		}
-		elsewhere := c.siblings > 0 && a.starved(c.most)
-		c.drop(w)
-		c.counts.Refused++
-		a.refused++
-		c.emit(Refuse{
-			Elsewhere: elsewhere,
-			Entry:     w.key.entry, ID: w.key.id, RetryAfter: c.retryAfter(a.level-least, len(accounts)), Account: a.name,
-			Waited: now.Sub(w.arrived), Ahead: a.level - least, Booked: c.leastBooked(), Waiting: len(c.waiting),
-		})
 	}
+	return late
 }
 
 // leastBooked returns how long the reading of the least busy target is given
--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -106,6 +106,13 @@
 	Service float64
 }
 
+// KeptSeen tells which parts of prompts a target says it keeps.
+type KeptSeen struct {
+	Target string
+	At     time.Time // At is when it was asked.
+	Parts  []routing.PromptPart
+}
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -117,6 +124,7 @@
 func (EntryGone) isEvent()     {}
 func (TargetsSeen) isEvent()   {}
 func (TallySeen) isEvent()     {}
+func (KeptSeen) isEvent()      {}
 func (Tick) isEvent()          {}
 
 // Action is something that the owner of a Cell must do.
--- a/lab/platform/worker.go
+++ b/lab/platform/worker.go
@@ -4,6 +4,7 @@
 package platform
 
 import (
+	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -126,6 +127,10 @@
 
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/-/kv-list" {
+		w.listKept(rw)
+		return
+	}
 	if r.Header.Get("Expect-Instance") != w.ID {
 		rw.Header().Set("Instance-Id", w.ID)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -321,6 +326,18 @@
 	return w.readTo.Sub(now)
 }
 
+// listKept answers which parts are kept.
+func (w *Worker) listKept(rw http.ResponseWriter) {
+	w.mu.Lock()
+	held := make([][]any, 0, len(w.order))
+	for _, id := range w.order {
+		held = append(held, []any{"", id, w.kept[id], "m"})
+	}
+	w.mu.Unlock()
+	rw.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(rw).Encode(map[string]any{"epoch": 1, "nextPageToken": 0, "held": held})
+}
+
 func (w *Worker) keep(id string, tokens int) {
 	w.seen[id] = true
 	if _, ok := w.kept[id]; ok {
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -122,13 +122,15 @@
 	members := member.DefaultConfig()
 	members.Interval, members.SuspectAfter, members.DeadAfter = 400*time.Millisecond, 1200*time.Millisecond, 1500*time.Millisecond
 	members.Greet = true
+	client := upstream.NewClient(g.pool, platform.Dialect{})
 	g.loop = mesh.NewLoop(&g.t, log.New("mesh").With(s.ID), mesh.Options{
 		Self: g.self, Seeds: s.Seeds, Clock: g.clock, Auth: auth, Meter: g.meter, Member: members, Follow: g.follow,
+		Kept: client.Kept,
 	})
 	peernet.NewServer(&g.t, log.New("peer").With(s.ID), auth, g.meter, peers, g.loop)
 	guard := forward.NewGuard(log.New("guard").With(s.ID), g.clock)
 	g.forward = forward.New(log.New("forward").With(s.ID), forward.Options{
-		DataHall: s.DataHall, Clock: g.clock, Follow: g.follow, Mesh: g.loop, Client: upstream.NewClient(g.pool, platform.Dialect{}),
+		DataHall: s.DataHall, Clock: g.clock, Follow: g.follow, Mesh: g.loop, Client: client,
 		Guard: guard, Retry: retryBudget(s),
 	})
 	g.handler = gateway.New(gateway.Options{
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -19,6 +19,13 @@
 // maxRounds bounds the placements of one request, whatever happens.
 const maxRounds = 8
 
+// A stream that has begun asks for another target so often and so long; callers
+// give one up after a pause of two seconds.
+const (
+	placeAgainEvery = 100 * time.Millisecond
+	placeAgainFor   = 1200 * time.Millisecond
+)
+
 // soonAfter is when a caller may come back where the reason passes quickly.
 const soonAfter = 250 * time.Millisecond
 
@@ -60,7 +67,7 @@
 
 func (j *job) run() error {
 	for range maxRounds {
-		p, err := j.place()
+		p, err := j.placeOrWait()
 		if err != nil {
 			return j.notPlaced(err)
 		}
@@ -94,6 +101,31 @@
 	return j.notPlaced(result.New(result.NoTarget, "no target after %d rounds", maxRounds).After(soonAfter))
 }
 
+// placeOrWait finds a target. One for a stream that another target has begun is
+// asked for again and again for a while: the caller has a part of the answer.
+func (j *job) placeOrWait() (place, error) {
+	began := j.s.opts.Clock.Now()
+	for {
+		p, err := j.place()
+		now := j.s.opts.Clock.Now()
+		if err == nil || !placeLater(j.history, j.r.Deadline.Sub(now), now.Sub(began)) {
+			return p, err
+		}
+		select {
+		case <-j.ctx.Done():
+			return nil, err
+		case <-j.s.opts.Clock.After(placeAgainEvery):
+		}
+	}
+}
+
+// placeLater tells whether a target is worth asking for once more, so much time
+// before the deadline and so long after the first try.
+func placeLater(h attempt.History, left, tried time.Duration) bool {
+	resumable := h.Route.Stream && h.Route.Resumable
+	return resumable && h.MayHave && h.Sent < h.Route.MaxAttempts && left > 2*placeAgainEvery && tried < placeAgainFor
+}
+
 // notPlaced ends a request that finds no further target. Where an earlier
 // attempt may have been executed, "not run" would be a lie.
 func (j *job) notPlaced(err error) error {
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -34,7 +34,10 @@
 		n, err := a.Body.Read(chunk)
 		if n > 0 {
 			if j.pace.note(j.s.opts.Clock.Now(), j.r.Received) {
-				impatient.Stop()
+				if !impatient.Stop() && j.reserved.Load() {
+					j.reason = "cut for its slowness"
+					return j.ended(p, attempt.Cut)
+				}
 				p.began()
 			}
 			out := chunk[:n]
--- a/services/forward/watch_test.go
+++ b/services/forward/watch_test.go
@@ -5,11 +5,16 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"madderway/core/attempt"
 	"madderway/models/routing"
+	"madderway/modules/clock"
+	"madderway/services/upstream"
 )
 
 // impatient is a place whose first part is waited for but a moment.
@@ -62,3 +67,54 @@
 		t.Errorf("%d repeats were taken", taken)
 	}
 }
+
+// What comes of an attempt that has just been cut for its slowness is not passed
+// on: the answer would break off, though its repeat can give the whole.
+func TestLateFirstEventOfACutAttemptStaysBehind(t *testing.T) {
+	for _, cut := range []bool{true, false} {
+		j := impatientJob(func() bool { return true })
+		j.s = &Service{opts: Options{Clock: clock.System{}}}
+		j.ctx = context.Background()
+		j.r.Route.Stream, j.r.Route.Resumable = true, true
+		recorder := httptest.NewRecorder()
+		j.w = recorder
+		j.reserved.Store(cut)
+		fired := time.AfterFunc(time.Hour, func() {})
+		if cut {
+			fired.Stop()
+		}
+		a := &upstream.Answer{Status: http.StatusOK, Header: http.Header{}, Body: strings.NewReader("id: 1\ndata: a\n\n")}
+		outcome := j.pump(impatient{}, a, fired)
+		if written := recorder.Body.Len() > 0; written == cut {
+			t.Errorf("cut %v: %q was passed on", cut, recorder.Body.String())
+		}
+		if (outcome == attempt.Cut) != cut {
+			t.Errorf("cut %v: outcome %v", cut, outcome)
+		}
+	}
+}
+
+// A stream that has begun is worth waiting for a target that goes on with it; a
+// request that has not run is told at once.
+func TestBegunStreamWaitsForATarget(t *testing.T) {
+	route := &routing.Route{Stream: true, Resumable: true, MaxAttempts: 2}
+	for name, c := range map[string]struct {
+		history attempt.History
+		left    time.Duration
+		want    bool
+	}{
+		"begun":                 {attempt.History{Route: route, Sent: 1, MayHave: true, HeadOut: true}, time.Second, true},
+		"sent":                  {attempt.History{Route: route, Sent: 1, MayHave: true}, time.Second, true},
+		"not sent":              {attempt.History{Route: route}, time.Second, false},
+		"time is over":          {attempt.History{Route: route, Sent: 1, MayHave: true}, time.Millisecond, false},
+		"may not be repeated":   {attempt.History{Route: &routing.Route{Stream: true}, Sent: 1, MayHave: true}, time.Second, false},
+		"no further attempt is": {attempt.History{Route: route, Sent: 2, MayHave: true}, time.Second, false},
+	} {
+		if got := placeLater(c.history, c.left, 0); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+		if placeLater(c.history, c.left, placeAgainFor) {
+			t.Errorf("%s: waits without end", name)
+		}
+	}
+}
--- /dev/null
+++ b/services/mesh/kept.go
@@ -0,0 +1,71 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"madderway/core/cell"
+	"madderway/models/routing"
+)
+
+const (
+	// askKeptAtOnce bounds the targets that are asked at the same time what they
+	// keep, askKeptTime how long one may take.
+	askKeptAtOnce = 4
+	askKeptTime   = time.Second
+	// askKeptAgain is how long after a cell was taken over its targets are not
+	// asked once more.
+	askKeptAgain = 5 * time.Second
+)
+
+// keptIn is what a target of a cell says it keeps.
+type keptIn struct {
+	key    cell.Key
+	target string
+	at     time.Time
+	parts  []routing.PromptPart
+}
+
+func (keptIn) isInput() {}
+
+// askKept asks the targets of a cell that this gateway schedules which parts of
+// prompts they keep. Without that one that has just taken over would let them
+// read again what the one before it had let them read. A gateway that stands in
+// for a moment, or knows no other one yet, asks nobody.
+func (l *Loop) askKept(now time.Time, key cell.Key, s *scheduled) {
+	g := l.layout.Group(key)
+	if l.opts.Kept == nil || g == nil || len(g.Schedulers) < 2 || g.Schedulers[0] != l.opts.Self.ID || now.Sub(s.keptAt) < askKeptAgain {
+		return
+	}
+	s.keptAt = now
+	targets := make(chan *routing.Target, len(g.Targets))
+	for _, t := range g.Targets {
+		targets <- t
+	}
+	close(targets)
+	for range min(askKeptAtOnce, len(g.Targets)) {
+		l.t.Go(func() error {
+			for t := range targets {
+				l.askOneKept(key, t)
+			}
+			return nil
+		})
+	}
+}
+
+func (l *Loop) askOneKept(key cell.Key, t *routing.Target) {
+	ctx, cancel := context.WithTimeout(l.t.Context(nil), askKeptTime)
+	defer cancel()
+	start := l.opts.Clock.Now()
+	parts, err := l.opts.Kept(ctx, t)
+	took := l.opts.Clock.Now().Sub(start)
+	if err != nil {
+		l.log.Info("Target did not say what it keeps.", "cell", key, "target", t.ID, "took", took, "error", err)
+		return
+	}
+	l.log.Debug("Target said what it keeps.", "cell", key, "target", t.ID, "parts", len(parts), "took", took)
+	l.put(keptIn{key, t.ID, start, parts})
+}
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -63,12 +63,15 @@
 	Meter  *peernet.Meter
 	Member member.Config
 	Follow *follow.Service
+	// Kept asks a target which parts of prompts it keeps; nil where none tell.
+	Kept func(ctx context.Context, t *routing.Target) ([]routing.PromptPart, error)
 }
 
 type scheduled struct {
 	cell    *cell.Cell
 	askedAt time.Time
-	life    uint64 // life tells this hold of the cell from others.
+	keptAt  time.Time // keptAt is when the targets were last asked what they keep.
+	life    uint64    // life tells this hold of the cell from others.
 }
 
 // Loop is the goroutine that owns the machines.
@@ -220,6 +223,10 @@
 		l.index, l.targets = e.index, e.targets
 		l.relayout(now)
 		l.announce(now)
+	case keptIn:
+		if s := l.cells[e.key]; s != nil {
+			l.schedule(now, e.key, s, cell.KeptSeen{Target: e.target, At: e.at, Parts: e.parts})
+		}
 	case inspectIn:
 		e.run()
 		close(e.done)
@@ -233,6 +240,9 @@
 	l.callSeeds(now)
 	for key, s := range l.cells {
 		l.schedule(now, key, s, cell.Tick{})
+		if s.keptAt.IsZero() {
+			l.askKept(now, key, s)
+		}
 		if s.cell.Idle() && now.Sub(s.askedAt) > cellIdle {
 			delete(l.cells, key)
 		}
--- a/services/upstream/dialect.go
+++ b/services/upstream/dialect.go
@@ -45,6 +45,10 @@
 	// what a caller may not set.
 	WriteCall(h http.Header, o Outgoing)
 	ReadAnswer(status int, h http.Header) Verdict
+	// KeptPath is where a target that runs a model lists the parts of prompts
+	// that it keeps, and ReadKept reads that list.
+	KeptPath() string
+	ReadKept(list []byte) ([]routing.PromptPart, error)
 	// RefusalHeader tells a caller when to come back.
 	RefusalHeader(after time.Duration) (name, value string)
 }
--- a/services/upstream/exchange_test.go
+++ b/services/upstream/exchange_test.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -21,6 +22,13 @@
 // plainDialect is a small dialect of the tests' own.
 type plainDialect struct{}
 
+func (plainDialect) KeptPath() string { return "/kept" }
+
+func (plainDialect) ReadKept(list []byte) ([]routing.PromptPart, error) {
+	var parts []routing.PromptPart
+	return parts, json.Unmarshal(list, &parts)
+}
+
 func (plainDialect) ReadCall(h http.Header) Call { return Call{ID: h.Get("Id")} }
 
 func (plainDialect) WriteCall(h http.Header, o Outgoing) {
@@ -129,6 +137,29 @@
 	return NewClient(p, plainDialect{}), p
 }
 
+// A target is asked what it keeps on a connection of its own; an answer that is
+// no list is an error.
+func TestKeptPartsAreRead(t *testing.T) {
+	texts := []string{`[{"ID":3,"Tokens":70}]`, `{"no":"list"}`}
+	status := "200 OK"
+	s := script(t, func(conn, _ int, _ string) answer {
+		text := texts[min(conn, len(texts)-1)]
+		return answer{text: fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(text), text), close: true}
+	})
+	c, _ := newClient()
+	parts, err := c.Kept(context.Background(), s.target())
+	if err != nil || len(parts) != 1 || parts[0] != (routing.PromptPart{ID: 3, Tokens: 70}) {
+		t.Errorf("%v %v", parts, err)
+	}
+	if _, err := c.Kept(context.Background(), s.target()); err == nil {
+		t.Error("took something else for a list")
+	}
+	status = "429 Too Many Requests"
+	if _, err := c.Kept(context.Background(), s.target()); err == nil {
+		t.Error("took a refusal for a list")
+	}
+}
+
 func TestConnectionsAreUsedAgain(t *testing.T) {
 	s := script(t, func(_, n int, _ string) answer { return answer{text: whole(fmt.Sprint("r", n), "body")} })
 	c, p := newClient()
--- /dev/null
+++ b/services/upstream/kept.go
@@ -0,0 +1,45 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+
+	"madderway/models/routing"
+)
+
+// maxKeptList bounds the list of parts that a target keeps, in bytes.
+const maxKeptList = 4 << 20
+
+// Kept asks a target which parts of prompts it keeps. It takes a connection of
+// its own, since the answer carries neither ID nor signature.
+func (c *Client) Kept(ctx context.Context, t *routing.Target) ([]routing.PromptPart, error) {
+	connection, err := c.pool.dial(ctx, t)
+	if err != nil {
+		return nil, ErrExchange{false, err.Error()}
+	}
+	defer connection.Close()
+	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	defer stop()
+	request := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", c.dialect.KeptPath(), t.Address)
+	if _, err := io.WriteString(connection, request); err != nil {
+		return nil, ErrExchange{true, err.Error()}
+	}
+	resp, err := http.ReadResponse(connection.reader, &http.Request{Method: http.MethodGet})
+	if err != nil {
+		return nil, ErrExchange{true, err.Error()}
+	}
+	defer resp.Body.Close()
+	list, err := io.ReadAll(io.LimitReader(resp.Body, maxKeptList))
+	if err != nil {
+		return nil, ErrExchange{true, err.Error()}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, ErrExchange{true, resp.Status}
+	}
+	return c.dialect.ReadKept(list)
+}
