--- a/services/mesh/step.go
+++ b/services/mesh/step.go
@@ -184,7 +184,8 @@
 		if a.Entry == self {
 			return
 		}
-		f := l.out.Frame(now, a.Entry, false)
+		// Where a place follows soon, one frame carries both.
+		f := l.out.Frame(now, a.Entry, true)
 		f.EngineWaits = append(f.EngineWaits, &wire.EngineWait{Id: uint64(a.ID)})
 	case cell.Refuse:
 		l.log.Info("Request refused.", "cell", key, "entry", a.Entry, "number", a.ID, "account", a.Account, "waited", a.Waited,
