--- a/core/entry/machine.go
+++ b/core/entry/machine.go
@@ -10,18 +10,6 @@
 )
 
 const (
-	// silentAfter is how long a scheduler may leave an ask without any word.
-	silentAfter = 60 * time.Millisecond
-	// ownDelayFactor is how many times longer that may be where most schedulers
-	// seem silent at once: the cause is likely in this process, which has not read
-	// what they sent.
-	ownDelayFactor = 3
-	// overHold is how long after the end of the wait a scheduler's word may come.
-	overHold = 60 * time.Millisecond
-	// suspectFirst is how long a silent scheduler is passed over, twice as long
-	// each time that it stays silent.
-	suspectFirst   = 500 * time.Millisecond
-	suspectMax     = 4 * time.Second
 	inventoryEvery = 2 * time.Second
 	// moveShare is the part of the objective that a second cell may take.
 	moveShare     = 0.15
@@ -52,11 +40,6 @@
 	toldAt    time.Time // toldAt is when it was last told all that runs here.
 }
 
-type suspicion struct {
-	until time.Time
-	span  time.Duration
-}
-
 // Machine is the entry side of one gateway.
 type Machine struct {
 	self     string
@@ -152,11 +135,6 @@
 	m.emit(AskOut{p.to, p.cell, ask})
 }
 
-func (m *Machine) suspected(now time.Time, id string) bool {
-	s := m.suspects[id]
-	return id != m.self && s != nil && now.Before(s.until)
-}
-
 // sit makes a gateway the scheduler in use for a cell; a new one is told all
 // that runs here.
 func (m *Machine) sit(now time.Time, key cell.Key, scheduler string) {
@@ -276,56 +254,6 @@
 	}
 }
 
-// patience returns how long a scheduler may say nothing.
-func (m *Machine) patience(now time.Time) time.Duration {
-	waiting, overdue := map[string]bool{}, map[string]bool{}
-	for _, p := range m.pending {
-		if p.to == m.self || p.waits {
-			continue
-		}
-		waiting[p.to] = true
-		if m.unheard(now, p) > silentAfter {
-			overdue[p.to] = true
-		}
-	}
-	if len(overdue) < 2 || 2*len(overdue) <= len(waiting) {
-		return silentAfter
-	}
-	return ownDelayFactor * silentAfter
-}
-
-// unheard returns how long a scheduler has said nothing of a request, less the
-// time in which this process did not run.
-func (m *Machine) unheard(now time.Time, p *pending) time.Duration {
-	return now.Sub(p.askedAt) - (m.lag - p.askedIn)
-}
-
-func (m *Machine) silent(now time.Time, p *pending, patience time.Duration) bool {
-	if p.to == m.self {
-		return false
-	}
-	if p.waits {
-		// A scheduler may let a request wait on that is next in line.
-		late := m.lag - p.askedIn
-		return now.Sub(p.arrived)-late > max(p.ask.Hold, p.ask.Objective/2)+overHold
-	}
-	return m.unheard(now, p) > patience
-}
-
-func (m *Machine) suspect(now time.Time, p *pending) {
-	s := m.suspects[p.to]
-	if s == nil {
-		s = &suspicion{span: suspectFirst}
-		m.suspects[p.to] = s
-	} else if now.Before(s.until) {
-		return
-	} else {
-		s.span = min(2*s.span, suspectMax)
-	}
-	s.until = now.Add(s.span)
-	m.emit(Suspect{p.to, p.cell, s.span})
-}
-
 // Seats returns the scheduler that is in use for each cell.
 func (m *Machine) Seats() map[string]string {
 	out := map[string]string{}
--- a/services/mesh/kept.go
+++ b/services/mesh/kept.go
@@ -57,7 +57,7 @@
 }
 
 func (l *Loop) askOneKept(key cell.Key, t *routing.Target) {
-	ctx, cancel := context.WithTimeout(l.t.Context(nil), askKeptTime)
+	ctx, cancel := context.WithTimeout(l.t.Context(context.Background()), askKeptTime)
 	defer cancel()
 	start := l.opts.Clock.Now()
 	parts, err := l.opts.Kept(ctx, t)
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -36,8 +36,7 @@
 	linkRing   = 512
 	tickBusy   = 10 * time.Millisecond
 	tickIdle   = 100 * time.Millisecond
-	tickSlack  = 2 * time.Millisecond // timers fire slightly late
-	batchLimit = 256                  // inputs taken before the frames go out
+	batchLimit = 256 // inputs taken before the frames go out
 	lazyDelay  = 15 * time.Millisecond
 	seedEvery  = 500 * time.Millisecond
 	seedCalm   = 5 * time.Second // between calls to seeds once members are known
@@ -160,14 +159,6 @@
 	}
 }
 
-// expectTick notes when the next tick should come; work that has just come up
-// can only bring that forward.
-func (l *Loop) expectTick(now time.Time) {
-	if due := now.Add(l.tickAfter()); due.Before(l.tickDue) {
-		l.tickDue = due
-	}
-}
-
 func (l *Loop) timed(work func()) {
 	start := time.Now()
 	work()
@@ -253,15 +244,6 @@
 	l.tickDue = now.Add(l.tickAfter())
 }
 
-// lag returns how late a tick is: a process that was not given the processor
-// has not read what it was sent either.
-func (l *Loop) lag(now time.Time) time.Duration {
-	if l.tickDue.IsZero() {
-		return 0
-	}
-	return max(now.Sub(l.tickDue)-tickSlack, 0)
-}
-
 // callSeeds makes this gateway known to the seeds, often until any member is
 // known.
 func (l *Loop) callSeeds(now time.Time) {
