--- a/core/entry/silence.go
+++ b/core/entry/silence.go
@@ -16,8 +16,8 @@
 	overHold = 60 * time.Millisecond
 	// suspectFirst is how long a silent scheduler is passed over, twice as long
 	// each time that it stays silent.
-	suspectFirst   = 500 * time.Millisecond
-	suspectMax     = 4 * time.Second
+	suspectFirst = 500 * time.Millisecond
+	suspectMax   = 4 * time.Second
 )
 
 // suspicion is held against a scheduler that has been silent.
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -26,6 +26,11 @@
 	staleAfter   = 1200 * time.Millisecond
 	stalePerStep = 150 * time.Millisecond
 	staleSpread  = 500 * time.Millisecond
+	// longSilence is the age of knowledge from which on entries that their owners
+	// renew may have run out; settleTime is how long after that they may still be
+	// missing.
+	longSilence = 3500 * time.Millisecond
+	settleTime  = 2 * time.Second
 )
 
 // Watch is what one gateway believes of the age of one table.
@@ -33,6 +38,7 @@
 	delay   time.Duration
 	freshAt time.Time // freshAt is the latest time at which what is known here was all there was.
 	askedAt time.Time
+	backAt  time.Time // backAt is when a long silence ended.
 	known   bool
 }
 
@@ -73,9 +79,22 @@
 func (w *Watch) Heard(now time.Time, age time.Duration) { w.fresh(now.Add(-age)) }
 
 func (w *Watch) fresh(at time.Time) {
-	if at.After(w.freshAt) {
-		w.freshAt = at
+	if !at.After(w.freshAt) {
+		return
 	}
+	if !w.freshAt.IsZero() && at.Sub(w.freshAt) > longSilence {
+		w.backAt = at
+	}
+	w.freshAt = at
+}
+
+// Unsettled tells whether a long silence lasts, or has ended just now: entries
+// that are missing may only have run out.
+func (w *Watch) Unsettled(now time.Time) bool {
+	if w.freshAt.IsZero() {
+		return false
+	}
+	return now.Sub(w.freshAt) > longSilence || !w.backAt.IsZero() && now.Sub(w.backAt) < settleTime
 }
 
 // Age returns how old the knowledge is; it is very old where nothing is known.
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -133,3 +133,29 @@
 		t.Error("a gateway with a gap does not ask")
 	}
 }
+
+// A long silence leaves the knowledge unsettled until a while after its end; short
+// ones, and the very first word, do not.
+func TestLongSilenceUnsettles(t *testing.T) {
+	w := New(0)
+	now := time.Unix(1_700_000_000, 0)
+	if w.Unsettled(now) {
+		t.Error("unsettled before the first word")
+	}
+	w.Answered(now)
+	for range 20 {
+		now = now.Add(staleAfter)
+		w.Heard(now, 0)
+	}
+	if w.Unsettled(now) {
+		t.Error("unsettled in calm")
+	}
+	now = now.Add(longSilence + time.Second)
+	if !w.Unsettled(now) {
+		t.Error("settled in a long silence")
+	}
+	w.Answered(now)
+	if !w.Unsettled(now.Add(settleTime/2)) || w.Unsettled(now.Add(settleTime)) {
+		t.Error("want unsettled for a while after the first word")
+	}
+}
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -24,6 +24,7 @@
 	// lookEvery is how often it is decided whether to ask the store.
 	lookEvery = 100 * time.Millisecond
 	fromStore = "store"
+	fromLapse = "the end of a hold"
 	// answerTime is how old the store's answer may be when it comes. A call that
 	// waits for changes tells of the end of its wait, not of its beginning.
 	answerTime = 200 * time.Millisecond
@@ -49,6 +50,8 @@
 
 	mu                 sync.Mutex // mu orders changes.
 	table              *targetTable
+	lapses             *lapses
+	publishing         bool // publishing tells that the end of a hold is waited for.
 	watchConfiguration *watch.Watch
 	watchTargets       *watch.Watch
 	index              atomic.Pointer[routing.Index]
@@ -62,7 +65,7 @@
 // New returns a service; Start starts it.
 func New(t *tomb.Tomb, logger log.Logger, o Options) *Service {
 	s := &Service{
-		t: t, log: logger, opts: o, table: newTargetTable(), peerNews: make(chan peerNews, newsRing),
+		t: t, log: logger, opts: o, table: newTargetTable(), lapses: newLapses(), peerNews: make(chan peerNews, newsRing),
 		watchConfiguration: watch.New(rand.Float64()), watchTargets: watch.New(rand.Float64()),
 	}
 	s.targets.Store((&routing.TargetSet{}).Build())
@@ -222,12 +225,34 @@
 
 // publish makes the known targets visible; mu is held.
 func (s *Service) publish(from string) {
-	set, leaving := s.table.set()
+	listed, leaving := s.table.set()
+	now := s.opts.Clock.Now()
+	set, wait := s.lapses.hold(now, s.watchTargets.Unsettled(now), s.targets.Load(), listed)
 	s.targets.Store(set)
-	s.log.Info("Targets changed.", "revision", set.Revision, "from", from, "targets", len(set.Targets), "leaving", leaving)
+	s.log.Info("Targets changed.", "revision", set.Revision, "from", from, "targets", len(listed.Targets), "leaving", leaving, "held", len(set.Targets)-len(listed.Targets))
+	if wait > 0 {
+		s.publishLater(wait)
+	}
 	s.opts.OnChange()
 }
 
+// publishLater gives held targets up when their time is over; mu is held.
+func (s *Service) publishLater(wait time.Duration) {
+	if s.publishing {
+		return
+	}
+	s.publishing = true
+	s.t.Go(func() error {
+		if s.sleep(wait) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.publishing = false
+			s.publish(fromLapse)
+		}
+		return nil
+	})
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/services/follow/follow_test.go
+++ b/services/follow/follow_test.go
@@ -149,6 +149,11 @@
 	source.mu.Unlock()
 	source.changes <- watchAnswer{err: ErrHistoryGone}
 	h.await()
+	// The harness lets time run on its own: where that made a long silence, a is
+	// held for a while, and its end is one more change.
+	if h.Targets().Find("a") != nil {
+		h.await()
+	}
 	if set := h.Targets(); set.Find("a") != nil || set.Find("b") == nil || set.Revision != 9 {
 		t.Errorf("after the history was gone: %+v", set)
 	}
