cell: Let engines copy kept beginnings from each other

Engines can copy what another keeps. Change: the configuration says what a token weighs and how fast links are. The scheduler of a cell names a source where the chosen engine lacks what another has read: worked out from bytes, link, data halls and transfers under way, only where that takes at most half of the reading. Sources that leave, give no sign or are only about to read are not used. The model of an engine books what is read, and lets a copy delay its own run alone. What a run that never began was to read is no longer thought to be kept. The stand-in of the lab copies too.

--- a/cmd/madderway-lab/platform.go
+++ b/cmd/madderway-lab/platform.go
@@ -67,6 +67,7 @@
 func printPlay(r platform.Result) {
 	fmt.Printf("asked %d, served %d (late %d), refused %d, failed %d, doubled %d\n", r.Asked, r.Served, r.Late, r.Refused, r.Failed, r.Doubled)
 	fmt.Printf("prompt tokens read %d, of shared parts again %d\n", r.Read, r.Reread)
+	fmt.Printf("copied between workers %d times, %d tokens\n", r.Copies, r.Copied)
 	fmt.Printf("fairness %.2f (least share served of an account, of the greatest)\n", r.Fairness)
 	fmt.Printf("control: a gateway sent %.0f bytes and was busy %v in a second\n", r.ControlBytes, r.ControlTime.Round(time.Microsecond))
 	fmt.Printf("calls of the store %d\n", r.StoreCalls)
--- a/core/batch/cache.go
+++ b/core/batch/cache.go
@@ -19,7 +19,8 @@
 type kept struct {
 	id     uint64
 	tokens int
-	pins   int // pins counts the running requests that use it.
+	pins   int  // pins counts the running requests that use it.
+	read   bool // read tells that it is in memory; else a request is still to read it.
 	usedAt time.Time
 	at     *list.Element
 }
@@ -51,6 +52,38 @@
 	return tokens
 }
 
+// ready returns the tokens at the beginning of the prompt that have been read, so
+// that another engine can copy them.
+func (c *cache) ready(parts []routing.PromptPart) int {
+	tokens := 0
+	for _, p := range parts {
+		k, ok := c.parts[p.ID]
+		if !ok || !k.read {
+			break
+		}
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
+// markRead notes that the parts of a request have been read.
+func (c *cache) markRead(parts []routing.PromptPart) {
+	for _, p := range parts {
+		if k, ok := c.parts[p.ID]; ok {
+			k.read = true
+		}
+	}
+}
+
+// forgetUnread drops the parts that only a request which has ended was to read.
+func (c *cache) forgetUnread(parts []routing.PromptPart) {
+	for _, p := range parts {
+		if k, ok := c.parts[p.ID]; ok && !k.read && k.pins == 0 {
+			c.drop(k)
+		}
+	}
+}
+
 // pin marks the parts of a request that begins as in use and kept.
 func (c *cache) pin(now time.Time, parts []routing.PromptPart) {
 	for _, p := range parts {
@@ -105,10 +138,13 @@
 	told := make(map[uint64]bool, len(parts))
 	for _, p := range parts {
 		told[p.ID] = true
-		if _, ok := c.parts[p.ID]; ok || p.Tokens <= 0 {
+		if k, ok := c.parts[p.ID]; ok || p.Tokens <= 0 {
+			if ok {
+				k.read = true
+			}
 			continue
 		}
-		k := &kept{id: p.ID, tokens: p.Tokens, usedAt: at}
+		k := &kept{id: p.ID, tokens: p.Tokens, read: true, usedAt: at}
 		k.at = c.order.PushFront(k)
 		c.parts[p.ID] = k
 		c.used += p.Tokens
--- a/core/batch/cache_test.go
+++ b/core/batch/cache_test.go
@@ -33,6 +33,49 @@
 	}
 }
 
+// What a run was to read can be copied once its first event came, and is gone
+// where the run ended before.
+func TestOnlyWhatWasReadCanBeCopied(t *testing.T) {
+	e := NewEngine(64, 100_000, 40_000)
+	one, two := prompt(1, 1000), prompt(2, 2000)
+	a, b := e.Start(start, one, 10), e.Start(start, two, 10)
+	if e.Ready(one) != 0 || e.Missing(one) != 1 {
+		t.Fatalf("before it was read: ready %d, missing %d", e.Ready(one), e.Missing(one))
+	}
+	e.Begin(start.Add(100*time.Millisecond), a)
+	e.End(start.Add(200*time.Millisecond), b, OutcomeBroken)
+	if e.Ready(one) != 1000 {
+		t.Errorf("%d tokens ready after the first event", e.Ready(one))
+	}
+	if e.Ready(two) != 0 || e.Missing(two) != 2000 {
+		t.Errorf("ready %d, missing %d of what no run has read", e.Ready(two), e.Missing(two))
+	}
+	e.Learn(start.Add(300*time.Millisecond), []routing.PromptPart{{ID: 3, Tokens: 500}})
+	if e.Ready(prompt(3, 500)) != 500 {
+		t.Error("what the engine says it keeps cannot be copied")
+	}
+}
+
+// While a copy is under way the engine reads other prompts: the run with the copy
+// is late, what comes after it is not.
+func TestCopyDelaysOnlyItsOwnRun(t *testing.T) {
+	const copying = 500 * time.Millisecond
+	e := NewEngine(64, 1_000_000, 40_000)
+	r := e.StartCopy(start, prompt(1, 9000), 10, 8000, copying)
+	if r.Read != 1000 {
+		t.Fatalf("%d tokens to read beside a copy of 8000 of 9000", r.Read)
+	}
+	if due := r.dueAt.Sub(start); due < copying {
+		t.Errorf("due after %v, before the copy is there", due)
+	}
+	if b := e.Backlog(start); b > 30*time.Millisecond {
+		t.Errorf("%v behind, though 1000 tokens are to be read", b)
+	}
+	if !e.Usable(start.Add(copying + 200*time.Millisecond)) {
+		t.Error("passed over while a copy is under way")
+	}
+}
+
 // A list longer than the memory takes no more than there is, and what is in use
 // stays.
 func TestLearningKeepsTheBound(t *testing.T) {
--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -31,6 +31,7 @@
 	Output  int // tokens that are thought to be made
 	Read    int // tokens that were thought to be read anew
 	granted time.Time
+	copied  time.Time // copied is when what is copied from another engine will be there.
 	dueAt   time.Time // dueAt is when the first event is expected.
 	begun   bool
 }
@@ -68,6 +69,10 @@
 // Missing returns the tokens of the prompt that the engine has to read.
 func (e *Engine) Missing(p *routing.Prompt) int { return max(p.Tokens-e.cache.hit(p.Parts), 1) }
 
+// Ready returns the tokens at the beginning of the prompt that another engine can
+// copy from this one.
+func (e *Engine) Ready(p *routing.Prompt) int { return min(e.cache.ready(p.Parts), p.Tokens) }
+
 // Fits tells whether the engine has memory for a request.
 func (e *Engine) Fits(missing, output int) bool { return missing+output <= e.cache.room() }
 
@@ -96,14 +101,20 @@
 	return max(e.Backlog(now), e.pace.bookedTo.Sub(now))
 }
 
-// Start puts a request onto the engine.
+// Start puts a request onto the engine, which reads all that it does not keep.
 func (e *Engine) Start(now time.Time, p *routing.Prompt, output int) *Run {
-	r := &Run{Prompt: p, Output: output, Read: e.Missing(p), granted: now}
+	return e.StartCopy(now, p, output, 0, 0)
+}
+
+// StartCopy puts a request onto the engine, which first copies so many tokens of
+// the prompt from another engine; that takes so long.
+func (e *Engine) StartCopy(now time.Time, p *routing.Prompt, output, tokens int, takes time.Duration) *Run {
+	r := &Run{Prompt: p, Output: output, Read: max(e.Missing(p)-tokens, 1), granted: now, copied: now.Add(takes)}
 	e.runs[r] = struct{}{}
 	e.queue = append(e.queue, r)
 	e.cache.outputs += output
 	e.cache.pin(now, p.Parts)
-	r.dueAt = e.pace.add(now, r.Read, len(e.runs))
+	r.dueAt = e.pace.add(now, r, len(e.runs))
 	return r
 }
 
@@ -113,6 +124,7 @@
 		return
 	}
 	e.unqueue(r)
+	e.cache.markRead(r.Prompt.Parts)
 	e.state.begun()
 	e.pace.learn(now, r)
 	e.pace.resume(now, e.queue)
@@ -122,15 +134,17 @@
 // that has begun has been read; of another only the own part is to be read, since
 // that scheduler chose a target that keeps the rest.
 func (e *Engine) Adopt(now time.Time, p *routing.Prompt, output int, begun bool) *Run {
-	r := &Run{Prompt: p, Output: output, granted: now, begun: begun}
+	r := &Run{Prompt: p, Output: output, granted: now, copied: now, begun: begun}
 	e.runs[r] = struct{}{}
 	e.cache.outputs += output
 	e.cache.pin(now, p.Parts)
-	if !begun {
-		r.Read = min(p.Own(), p.Tokens)
-		e.queue = append(e.queue, r)
-		r.dueAt = e.pace.add(now, r.Read, len(e.runs))
+	if begun {
+		e.cache.markRead(p.Parts)
+		return r
 	}
+	r.Read = min(p.Own(), p.Tokens)
+	e.queue = append(e.queue, r)
+	r.dueAt = e.pace.add(now, r, len(e.runs))
 	return r
 }
 
@@ -159,7 +173,11 @@
 		e.pace.resume(now, e.queue)
 	}
 	e.cache.outputs -= r.Output
+	if o == OutcomeDone {
+		e.cache.markRead(r.Prompt.Parts)
+	}
 	e.cache.unpin(now, r.Prompt.Parts)
+	e.cache.forgetUnread(r.Prompt.Parts)
 }
 
 // Usable tells whether new work may be sent to the engine.
--- a/core/batch/pace.go
+++ b/core/batch/pace.go
@@ -49,13 +49,15 @@
 	return max(readShare-readSharePerRun*float64(running), readShareLeast)
 }
 
-// add puts tokens to the end of what is to be read beside so many streams, and
-// returns when the first event is due.
-func (p *pace) add(now time.Time, tokens, running int) time.Time {
-	read := p.readTime(tokens)
+// add puts a run to the end of what is to be read beside so many streams, and
+// returns when its first event is due. While a run waits for its copy the engine
+// reads others, so that a copy takes none of its time.
+func (p *pace) add(now time.Time, r *Run, running int) time.Time {
+	read := p.readTime(r.Read)
+	begins := later(later(p.clearAt, now), r.copied)
 	p.clearAt = later(p.clearAt, now).Add(read)
 	p.bookedTo = later(p.bookedTo, now).Add(time.Duration(float64(read) / shareFor(running)))
-	return p.clearAt.Add(p.first)
+	return begins.Add(read + p.first)
 }
 
 // resume makes the backlog what the queue holds, as of a first event that has
@@ -63,8 +65,9 @@
 func (p *pace) resume(now time.Time, queue []*Run) {
 	at := now.Add(-p.first)
 	for _, r := range queue {
-		at = later(at, r.granted).Add(p.readTime(r.Read))
-		r.dueAt = at.Add(p.first)
+		read := p.readTime(r.Read)
+		r.dueAt = later(later(at, r.granted), r.copied).Add(read + p.first)
+		at = later(at, r.granted).Add(read)
 	}
 	p.clearAt = at
 }
@@ -74,6 +77,9 @@
 func (p *pace) learn(now time.Time, r *Run) {
 	defer func() { p.lastBegan = now }()
 	before := p.lastBegan.Add(-p.first) // when the prompt before was read
+	if r.copied.After(before) && r.copied.After(r.granted) {
+		return // the copy may have taken the time
+	}
 	if before.After(r.granted) {
 		p.measure(r.Read, now.Sub(p.lastBegan))
 		return
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -28,8 +28,9 @@
 }
 
 type target struct {
-	info   TargetInfo
-	engine *batch.Engine
+	info     TargetInfo
+	engine   *batch.Engine
+	linkFree time.Time // linkFree is when the transfers that it takes part in are over.
 }
 
 type run struct {
@@ -51,6 +52,8 @@
 	swept    time.Time
 	speed    float64
 	siblings int
+	transfer *routing.Transfer
+	inHall   map[string]keeper // inHall is what keepers returns, kept for its memory.
 	started  time.Time
 	counts   Counts
 	layout   uint64     // layout counts the changes of the list of targets.
@@ -70,13 +73,15 @@
 	// Anew counts the tokens of shared parts that placements let engines read
 	// again, by the reason of the placement.
 	Anew [reasons]uint64
+	// Copies counts the transfers between engines, Copied their tokens.
+	Copies, Copied uint64
 }
 
 // New returns a cell without targets.
 func New() *Cell {
 	return &Cell{
 		targets: map[string]*target{}, gone: map[string]*target{}, accounts: map[string]*account{},
-		waiting: map[requestKey]*waiter{}, runs: map[requestKey]*run{}, foreign: map[string]*foreign{},
+		waiting: map[requestKey]*waiter{}, runs: map[requestKey]*run{}, foreign: map[string]*foreign{}, inHall: map[string]keeper{},
 	}
 }
 
@@ -215,7 +220,7 @@
 }
 
 func (c *Cell) setTargets(e TargetsSeen) {
-	c.speed, c.siblings = e.TokensPerSecond, e.Siblings
+	c.speed, c.siblings, c.transfer = e.TokensPerSecond, e.Siblings, e.Transfer
 	seen := map[string]bool{}
 	for _, info := range e.Targets {
 		seen[info.ID] = true
@@ -243,20 +248,26 @@
 	c.layout++
 }
 
-func (c *Cell) place(now time.Time, w *waiter, t *target, why Reason) {
-	p := w.ask.Prompt
-	anew := sharedOf(p, t.engine.Missing(p))
+func (c *Cell) place(now time.Time, w *waiter, o option, why Reason) {
+	p, t, x := w.ask.Prompt, c.views[o.at].target, o.transfer
+	anew := sharedOf(p, o.missing-x.tokens)
 	if anew > 0 && why == ReasonCheapest && !c.kept(p) {
 		why = ReasonUnseen
 	}
 	c.counts.Placed++
 	c.counts.Anew[why] += uint64(anew)
 	c.account(w.ask.Account).placed++
-	c.start(now, w.key, w.ask.Account, t, p)
-	c.emit(Place{
+	c.start(now, w.key, w.ask.Account, t, p, x)
+	placed := Place{
 		Entry: w.key.entry, ID: w.key.id, Target: t.info.ID, Waited: now.Sub(w.arrived),
-		Account: w.ask.Account, Subject: p.Affinity(), Anew: anew, Why: why,
-	})
+		Account: w.ask.Account, Subject: p.Affinity(), Anew: anew, Copied: x.tokens, Why: why,
+	}
+	if x.source != nil {
+		placed.Source = x.source.info.ID
+		c.counts.Copies++
+		c.counts.Copied += uint64(x.tokens)
+	}
+	c.emit(placed)
 }
 
 // kept tells whether some engine of the cell keeps all the shared parts.
@@ -269,15 +280,15 @@
 	return false
 }
 
-func (c *Cell) start(now time.Time, key requestKey, account string, t *target, p *routing.Prompt) *run {
+func (c *Cell) start(now time.Time, key requestKey, account string, t *target, p *routing.Prompt, x transfer) {
 	r := &run{key: key, account: account, target: t}
-	r.model = t.engine.Start(now, p, p.OutputEstimate())
+	r.model = t.engine.StartCopy(now, p, p.OutputEstimate(), x.tokens, x.takes)
+	x.take(now, t)
 	c.runs[key] = r
 	service := float64(p.Tokens + outputWeight*r.model.Output)
 	a := c.account(account)
 	a.charge(now, service)
 	a.served += service
-	return r
 }
 
 // Waiting returns how many requests wait.
--- a/core/cell/choose.go
+++ b/core/cell/choose.go
@@ -45,28 +45,28 @@
 
 // option is a target that could take a request.
 type option struct {
-	at      int           // at is the target's place among the views.
-	missing int           // missing are the tokens that it would read.
-	wait    time.Duration // wait is the time to the first event.
-	cost    time.Duration // cost is the wait, and what the choice takes from others.
-	tie     uint64
+	at       int           // at is the target's place among the views.
+	missing  int           // missing are the tokens that it does not keep.
+	transfer               // transfer is what it would copy of these.
+	wait     time.Duration // wait is the time to the first event.
+	cost     time.Duration // cost is the wait, and what the choice takes from others.
+	tie      uint64
 }
 
-// choose returns the place among the views of the target for a request, or -1
-// where it is better to wait. The cheapest one is taken once its backlog is
+// choose returns the target for a request, and false where it is better to wait. The cheapest one is taken once its backlog is
 // short; a request that has waited for some time takes any target where it is
 // still in time.
-func (c *Cell) choose(now time.Time, w *waiter) (int, Reason) {
+func (c *Cell) choose(now time.Time, w *waiter) (option, Reason, bool) {
 	options := c.options(now, w)
 	best, ok := c.prefer(w, options)
 	if !ok {
-		return -1, ReasonCheapest
+		return option{}, ReasonCheapest, false
 	}
 	if c.views[best.at].open(backlogLimit) {
-		return best.at, ReasonCheapest
+		return best, ReasonCheapest, true
 	}
 	if now.Sub(w.arrived) < time.Duration(spillShare*float64(w.ask.Hold)) {
-		return -1, ReasonCheapest
+		return option{}, ReasonCheapest, false
 	}
 	// Work of an account that is refused much while another gets much goes before
 	// that of the other, wherever that is: what it costs to read is the price of
@@ -82,9 +82,9 @@
 		}
 	}
 	if len(open) == 0 {
-		return -1, why
+		return option{}, why, false
 	}
-	return slices.MinFunc(open, func(a, b option) int { return compare(a, b, a.wait, b.wait) }).at, why
+	return slices.MinFunc(open, func(a, b option) int { return compare(a, b, a.wait, b.wait) }), why, true
 }
 
 // prefer returns the cheapest option, and notes that the request waits for it.
@@ -126,6 +126,7 @@
 	}
 	out := c.scratch[:0]
 	home := -1
+	best, inHall := c.keepers(p)
 	for i := range c.views {
 		v := &c.views[i]
 		if !v.usable || slices.Contains(w.ask.Deny, v.target.info.ID) {
@@ -135,7 +136,7 @@
 		if !v.target.engine.Fits(missing, output) {
 			continue
 		}
-		o := v.option(p, missing, weight)
+		o := v.option(p, missing, weight, c.transferTo(now, v, p, missing, best, inHall))
 		o.at, o.tie = i, scores[i]
 		out = append(out, o)
 		if home < 0 || o.tie > out[home].tie {
@@ -163,10 +164,12 @@
 	return w.scores
 }
 
-func (v *view) option(p *routing.Prompt, missing int, weight float64) option {
-	wait := v.base + seconds(float64(missing)/v.speed)
-	reread := (weight - 1) * float64(sharedOf(p, missing)) / v.speed
-	return option{missing: missing, wait: wait, cost: wait + seconds(reread)}
+func (v *view) option(p *routing.Prompt, missing int, weight float64, x transfer) option {
+	read := missing - x.tokens
+	wait := max(v.base, x.takes) + seconds(float64(read)/v.speed)
+	reread := seconds((weight - 1) * float64(sharedOf(p, read)) / v.speed)
+	moved := time.Duration((weight - 1) * float64(x.link))
+	return option{missing: missing, transfer: x, wait: wait, cost: wait + reread + moved}
 }
 
 // believe makes the home cheaper by what it probably keeps.
@@ -175,7 +178,7 @@
 	if now.Sub(c.started) < youngFor {
 		belief = homeBeliefYoung
 	}
-	shared := float64(sharedOf(p, o.missing))
+	shared := float64(sharedOf(p, o.missing-o.tokens))
 	o.cost -= seconds(belief * weight * shared / c.views[o.at].speed)
 }
 
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -134,14 +134,14 @@
 	for i := a.tried; i < len(a.queue) && i < scanLimit; i++ {
 		w := a.queue[i]
 		c.counts.Tried++
-		at, why := c.choose(now, w)
-		if at < 0 {
+		o, why, ok := c.choose(now, w)
+		if !ok {
 			a.tried++
 			continue
 		}
 		c.drop(w)
-		c.place(now, w, c.views[at].target, why)
-		c.views[at] = makeView(now, c.views[at].target)
+		c.place(now, w, o, why)
+		c.views[o.at] = makeView(now, c.views[o.at].target)
 		return true
 	}
 	return false
--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -45,6 +45,7 @@
 	ID          string
 	Slots       int
 	CacheTokens int
+	DataHall    string
 	Leaving     bool
 }
 
@@ -90,6 +91,9 @@
 	Targets         []TargetInfo
 	TokensPerSecond float64 // of one target, a first guess
 	Siblings        int     // other cells of the service
+	// Transfer tells how the targets copy prompts from each other, nil where they
+	// do not.
+	Transfer *routing.Transfer
 }
 
 // TallySeen tells what each account has been given in another cell of the
@@ -135,11 +139,13 @@
 	Entry  string
 	ID     RequestID
 	Target string
+	Source string // Source is the target from which the beginning of the prompt is copied, or empty.
 	Waited time.Duration
 	// What follows explains the decision.
 	Account string
 	Subject uint64 // Subject is the deepest shared part of the prompt.
 	Anew    int    // Anew is how many tokens of shared parts the engine reads again.
+	Copied  int    // Copied is how many tokens it copies from the source.
 	Why     Reason
 }
 
--- a/core/cell/sim_test.go
+++ b/core/cell/sim_test.go
@@ -48,6 +48,16 @@
 	return missing, sharedMissing
 }
 
+// copy takes over the beginning of a prompt that another engine keeps.
+func (e *simEngine) copy(from *simEngine, p *routing.Prompt) {
+	for _, part := range p.Parts {
+		if _, ok := from.kept[part.ID]; !ok {
+			return
+		}
+		e.touch(part)
+	}
+}
+
 func (e *simEngine) touch(part routing.PromptPart) {
 	if _, ok := e.kept[part.ID]; ok {
 		for i, id := range e.order {
@@ -112,6 +122,7 @@
 	now       time.Time
 	cell      *Cell
 	engines   map[string]*simEngine
+	links     *routing.Transfer
 	queue     simQueue
 	seq       int
 	steps     int
@@ -136,16 +147,24 @@
 		now: epoch, cell: New(), engines: map[string]*simEngine{}, rng: rand.New(rand.NewPCG(1, 2)),
 		asks: map[RequestID]simAsk{}, results: map[string]*simResult{}, objective: 800 * time.Millisecond,
 	}
-	ev := TargetsSeen{TokensPerSecond: speed}
 	for i := range engines {
 		id := fmt.Sprintf("t%02d", i)
 		s.engines[id] = &simEngine{id: id, speed: speed, kept: map[uint64]int{}, size: memory}
-		ev.Targets = append(ev.Targets, TargetInfo{ID: id, Slots: 64, CacheTokens: memory})
 	}
-	s.step(ev)
+	s.layout()
 	return s
 }
 
+// layout tells the cell its targets and how they copy prompts.
+func (s *sim) layout() {
+	ev := TargetsSeen{Transfer: s.links}
+	for id, e := range s.engines {
+		ev.TokensPerSecond = e.speed
+		ev.Targets = append(ev.Targets, TargetInfo{ID: id, Slots: 64, CacheTokens: e.size})
+	}
+	s.step(ev)
+}
+
 func (s *sim) at(d time.Duration, run func()) {
 	s.seq++
 	heap.Push(&s.queue, simEvent{s.now.Add(d), s.seq, run})
@@ -173,6 +192,9 @@
 		return
 	}
 	r := s.results[ask.account]
+	if from := s.engines[a.Source]; from != nil {
+		e.copy(from, ask.prompt)
+	}
 	missing, shared := e.read(s.now, ask.prompt)
 	r.placed++
 	r.read += missing
--- a/core/entry/event.go
+++ b/core/entry/event.go
@@ -41,6 +41,7 @@
 	Cell   cell.Key
 	ID     cell.RequestID
 	Target string
+	Source string // Source is the target to copy the beginning of the prompt from, or empty.
 }
 
 // WaitSeen is a scheduler's word that a request waits.
@@ -122,6 +123,7 @@
 type Start struct {
 	ID        cell.RequestID
 	Target    string
+	Source    string // Source is the target to copy the beginning of the prompt from, or empty.
 	Scheduler string
 	Waited    time.Duration
 }
--- a/core/entry/machine.go
+++ b/core/entry/machine.go
@@ -172,7 +172,7 @@
 	m.running[e.ID] = &running{
 		held: cell.Held{ID: e.ID, Account: p.ask.Account, Target: e.Target, Prompt: p.ask.Prompt}, cell: p.cell,
 	}
-	m.emit(Start{e.ID, e.Target, e.From, now.Sub(p.arrived)})
+	m.emit(Start{e.ID, e.Target, e.Source, e.From, now.Sub(p.arrived)})
 }
 
 func (m *Machine) refused(now time.Time, e RefusalSeen) {
--- a/lab/platform/site.go
+++ b/lab/platform/site.go
@@ -164,6 +164,24 @@
 	return nil
 }
 
+// Model workers copy kept parts ten times faster than they read.
+const (
+	copyRate   = 400_000.0 // tokens a second
+	tokenBytes = 100_000.0
+)
+
+// workerAt returns the worker that listens at an address, or nil.
+func (s *Site) workerAt(address string) *Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.workers {
+		if w.listener.Addr().String() == address {
+			return w
+		}
+	}
+	return nil
+}
+
 // AddWorker starts one more worker.
 func (s *Site) AddWorker(model bool) error {
 	s.mu.Lock()
@@ -171,7 +189,7 @@
 	s.nextID++
 	cfg := WorkerConfig{Service: plainService, Slots: 4, Queue: 8, Step: 10 * time.Millisecond}
 	if model {
-		cfg = WorkerConfig{Service: modelService, Slots: 16, Queue: 16, Model: true, ReadRate: 40_000, Step: 8 * time.Millisecond, Memory: 40_000}
+		cfg = WorkerConfig{Service: modelService, Slots: 16, Queue: 16, Model: true, ReadRate: 40_000, Step: 8 * time.Millisecond, Memory: 40_000, CopyRate: copyRate, Peer: s.workerAt}
 	}
 	cfg.Hall = fmt.Sprint("hall-", s.nextID%3)
 	w, err := StartWorker(fmt.Sprint("worker-", s.nextID), cfg, s.store, s.ledger, s.opts.Seed+uint64(s.nextID))
@@ -213,7 +231,7 @@
 	s.store.Put("op", "config", map[string]any{
 		"version": s.version, "routes": routes, "tenants": tenants,
 		"services": []map[string]any{
-			{"name": modelService, "healthPath": "/health", "maxConnections": 200, "engine": map[string]any{"slots": 16, "kvTokens": 40_000, "stride": 1}},
+			{"name": modelService, "healthPath": "/health", "maxConnections": 200, "engine": map[string]any{"slots": 16, "kvTokens": 40_000, "stride": 1, "moves": true, "kvTokenBytes": tokenBytes, "bandwidthMbps": copyRate * tokenBytes * 8 / 1e6}},
 			{"name": plainService, "healthPath": "/health", "maxConnections": 100},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "tokensPerS": 120_000},
@@ -340,6 +358,8 @@
 	Broken       []string
 	StoreCalls   int
 	Reread, Read int
+	Copies       int           // Copies counts the transfers of kept parts between workers.
+	Copied       int           // Copied are the tokens of these.
 	ControlBytes float64       // ControlBytes is what a gateway sent to peers in a second, on average.
 	ControlTime  time.Duration // ControlTime is what a gateway spent on control in a second.
 	Fairness     float64       // Fairness is the least share served of an account, of the greatest.
@@ -363,6 +383,9 @@
 		again, all := w.Reread()
 		r.Reread += again
 		r.Read += all
+		copies, tokens := w.Copied()
+		r.Copies += copies
+		r.Copied += tokens
 	}
 	s.measureControl(&r)
 	low, high := 1.0, 0.0
--- a/lab/platform/worker.go
+++ b/lab/platform/worker.go
@@ -41,6 +41,10 @@
 	ReadRate float64       // prompt tokens read in a second
 	Step     time.Duration // time of a token, or of the whole work of a plain request
 	Memory   int           // tokens of kept parts
+	CopyRate float64       // tokens copied in a second from another worker
+	// Peer finds the worker at an address, nil where there is none; parts are
+	// copied from it.
+	Peer func(address string) *Worker
 }
 
 // Worker is a model worker or a plain worker.
@@ -66,6 +70,8 @@
 	keptSize int
 	reread   int
 	prompts  int
+	copies   int
+	copied   int
 	seen     map[string]bool
 	count    int
 }
@@ -125,6 +131,14 @@
 	return w.reread, w.prompts
 }
 
+// Copied returns how often parts were copied from another worker, and the tokens
+// of these.
+func (w *Worker) Copied() (copies, tokens int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.copies, w.copied
+}
+
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/-/kv-list" {
@@ -255,7 +269,7 @@
 
 // stream reads the prompt and makes the events.
 func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, id string, fault Fault) {
-	if !pause(r, w.read(r.Header.Get("Prompt-Prefix"))) {
+	if !pause(r, w.fetch(r.Header.Get("Kv-Fetch"), r.Header.Get("Prompt-Prefix"))) || !pause(r, w.read(r.Header.Get("Prompt-Prefix"))) {
 		panic(http.ErrAbortHandler)
 	}
 	events := Events(id)
@@ -298,6 +312,45 @@
 	return h.Sum64()
 }
 
+// fetch copies what the worker at an address keeps of the beginning of a prompt
+// beyond what this one keeps, and returns how long that takes.
+func (w *Worker) fetch(address, parts string) time.Duration {
+	if address == "" || w.cfg.Peer == nil {
+		return 0
+	}
+	source := w.cfg.Peer(address)
+	if source == nil || source == w {
+		return 0
+	}
+	source.mu.Lock()
+	var held []string
+	for _, part := range strings.Split(parts, ",") {
+		id, _, _ := strings.Cut(part, ":")
+		if _, ok := source.kept[id]; !ok {
+			break
+		}
+		held = append(held, part)
+	}
+	source.mu.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	tokens := 0
+	for _, part := range held {
+		id, text, _ := strings.Cut(part, ":")
+		n, _ := strconv.Atoi(text)
+		if _, ok := w.kept[id]; !ok {
+			tokens += n
+		}
+		w.keep(id, n)
+	}
+	if tokens == 0 {
+		return 0
+	}
+	w.copies++
+	w.copied += tokens
+	return time.Duration(float64(tokens) / w.cfg.CopyRate * float64(time.Second))
+}
+
 // read returns how long it takes until the prompt is read, behind all others,
 // and keeps its parts.
 func (w *Worker) read(parts string) time.Duration {
--- /dev/null
+++ b/lab/platform/worker_test.go
@@ -0,0 +1,40 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package platform
+
+import (
+	"testing"
+	"time"
+)
+
+// A worker copies from the one that it is told what it does not keep, up to the
+// first part that the other lacks, and reads the rest.
+func TestWorkerCopiesWhatAnotherKeeps(t *testing.T) {
+	cfg := WorkerConfig{Model: true, Slots: 4, Queue: 4, ReadRate: 1000, CopyRate: 10_000, Memory: 10_000}
+	source := &Worker{cfg: cfg, kept: map[string]int{}, seen: map[string]bool{}}
+	cfg.Peer = func(address string) *Worker {
+		if address == "source" {
+			return source
+		}
+		return nil
+	}
+	w := &Worker{cfg: cfg, kept: map[string]int{}, seen: map[string]bool{}}
+	source.read("a:1000,b:500")
+	if took := w.fetch("gone", "a:1000,b:500,c:100"); took != 0 {
+		t.Errorf("a copy from nobody took %v", took)
+	}
+	if took := w.fetch("source", "a:1000,c:100,b:500"); took != 100*time.Millisecond {
+		t.Errorf("the copy took %v, want 1000 tokens at 10,000 a second", took)
+	}
+	if copies, tokens := w.Copied(); copies != 1 || tokens != 1000 {
+		t.Errorf("%d copies of %d tokens", copies, tokens)
+	}
+	if took := w.fetch("source", "a:1000"); took != 0 {
+		t.Errorf("copied again in %v what is kept", took)
+	}
+	w.read("a:1000,b:500,c:100")
+	if again, all := w.Reread(); again != 0 || all != 600 {
+		t.Errorf("%d read, %d of them again, want 600 and 0", all, again)
+	}
+}
--- a/models/routing/configuration.go
+++ b/models/routing/configuration.go
@@ -65,6 +65,20 @@
 	Slots       int `json:"slots"`        // requests that run at once
 	CacheTokens int `json:"cache_tokens"` // tokens in memory, of running requests and kept prompts
 	EventTokens int `json:"event_tokens"` // tokens in one event of a stream
+	// Transfer tells how engines copy kept parts of prompts from each other, nil
+	// where they do not.
+	Transfer *Transfer `json:"transfer,omitempty"`
+}
+
+// Transfer describes the links over which engines copy the memory of prompts.
+type Transfer struct {
+	TokenBytes     float64 `json:"token_bytes"`      // bytes of memory of one token
+	BytesPerSecond float64 `json:"bytes_per_second"` // bytes a second of an engine's link
+}
+
+// Time returns how long a link carries so many tokens.
+func (t *Transfer) Time(tokens int) time.Duration {
+	return time.Duration(float64(tokens) * t.TokenBytes / t.BytesPerSecond * float64(time.Second))
 }
 
 // ClientAccount is a tenant with its keys.
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -38,6 +38,7 @@
 	history   attempt.History
 	deny      []string
 	target    string
+	source    string // source is the target that the beginning of the prompt is copied from, or empty.
 	scheduler string // scheduler is the gateway that placed or refused it.
 	number    mesh.RequestID
 	reason    string
@@ -161,6 +162,7 @@
 		MayRepeat: j.r.Route.MayRepeat(), Deadline: j.r.Deadline,
 		Outgoing: upstream.Outgoing{
 			Remaining: j.r.Deadline.Sub(j.s.opts.Clock.Now()), TargetID: t.ID, Account: j.r.account(), LastEvent: j.lastEvent,
+			CopyFrom: j.s.sourceAddress(j.source),
 		},
 	}
 }
--- a/services/forward/place.go
+++ b/services/forward/place.go
@@ -53,7 +53,7 @@
 		return nil, result.New(result.NotInTime, "refused by %s", d.Scheduler).After(d.RetryAfter)
 	}
 	j.s.accepted(j.r.account())
-	j.waited = d.Waited
+	j.waited, j.source = d.Waited, d.Source
 	j.s.counters.waited.Update(d.Waited.Seconds())
 	t := j.s.opts.Follow.Targets().Find(d.Target)
 	if t == nil || t.Leaving {
@@ -69,6 +69,19 @@
 	return &enginePlace{j, t, id}, nil
 }
 
+// sourceAddress returns where a target copies from, empty where the source is not
+// listed any more or leaves: its address may be another's by now.
+func (s *Service) sourceAddress(id string) string {
+	if id == "" {
+		return ""
+	}
+	t := s.opts.Follow.Targets().Find(id)
+	if t == nil || t.Leaving {
+		return ""
+	}
+	return t.Address
+}
+
 func (p *enginePlace) target() *routing.Target { return p.t }
 func (p *enginePlace) began()                  { p.j.s.opts.Mesh.Began(p.id) }
 func (p *enginePlace) done()                   { p.j.s.opts.Mesh.Ended(p.id, batch.OutcomeDone) }
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -48,6 +48,7 @@
 // Decision is what became of a submitted request.
 type Decision struct {
 	Target     string // Target is empty where the request is refused.
+	Source     string // Source is the target to copy the beginning of the prompt from, or empty.
 	Scheduler  string
 	Waited     time.Duration
 	RetryAfter time.Duration
@@ -293,10 +294,10 @@
 		return
 	}
 	service := l.index.Service(g.Service)
-	ev := cell.TargetsSeen{Siblings: len(l.layout.Siblings(g))}
+	ev := cell.TargetsSeen{Siblings: len(l.layout.Siblings(g)), Transfer: service.Engine.Transfer}
 	for _, t := range g.Targets {
 		ev.Targets = append(ev.Targets, cell.TargetInfo{
-			ID: t.ID, Slots: service.Engine.Slots, CacheTokens: service.Engine.CacheTokens, Leaving: t.Leaving,
+			ID: t.ID, Slots: service.Engine.Slots, CacheTokens: service.Engine.CacheTokens, DataHall: t.DataHall, Leaving: t.Leaving,
 		})
 	}
 	if n := len(l.targets.Of(g.Service)); n > 0 {
--- a/services/mesh/step.go
+++ b/services/mesh/step.go
@@ -68,7 +68,7 @@
 		l.toCell(now, cell.Key(a.Cell), cell.AskSeen{Entry: peer, Ask: askFromWire(a)})
 	}
 	for _, p := range f.EnginePlacements {
-		l.enter(now, entry.PlacementSeen{From: peer, Cell: cell.Key(p.Cell), ID: cell.RequestID(p.Id), Target: p.Target})
+		l.enter(now, entry.PlacementSeen{From: peer, Cell: cell.Key(p.Cell), ID: cell.RequestID(p.Id), Target: p.Target, Source: p.Source})
 	}
 	for _, w := range f.EngineWaits {
 		l.enter(now, entry.WaitSeen{From: peer, ID: cell.RequestID(w.Id)})
@@ -124,7 +124,7 @@
 		f := l.out.Frame(now, a.To, true)
 		f.EngineInventories = append(f.EngineInventories, inv)
 	case entry.Start:
-		l.decide(a.ID, Decision{Target: a.Target, Scheduler: a.Scheduler, Waited: a.Waited})
+		l.decide(a.ID, Decision{Target: a.Target, Source: a.Source, Scheduler: a.Scheduler, Waited: a.Waited})
 	case entry.Refuse:
 		l.decide(a.ID, Decision{Scheduler: a.Scheduler, RetryAfter: a.RetryAfter})
 	case entry.Suspect:
@@ -175,11 +175,11 @@
 				"subject", a.Subject, "target", a.Target, "tokens", a.Anew, "why", a.Why, "waited", a.Waited)
 		}
 		if a.Entry == self {
-			l.enter(now, entry.PlacementSeen{From: self, Cell: key, ID: a.ID, Target: a.Target})
+			l.enter(now, entry.PlacementSeen{From: self, Cell: key, ID: a.ID, Target: a.Target, Source: a.Source})
 			return
 		}
 		f := l.out.Frame(now, a.Entry, false)
-		f.EnginePlacements = append(f.EnginePlacements, &wire.EnginePlacement{Cell: string(key), Id: uint64(a.ID), Target: a.Target})
+		f.EnginePlacements = append(f.EnginePlacements, &wire.EnginePlacement{Cell: string(key), Id: uint64(a.ID), Target: a.Target, Source: a.Source})
 	case cell.Wait:
 		if a.Entry == self {
 			return
--- a/services/upstream/dialect.go
+++ b/services/upstream/dialect.go
@@ -28,6 +28,9 @@
 	TargetID  string
 	Account   string
 	LastEvent string
+	// CopyFrom is the address of the target that keeps more of the prompt, from
+	// which this one should copy it, or empty.
+	CopyFrom string
 }
 
 // Verdict is what the head of a target's answer says of the execution.
