cell: Short work first in an account; spill by the price of a copy

Requests waited for the engine chosen for them until their time was over, since others had to be all but idle to be spilled to; after failures that all engines showed alike, the penalty for failures was taken for a wait, and no engine seemed to be in time; and in an account's queue replies of 800 tokens waited behind drafts of 12,000.

--- a/core/cell/account.go
+++ b/core/cell/account.go
@@ -30,29 +30,38 @@
 	key     requestKey
 	ask     Ask
 	arrived time.Time
+	stands  time.Time // stands is its arrival for the order within its account, later the longer it is.
 	until   time.Time // until is when it is refused, unless it may wait on.
 	best    *target   // best is the target that it was last found to wait for.
 	scores  []uint64  // scores are the targets' hashes for it, as of layout number scored.
 	scored  uint64
 }
 
-// levelHalf is the time in which the service that an account has had fades to a
-// half: what counts is what it got of late, over a span like that in which the
-// users compare accounts.
-const levelHalf = 2 * time.Second
+// defaultFairWindow is the time in which the service that an account has had
+// fades to a half, where the settings name no span over which accounts are
+// compared. Shorter ones forget what an account is owed, with longer ones it pays
+// for what it got while there was room for all.
+const defaultFairWindow = 4 * time.Second
+
+// sizeAging is how much later than it came a request stands in its account's
+// queue, in times that a target needs to read its prompt: short work goes first,
+// and long work is passed by what comes in that time only. With 1 to 5 the worth of
+// days was the same.
+const sizeAging = 2
 
 // account is one client account's queue. Level is the service that it has had
 // of late, in all cells of the service; between waiting accounts the one with
 // the lowest level goes first.
 type account struct {
 	name    string
+	half    time.Duration // half is the time in which level, placed and refused fade to a half.
 	level   float64
 	placed  float64 // placed and refused count requests of late; they fade alike.
 	refused float64
 	at      time.Time // at is when these were last faded.
 	served  float64   // served is all it was given in this cell.
 	told    float64   // told is served as the other cells know it.
-	queue   []*waiter // by rank, then by arrival
+	queue   []*waiter // by rank, then by where they stand
 	tried   int       // tried is how many of the queue have found no target in this decision.
 }
 
@@ -67,7 +76,7 @@
 func (c *Cell) account(name string) *account {
 	a := c.accounts[name]
 	if a == nil {
-		a = &account{name: name}
+		a = &account{name: name, half: c.fairWindow}
 		c.accounts[name] = a
 	}
 	return a
@@ -83,16 +92,24 @@
 	if !now.After(a.at) {
 		return
 	}
-	f := math.Exp2(-float64(now.Sub(a.at)) / float64(levelHalf))
+	f := math.Exp2(-float64(now.Sub(a.at)) / float64(a.half))
 	a.level *= f
 	a.placed *= f
 	a.refused *= f
 	a.at = now
 }
 
+// before tells whether a request goes before another one of its account.
+func (w *waiter) before(other *waiter) bool {
+	if w.ask.Rank != other.ask.Rank {
+		return w.ask.Rank < other.ask.Rank
+	}
+	return w.stands.Before(other.stands)
+}
+
 // push adds a request.
 func (a *account) push(w *waiter) {
-	at := sort.Search(len(a.queue), func(i int) bool { return a.queue[i].ask.Rank > w.ask.Rank })
+	at := sort.Search(len(a.queue), func(i int) bool { return w.before(a.queue[i]) })
 	a.queue = append(a.queue, nil)
 	copy(a.queue[at+1:], a.queue[at:])
 	a.queue[at] = w
@@ -158,7 +175,7 @@
 		if other.best != w.best || other == w {
 			continue
 		}
-		if b := c.accounts[other.ask.Account]; b.before(a) || b == a && other.arrived.Before(w.arrived) {
+		if b := c.accounts[other.ask.Account]; b.before(a) || b == a && other.before(w) {
 			ahead += v.target.engine.Missing(other.ask.Prompt)
 		}
 	}
--- /dev/null
+++ b/core/cell/account_test.go
@@ -0,0 +1,137 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"madderway/core/batch"
+	"madderway/models/routing"
+)
+
+// place returns where a request was sent, if it was.
+func placed(actions []Action, id RequestID) (Place, bool) {
+	for _, a := range actions {
+		if p, ok := a.(Place); ok && p.ID == id {
+			return p, true
+		}
+	}
+	return Place{}, false
+}
+
+// refusals counts the requests that were refused.
+func refusals(actions []Action) int {
+	n := 0
+	for _, a := range actions {
+		if _, ok := a.(Refuse); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func plainAsk(id RequestID, account string, tokens int) AskSeen {
+	p := &routing.Prompt{Tokens: tokens, MaxOutput: 1, Parts: []routing.PromptPart{{ID: 1 << 32, Tokens: 1}, {ID: uint64(id), Tokens: tokens - 1}}}
+	return AskSeen{"e", Ask{ID: id, Account: account, Prompt: p, Hold: 10 * time.Second, Objective: time.Minute}}
+}
+
+// queueOrder returns the order in which an engine with one slot takes requests
+// that came in the given order, a millisecond apart.
+func queueOrder(t *testing.T, asks []AskSeen) []RequestID {
+	t.Helper()
+	c := New()
+	c.Step(epoch, TargetsSeen{TokensPerSecond: 10_000, Targets: []TargetInfo{{ID: "t", Slots: 1, CacheTokens: 1_000_000}}})
+	c.Step(epoch, plainAsk(1, "a", 10))
+	for i, ask := range asks {
+		c.Step(epoch.Add(time.Duration(i)*time.Millisecond), ask)
+	}
+	var order []RequestID
+	running := RequestID(1)
+	for i := range asks {
+		now := epoch.Add(time.Duration(i+1) * time.Second)
+		actions := c.Step(now, EndedSeen{"e", running, batch.OutcomeDone})
+		for _, a := range actions {
+			if p, ok := a.(Place); ok {
+				order = append(order, p.ID)
+				running = p.ID
+			}
+		}
+		c.Step(now.Add(time.Millisecond), BeganSeen{"e", running})
+	}
+	return order
+}
+
+// In an account short work goes before long work, but a long request that came
+// early enough goes before a short one.
+func TestShortWorkFirstAged(t *testing.T) {
+	got := queueOrder(t, []AskSeen{plainAsk(2, "a", 8000), plainAsk(3, "a", 50), plainAsk(4, "a", 3000)})
+	if len(got) != 3 || got[0] != 3 || got[1] != 4 || got[2] != 2 {
+		t.Errorf("order %v, want the shortest first", got)
+	}
+	// A long request is passed only by what comes in sizeAging times its reading.
+	c := New()
+	c.Step(epoch, TargetsSeen{TokensPerSecond: 10_000, Targets: []TargetInfo{{ID: "t", Slots: 1, CacheTokens: 1_000_000}}})
+	c.Step(epoch, plainAsk(1, "a", 10))
+	c.Step(epoch, plainAsk(2, "a", 5000)) // half a second of reading
+	late := epoch.Add(sizeAging*500*time.Millisecond + 100*time.Millisecond)
+	c.Step(late, plainAsk(3, "a", 50))
+	if _, ok := placed(c.Step(late, EndedSeen{"e", 1, batch.OutcomeDone}), 2); !ok {
+		t.Error("a long request was passed by one that came after its time")
+	}
+}
+
+// Ranks come before sizes.
+func TestRankGoesBeforeSize(t *testing.T) {
+	urgent := plainAsk(2, "a", 8000)
+	urgent.Ask.Rank = 0
+	other := plainAsk(3, "a", 50)
+	other.Ask.Rank = 1
+	if got := queueOrder(t, []AskSeen{urgent, other}); len(got) != 2 || got[0] != 2 {
+		t.Errorf("order %v, want the urgent request first", got)
+	}
+}
+
+// The settings say over which span accounts are compared.
+func TestFairWindowIsSet(t *testing.T) {
+	for _, window := range []time.Duration{0, time.Second} {
+		c := New()
+		c.Step(epoch, TargetsSeen{TokensPerSecond: 10_000, FairWindow: window, Targets: []TargetInfo{{ID: "t", Slots: 1, CacheTokens: 1000}}})
+		c.account("a").charge(epoch, 1000)
+		half := max(window, time.Second)
+		if window == 0 {
+			half = defaultFairWindow
+		}
+		a := c.account("a")
+		a.fade(epoch.Add(half))
+		if a.level < 499 || a.level > 501 {
+			t.Errorf("window %v: level %.0f after %v, want 500", window, a.level, half)
+		}
+	}
+}
+
+// Engines that all fail a part of their requests serve on: a request that could
+// be in time is not refused because of what others suffered.
+func TestFailuresAreNoReasonToRefuse(t *testing.T) {
+	c := New()
+	c.Step(epoch, TargetsSeen{TokensPerSecond: 40_000, Targets: []TargetInfo{
+		{ID: "a", Slots: 8, CacheTokens: 500_000}, {ID: "b", Slots: 8, CacheTokens: 500_000},
+	}})
+	now, id := epoch, RequestID(0)
+	for range 40 {
+		id++
+		now = now.Add(20 * time.Millisecond)
+		c.Step(now, plainAsk(id, "x", 100))
+		c.Step(now, EndedSeen{"e", id, batch.OutcomeFailed})
+	}
+	ask := plainAsk(1000, "x", 2000)
+	ask.Ask.Hold, ask.Ask.Objective = 60*time.Millisecond, 300*time.Millisecond
+	busy := plainAsk(999, "x", 6000)
+	c.Step(now, busy)
+	actions := c.Step(now, ask)
+	actions = append(actions, c.Step(now.Add(70*time.Millisecond), Tick{})...)
+	if _, ok := placed(actions, 1000); !ok || refusals(actions) > 0 {
+		t.Errorf("%+v, want a place at the engine that has nothing to read", actions)
+	}
+}
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -42,27 +42,28 @@
 
 // Cell is the scheduler of a few targets.
 type Cell struct {
-	targets  map[string]*target
-	sorted   []*target
-	gone     map[string]*target // gone holds targets that are no longer listed but still run something.
-	accounts map[string]*account
-	waiting  map[requestKey]*waiter
-	runs     map[requestKey]*run
-	foreign  map[string]*foreign
-	swept    time.Time
-	speed    float64
-	siblings int
-	transfer *routing.Transfer
-	inHall   map[string]keeper // inHall is what keepers returns, kept for its memory.
-	started  time.Time
-	counts   Counts
-	layout   uint64     // layout counts the changes of the list of targets.
-	most     float64    // most is the highest level of an account that waits.
-	views    []view     // views are the targets as one decision sees them, in the order of sorted.
-	unheard  []*waiter  // unheard are waiters that arrived since the last decision.
-	queued   []*account // queued is what order returns, kept for its memory.
-	scratch  []option
-	out      []Action
+	targets    map[string]*target
+	sorted     []*target
+	gone       map[string]*target // gone holds targets that are no longer listed but still run something.
+	accounts   map[string]*account
+	waiting    map[requestKey]*waiter
+	runs       map[requestKey]*run
+	foreign    map[string]*foreign
+	swept      time.Time
+	speed      float64
+	siblings   int
+	transfer   *routing.Transfer
+	fairWindow time.Duration
+	inHall     map[string]keeper // inHall is what keepers returns, kept for its memory.
+	started    time.Time
+	counts     Counts
+	layout     uint64     // layout counts the changes of the list of targets.
+	most       float64    // most is the highest level of an account that waits.
+	views      []view     // views are the targets as one decision sees them, in the order of sorted.
+	unheard    []*waiter  // unheard are waiters that arrived since the last decision.
+	queued     []*account // queued is what order returns, kept for its memory.
+	scratch    []option
+	out        []Action
 }
 
 // Counts are what a cell has decided since its start.
@@ -81,7 +82,7 @@
 func New() *Cell {
 	return &Cell{
 		targets: map[string]*target{}, gone: map[string]*target{}, accounts: map[string]*account{},
-		waiting: map[requestKey]*waiter{}, runs: map[requestKey]*run{}, foreign: map[string]*foreign{}, inHall: map[string]keeper{},
+		waiting: map[requestKey]*waiter{}, runs: map[requestKey]*run{}, foreign: map[string]*foreign{}, inHall: map[string]keeper{}, fairWindow: defaultFairWindow,
 	}
 }
 
@@ -147,7 +148,10 @@
 		return
 	}
 	c.counts.Asked++
-	w := &waiter{key: key, ask: e.Ask, arrived: now, until: now.Add(e.Ask.Hold)}
+	w := &waiter{key: key, ask: e.Ask, arrived: now, stands: now, until: now.Add(e.Ask.Hold)}
+	if c.speed > 0 {
+		w.stands = now.Add(seconds(sizeAging * float64(e.Ask.Prompt.Tokens) / c.speed))
+	}
 	c.waiting[key] = w
 	c.account(e.Ask.Account).push(w)
 	c.unheard = append(c.unheard, w)
@@ -220,6 +224,9 @@
 }
 
 func (c *Cell) setTargets(e TargetsSeen) {
+	if e.FairWindow > 0 {
+		c.fairWindow = e.FairWindow
+	}
 	c.speed, c.siblings, c.transfer = e.TokensPerSecond, e.Siblings, e.Transfer
 	seen := map[string]bool{}
 	for _, info := range e.Targets {
--- a/core/cell/choose.go
+++ b/core/cell/choose.go
@@ -19,6 +19,9 @@
 	// less than another it weighs less: it must not get less for its few subjects.
 	rereadWeight     = 3.0
 	rereadWeightOwed = 1.5
+	// transferWeight makes a transfer dearer than its time alone, as rereadWeight
+	// does: it takes two engines' links, and memory that others' prompts are kept in.
+	transferWeight = 4.0
 	// errorPenalty is the wait that a share of failed runs of 1 stands for.
 	errorPenalty = 2 * time.Second
 	// crowdPenalty is the wait that a full batch stands for: its tokens come
@@ -77,7 +80,7 @@
 	}
 	open := options[:0]
 	for _, o := range options {
-		if c.views[o.at].open(limit) && w.inTime(now, o.wait) {
+		if c.views[o.at].open(c.spillLimit(w, o, limit)) && w.inTime(now, o.wait) {
 			open = append(open, o)
 		}
 	}
@@ -87,6 +90,16 @@
 	return slices.MinFunc(open, func(a, b option) int { return compare(a, b, a.wait, b.wait) }), why, true
 }
 
+// spillLimit returns how much of a target's reading may be given away where a
+// request spills to it: little where shared parts are read again, more where they
+// are copied, the more the less a copy takes.
+func (c *Cell) spillLimit(w *waiter, o option, reread time.Duration) time.Duration {
+	if sharedOf(w.ask.Prompt, o.missing-o.tokens) > 0 {
+		return reread
+	}
+	return max(reread, backlogLimit-o.transfer.cost())
+}
+
 // prefer returns the cheapest option, and notes that the request waits for it.
 func (c *Cell) prefer(w *waiter, options []option) (option, bool) {
 	if len(options) == 0 {
@@ -168,8 +181,7 @@
 	read := missing - x.tokens
 	wait := max(v.base, x.takes) + seconds(float64(read)/v.speed)
 	reread := seconds((weight - 1) * float64(sharedOf(p, read)) / v.speed)
-	moved := time.Duration((weight - 1) * float64(x.link))
-	return option{missing: missing, transfer: x, wait: wait, cost: wait + reread + moved}
+	return option{missing: missing, transfer: x, wait: wait, cost: wait + v.penalty + reread + x.cost()}
 }
 
 // believe makes the home cheaper by what it probably keeps.
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -16,7 +16,10 @@
 	full   bool          // full tells that all slots are taken.
 	booked time.Duration // booked is how long the target's reading is given away.
 	base   time.Duration // base is the wait before a request that goes there is read.
-	speed  float64       // tokens of prompts read in a second
+	// penalty is what failures and a crowd there count for in the choice. It is no
+	// wait: a request is not late for it.
+	penalty time.Duration
+	speed   float64 // tokens of prompts read in a second
 }
 
 // open tells whether the target takes a request while less than the limit of its
@@ -29,7 +32,8 @@
 	crowd := float64(e.Running()) / float64(max(t.info.Slots, 1))
 	return view{
 		target: t, usable: !t.info.Leaving && e.Usable(now), full: slot > 0, booked: e.Booked(now), speed: e.Speed(),
-		base: e.Backlog(now) + slot + time.Duration(e.Errors(now)*float64(errorPenalty)) + time.Duration(crowd*float64(crowdPenalty)),
+		base:    e.Backlog(now) + slot,
+		penalty: time.Duration(e.Errors(now)*float64(errorPenalty)) + time.Duration(crowd*float64(crowdPenalty)),
 	}
 }
 
--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -91,6 +91,8 @@
 	Targets         []TargetInfo
 	TokensPerSecond float64 // of one target, a first guess
 	Siblings        int     // other cells of the service
+	// FairWindow is the span over which accounts are compared, 0 for the default.
+	FairWindow time.Duration
 	// Transfer tells how the targets copy prompts from each other, nil where they
 	// do not.
 	Transfer *routing.Transfer
--- a/core/cell/transfer.go
+++ b/core/cell/transfer.go
@@ -99,6 +99,9 @@
 	return x
 }
 
+// cost returns what a transfer counts for in the choice of a target.
+func (x transfer) cost() time.Duration { return time.Duration(transferWeight * float64(x.link)) }
+
 // take reserves both engines' links for a transfer that begins now.
 func (x transfer) take(now time.Time, to *target) {
 	if x.source == nil {
--- a/core/cell/transfer_test.go
+++ b/core/cell/transfer_test.go
@@ -154,3 +154,30 @@
 		t.Errorf("%d shared tokens read with transfers, %d without, want at most three times %d", shared, alone, 6*13_000)
 	}
 }
+
+// A request spills to an engine with something to read where its beginning is
+// copied there cheaply, not where the copy is dear or it is read again.
+func TestSpillingFollowsThePriceOfACopy(t *testing.T) {
+	spills := func(links *routing.Transfer) bool {
+		c := New()
+		c.Step(epoch, TargetsSeen{TokensPerSecond: 40_000, Transfer: links, Targets: []TargetInfo{
+			{ID: "keeper", Slots: 1, CacheTokens: 500_000}, {ID: "other", Slots: 8, CacheTokens: 500_000},
+		}})
+		c.Step(epoch, KeptSeen{Target: "keeper", At: epoch, Parts: []routing.PromptPart{{ID: 7, Tokens: 8_000}}})
+		c.Step(epoch, InventorySeen{"e", []Held{{ID: 1, Target: "keeper", Prompt: transferPrompt(1000), Begun: true}}})
+		// The other engine has 70 ms to read.
+		c.targets["other"].engine.Start(epoch, &routing.Prompt{Tokens: 2_800, MaxOutput: 1}, 1)
+		ask := Ask{ID: 2, Account: "x", Prompt: transferPrompt(2000), Hold: 100 * time.Millisecond, Objective: 800 * time.Millisecond}
+		actions := c.Step(epoch, AskSeen{"e", ask})
+		actions = append(actions, c.Step(epoch.Add(36*time.Millisecond), Tick{})...)
+		p, ok := placed(actions, 2)
+		return ok && p.Target == "other"
+	}
+	dear := &routing.Transfer{TokenBytes: 2500, BytesPerSecond: 1e9} // 20 ms for 8000 tokens
+	if !spills(fastLinks) {
+		t.Error("a cheap copy was not worth an engine that is nearly free")
+	}
+	if spills(dear) || spills(nil) {
+		t.Error("spilled though the copy is dear, or there is none")
+	}
+}
--- a/modules/setting/gateway.go
+++ b/modules/setting/gateway.go
@@ -32,6 +32,7 @@
 	RetryWindow Duration `toml:"retry_window"` // span of the fleet's retry budget
 	RetryRatio  float64  `toml:"retry_ratio"`  // repeats for each first send
 	RetryExtra  float64  `toml:"retry_extra"`  // repeats beyond, of the whole fleet
+	FairWindow  Duration `toml:"fair_window"`  // span over which client accounts are compared
 	MemoryMB    int64    `toml:"memory_mb"`
 	Descriptors int      `toml:"descriptors"`
 	Verbosity   int      `toml:"verbosity"`
@@ -46,7 +47,7 @@
 	return Gateway{
 		StoreCall: Duration{time.Second},
 		Grace:     Duration{8 * time.Second}, Linger: Duration{2200 * time.Millisecond},
-		RetryWindow: Duration{10 * time.Second}, RetryRatio: 0.2, MemoryMB: 256, Descriptors: 1024,
+		RetryWindow: Duration{10 * time.Second}, RetryRatio: 0.2, FairWindow: Duration{4 * time.Second}, MemoryMB: 256, Descriptors: 1024,
 	}
 }
 
@@ -109,6 +110,7 @@
 		checkDuration("gateway.grace", g.Grace, 100*time.Millisecond, time.Hour),
 		checkDuration("gateway.linger", g.Linger, 0, g.Grace.Duration),
 		checkDuration("gateway.retry_window", g.RetryWindow, 100*time.Millisecond, time.Hour),
+		checkDuration("gateway.fair_window", g.FairWindow, 100*time.Millisecond, time.Hour),
 		checkRange("gateway.retry_ratio", g.RetryRatio, 0, 10),
 		checkRange("gateway.retry_extra", g.RetryExtra, 0, 1e6),
 		checkRange("gateway.memory_mb", g.MemoryMB, 16, 1<<20),
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -125,7 +125,7 @@
 	client := upstream.NewClient(g.pool, platform.Dialect{})
 	g.loop = mesh.NewLoop(&g.t, log.New("mesh").With(s.ID), mesh.Options{
 		Self: g.self, Seeds: s.Seeds, Clock: g.clock, Auth: auth, Meter: g.meter, Member: members, Follow: g.follow,
-		Kept: client.Kept,
+		Kept: client.Kept, FairWindow: s.FairWindow.Duration,
 	})
 	peernet.NewServer(&g.t, log.New("peer").With(s.ID), auth, g.meter, peers, g.loop)
 	guard := forward.NewGuard(log.New("guard").With(s.ID), g.clock)
@@ -154,7 +154,8 @@
 	g.forward.SetRetry(retryBudget(s))
 	g.loop.SetSeeds(s.Seeds)
 	log.SetVerbosity(s.Verbosity)
-	fixed := old.ID != s.ID || old.Callers != s.Callers || old.Readiness != s.Readiness || old.Peers != s.Peers || old.Store != s.Store
+	fixed := old.ID != s.ID || old.Callers != s.Callers || old.Readiness != s.Readiness || old.Peers != s.Peers || old.Store != s.Store ||
+		old.FairWindow != s.FairWindow
 	g.log.Info("Settings reloaded.", "seeds", len(s.Seeds), "retry_ratio", s.RetryRatio, "grace", s.Grace.Duration, "needs_restart", fixed)
 }
 
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -63,6 +63,8 @@
 	Meter  *peernet.Meter
 	Member member.Config
 	Follow *follow.Service
+	// FairWindow is the span over which client accounts are compared.
+	FairWindow time.Duration
 	// Kept asks a target which parts of prompts it keeps; nil where none tell.
 	Kept func(ctx context.Context, t *routing.Target) ([]routing.PromptPart, error)
 }
@@ -294,7 +296,7 @@
 		return
 	}
 	service := l.index.Service(g.Service)
-	ev := cell.TargetsSeen{Siblings: len(l.layout.Siblings(g)), Transfer: service.Engine.Transfer}
+	ev := cell.TargetsSeen{Siblings: len(l.layout.Siblings(g)), FairWindow: l.opts.FairWindow, Transfer: service.Engine.Transfer}
 	for _, t := range g.Targets {
 		ev.Targets = append(ev.Targets, cell.TargetInfo{
 			ID: t.ID, Slots: service.Engine.Slots, CacheTokens: service.Engine.CacheTokens, DataHall: t.DataHall, Leaving: t.Leaving,
