cell: Tests that fail without what they test

Change: the requests in them are made to wait for an engine that keeps their beginning; seen to fail with penalties taken for waits, and with the old limit.

--- a/core/cell/account_test.go
+++ b/core/cell/account_test.go
@@ -112,26 +112,26 @@
 }
 
 // Engines that all fail a part of their requests serve on: a request that could
-// be in time is not refused because of what others suffered.
+// be in time at a free engine is not refused because of what others suffered.
 func TestFailuresAreNoReasonToRefuse(t *testing.T) {
 	c := New()
 	c.Step(epoch, TargetsSeen{TokensPerSecond: 40_000, Targets: []TargetInfo{
-		{ID: "a", Slots: 8, CacheTokens: 500_000}, {ID: "b", Slots: 8, CacheTokens: 500_000},
+		{ID: "keeper", Slots: 8, CacheTokens: 500_000}, {ID: "free", Slots: 8, CacheTokens: 500_000},
 	}})
-	now, id := epoch, RequestID(0)
-	for range 40 {
-		id++
-		now = now.Add(20 * time.Millisecond)
-		c.Step(now, plainAsk(id, "x", 100))
-		c.Step(now, EndedSeen{"e", id, batch.OutcomeFailed})
+	c.Step(epoch, KeptSeen{Target: "keeper", At: epoch, Parts: []routing.PromptPart{{ID: 7, Tokens: 2_400}}})
+	for _, target := range c.sorted {
+		for range 20 {
+			target.engine.End(epoch, target.engine.Start(epoch, &routing.Prompt{Tokens: 1}, 1), batch.OutcomeFailed)
+		}
+	}
+	c.targets["keeper"].engine.Start(epoch, &routing.Prompt{Tokens: 5_200}, 1)
+	p := &routing.Prompt{Tokens: 2_500, MaxOutput: 1, Parts: []routing.PromptPart{{ID: 7, Tokens: 2_400}, {ID: 8, Tokens: 100}}}
+	ask := AskSeen{"e", Ask{ID: 1, Account: "x", Prompt: p, Hold: 20 * time.Millisecond, Objective: 300 * time.Millisecond}}
+	if _, ok := placed(c.Step(epoch, ask), 1); ok {
+		t.Fatal("placed at once: this request was to wait for its keeper")
 	}
-	ask := plainAsk(1000, "x", 2000)
-	ask.Ask.Hold, ask.Ask.Objective = 60*time.Millisecond, 300*time.Millisecond
-	busy := plainAsk(999, "x", 6000)
-	c.Step(now, busy)
-	actions := c.Step(now, ask)
-	actions = append(actions, c.Step(now.Add(70*time.Millisecond), Tick{})...)
-	if _, ok := placed(actions, 1000); !ok || refusals(actions) > 0 {
+	actions := c.Step(epoch.Add(8*time.Millisecond), Tick{})
+	if p, ok := placed(actions, 1); !ok || p.Target != "free" {
 		t.Errorf("%+v, want a place at the engine that has nothing to read", actions)
 	}
 }
--- a/core/cell/transfer_test.go
+++ b/core/cell/transfer_test.go
@@ -161,16 +161,21 @@
 	spills := func(links *routing.Transfer) bool {
 		c := New()
 		c.Step(epoch, TargetsSeen{TokensPerSecond: 40_000, Transfer: links, Targets: []TargetInfo{
-			{ID: "keeper", Slots: 1, CacheTokens: 500_000}, {ID: "other", Slots: 8, CacheTokens: 500_000},
+			{ID: "keeper", Slots: 8, CacheTokens: 500_000}, {ID: "other", Slots: 8, CacheTokens: 500_000},
 		}})
 		c.Step(epoch, KeptSeen{Target: "keeper", At: epoch, Parts: []routing.PromptPart{{ID: 7, Tokens: 8_000}}})
-		c.Step(epoch, InventorySeen{"e", []Held{{ID: 1, Target: "keeper", Prompt: transferPrompt(1000), Begun: true}}})
-		// The other engine has 70 ms to read.
-		c.targets["other"].engine.Start(epoch, &routing.Prompt{Tokens: 2_800, MaxOutput: 1}, 1)
-		ask := Ask{ID: 2, Account: "x", Prompt: transferPrompt(2000), Hold: 100 * time.Millisecond, Objective: 800 * time.Millisecond}
+		keeper, other := c.targets["keeper"].engine, c.targets["other"].engine
+		keeper.Start(epoch, &routing.Prompt{Tokens: 6_000}, 1) // 150 ms, more than may be given away
+		for range 6 {
+			other.Adopt(epoch, &routing.Prompt{Tokens: 1}, 1, true) // streams make it the second choice
+		}
+		other.Start(epoch, &routing.Prompt{Tokens: 3_900}, 1) // 98 ms
+		ask := Ask{ID: 2, Account: "x", Prompt: transferPrompt(2000), Hold: 20 * time.Millisecond, Objective: 800 * time.Millisecond}
 		actions := c.Step(epoch, AskSeen{"e", ask})
-		actions = append(actions, c.Step(epoch.Add(36*time.Millisecond), Tick{})...)
-		p, ok := placed(actions, 2)
+		if _, ok := placed(actions, 2); ok {
+			t.Fatal("placed at once: this request was to wait for its keeper")
+		}
+		p, ok := placed(c.Step(epoch.Add(8*time.Millisecond), Tick{}), 2)
 		return ok && p.Target == "other"
 	}
 	dear := &routing.Transfer{TokenBytes: 2500, BytesPerSecond: 1e9} // 20 ms for 8000 tokens
