--- a/core/cell/account_test.go
+++ b/core/cell/account_test.go
@@ -11,7 +11,7 @@
 	"madderway/models/routing"
 )
 
-// place returns where a request was sent, if it was.
+// placed returns where a request was sent, if it was.
 func placed(actions []Action, id RequestID) (Place, bool) {
 	for _, a := range actions {
 		if p, ok := a.(Place); ok && p.ID == id {
@@ -21,17 +21,6 @@
 	return Place{}, false
 }
 
-// refusals counts the requests that were refused.
-func refusals(actions []Action) int {
-	n := 0
-	for _, a := range actions {
-		if _, ok := a.(Refuse); ok {
-			n++
-		}
-	}
-	return n
-}
-
 func plainAsk(id RequestID, account string, tokens int) AskSeen {
 	p := &routing.Prompt{Tokens: tokens, MaxOutput: 1, Parts: []routing.PromptPart{{ID: 1 << 32, Tokens: 1}, {ID: uint64(id), Tokens: tokens - 1}}}
 	return AskSeen{"e", Ask{ID: id, Account: account, Prompt: p, Hold: 10 * time.Second, Objective: time.Minute}}
