discover: Gateways find each other through the store while seeds are down

Change: eight gateways, drawn by hash, keep their address in a table of the store. A gateway that knows no other one 30 ms after its start reads it and greets those. It is read less and less often while nobody answers, and entries nobody knows are dropped once there are many. The stand-in of the store has transactions. Ruled out: calling seeds more often (they were not up).

--- a/lab/platform/store.go
+++ b/lab/platform/store.go
@@ -71,6 +71,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/rows-get", s.serveGet)
 	mux.HandleFunc("GET /-/rows-feed", s.serveFeed)
+	mux.HandleFunc("POST /-/rows-tx", s.serveTransaction)
 	server := &http.Server{Handler: s.guard(gateway, mux), ReadHeaderTimeout: time.Second}
 	s.mu.Lock()
 	s.servers = append(s.servers, server)
@@ -136,6 +137,11 @@
 func (s *Store) write(r row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.apply(r)
+}
+
+// apply changes a row; the caller holds the lock.
+func (s *Store) apply(r row) {
 	s.ver++
 	r.Ver = s.ver
 	if r.Gone {
--- a/lab/platform/worker_test.go
+++ b/lab/platform/worker_test.go
@@ -4,6 +4,8 @@
 package platform
 
 import (
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -38,3 +40,35 @@
 		t.Errorf("%d read, %d of them again, want 600 and 0", all, again)
 	}
 }
+
+// A transaction is applied as a whole or not at all, and leaves the rows of the
+// operator and the workers alone.
+func TestStoreTransactions(t *testing.T) {
+	s := NewStore()
+	address, err := s.Listen("g")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	send := func(body string) int {
+		resp, err := http.Post("http://"+address+"/-/rows-tx", "application/json", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode
+	}
+	create := `{"expectedRev":[{"table":"t","tlsKey":"a","ver":0}],"put":[{"table":"t","tlsKey":"a","value":"eA=="},{"table":"t","tlsKey":"b","value":"eQ=="}]}`
+	if status := send(create); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	if status := send(create); status != http.StatusPreconditionFailed {
+		t.Errorf("status %d of a row that is there, want 412", status)
+	}
+	if status := send(`{"put":[{"table":"op","tlsKey":"config","value":"eA=="}]}`); status != http.StatusForbidden {
+		t.Errorf("status %d of a write to the operator's row, want 403", status)
+	}
+	if status := send(`{"delete":[{"table":"t","tlsKey":"a"}]}`); status != http.StatusOK || len(s.rows) != 1 {
+		t.Errorf("status %d, rows %v", status, s.rows)
+	}
+}
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -25,6 +25,7 @@
 	"madderway/modules/peernet"
 	"madderway/modules/setting"
 	"madderway/platform"
+	"madderway/services/discover"
 	"madderway/services/follow"
 	"madderway/services/forward"
 	"madderway/services/mesh"
@@ -114,8 +115,9 @@
 func (g *Gateway) assemble(peers net.Listener) {
 	s := g.settings.Load()
 	auth := peernet.NewSharedKey(s.ID, s.PeerKey)
+	store := platform.NewStore(s.Store, s.StoreCall.Duration)
 	g.follow = follow.New(&g.t, log.New("follow").With(s.ID), follow.Options{
-		Source: platform.NewStore(s.Store, s.StoreCall.Duration), Peers: fetcher{g}, Clock: g.clock, OnChange: g.changed,
+		Source: store, Peers: fetcher{g}, Clock: g.clock, OnChange: g.changed,
 		Fleet: func() (bool, int) { return g.loop.Watches(), g.loop.Members() },
 	})
 	g.pool = upstream.NewPool(dialTimeout, idlePerTarget)
@@ -128,6 +130,9 @@
 		Kept: client.Kept, FairWindow: s.FairWindow.Duration,
 	})
 	peernet.NewServer(&g.t, log.New("peer").With(s.ID), auth, g.meter, peers, g.loop)
+	discover.Start(&g.t, log.New("discover").With(s.ID), discover.Options{
+		Self: discover.Entry{ID: s.ID, Address: s.Peers}, Register: platform.NewGateways(store), Peers: g.loop, Clock: g.clock,
+	})
 	guard := forward.NewGuard(log.New("guard").With(s.ID), g.clock)
 	g.forward = forward.New(log.New("forward").With(s.ID), forward.Options{
 		DataHall: s.DataHall, Clock: g.clock, Follow: g.follow, Mesh: g.loop, Client: client,
--- /dev/null
+++ b/services/discover/discover.go
@@ -0,0 +1,183 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+// Package discover lets gateways find each other where their seeds are down. A few
+// of them keep their addresses in a register, and a gateway that knows no other one
+// reads it: after the loss of all machines the seeds may be the last to come back,
+// and gateways that do not know each other all schedule the same targets.
+package discover
+
+import (
+	"context"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"madderway/modules/clock"
+	"madderway/modules/log"
+)
+
+const (
+	// Registrars is how many gateways keep their address in the register: enough
+	// that one of them is back early after the loss of all.
+	Registrars = 8
+	// maxEntries is the size of the register from which entries of gateways that
+	// nobody knows any more are dropped.
+	maxEntries = 3 * Registrars
+	// aloneAfter is how long a gateway that has just started waits for its seeds;
+	// they answer within some milliseconds where they are up.
+	aloneAfter = 30 * time.Millisecond
+	// againAfter and againMax bound how often the register is read while nobody is
+	// found; each read is a call of the store.
+	againAfter = 300 * time.Millisecond
+	againMax   = 5 * time.Second
+	// checkEvery is how often it is looked whether this gateway should register.
+	checkEvery = 2 * time.Second
+	callTime   = time.Second
+)
+
+// Entry is one gateway of the register.
+type Entry struct {
+	ID      string
+	Address string // Address is where other gateways reach it.
+}
+
+// Register keeps the addresses of some gateways.
+type Register interface {
+	Entries(ctx context.Context) ([]Entry, error)
+	// Put writes one entry and takes others out.
+	Put(ctx context.Context, e Entry, drop []string) error
+}
+
+// Peers is what is known of the other gateways.
+type Peers interface {
+	// Alone tells whether no other gateway is known.
+	Alone() bool
+	// Registrar tells whether this gateway is one of those that register.
+	Registrar() bool
+	// Knows tells whether a gateway is a member.
+	Knows(id string) bool
+	// Call greets gateways at these addresses.
+	Call(addresses []string)
+}
+
+// Options are the parts of a Service.
+type Options struct {
+	Self     Entry
+	Register Register
+	Peers    Peers
+	Clock    clock.Clock
+}
+
+// Service reads the register while this gateway is alone, and registers it where
+// it is one of the few that do.
+type Service struct {
+	t          *tomb.Tomb
+	log        log.Logger
+	opts       Options
+	registered bool
+	again      time.Duration // again is the time until the register is read once more.
+}
+
+// Start starts the service; it ends with the tomb.
+func Start(t *tomb.Tomb, logger log.Logger, o Options) {
+	s := newService(t, logger, o)
+	t.Go(s.run)
+}
+
+func newService(t *tomb.Tomb, logger log.Logger, o Options) *Service {
+	return &Service{t: t, log: logger, opts: o, again: againAfter}
+}
+
+func (s *Service) run() error {
+	wait := aloneAfter
+	for {
+		select {
+		case <-s.t.Dying():
+			return nil
+		case <-s.opts.Clock.After(wait):
+			wait = s.look()
+		}
+	}
+}
+
+// look does what is to be done now and returns when to look again.
+func (s *Service) look() time.Duration {
+	if s.opts.Peers.Alone() {
+		s.find()
+		wait := s.again
+		s.again = min(2*s.again, againMax)
+		return wait
+	}
+	s.again = againAfter
+	if !s.registered && s.opts.Peers.Registrar() {
+		s.register()
+	}
+	return checkEvery
+}
+
+// find greets the gateways of the register.
+func (s *Service) find() {
+	entries, ok := s.entries()
+	if !ok {
+		return
+	}
+	var addresses []string
+	for _, e := range entries {
+		if e.ID != s.opts.Self.ID {
+			addresses = append(addresses, e.Address)
+		}
+	}
+	s.log.Info("No other gateway known, calling those of the register.", "entries", len(entries))
+	s.opts.Peers.Call(addresses)
+}
+
+// register writes this gateway's entry unless it is there. Where it fails, it is
+// tried again at the next look.
+func (s *Service) register() {
+	entries, ok := s.entries()
+	if !ok {
+		return
+	}
+	for _, e := range entries {
+		if e == s.opts.Self {
+			s.registered = true
+			return
+		}
+	}
+	ctx, cancel := context.WithTimeout(s.t.Context(context.Background()), callTime)
+	defer cancel()
+	drop := s.unknown(entries)
+	if err := s.opts.Register.Put(ctx, s.opts.Self, drop); err != nil {
+		s.log.Warn("Not registered, will try again.", "error", err)
+		return
+	}
+	s.registered = true
+	s.log.Info("Registered.", "entries", len(entries)+1-len(drop), "dropped", len(drop))
+}
+
+// unknown returns the entries that no longer belong to members, once the register
+// has grown large.
+func (s *Service) unknown(entries []Entry) []string {
+	if len(entries) < maxEntries {
+		return nil
+	}
+	var drop []string
+	for _, e := range entries {
+		if e.ID != s.opts.Self.ID && !s.opts.Peers.Knows(e.ID) {
+			drop = append(drop, e.ID)
+		}
+	}
+	return drop
+}
+
+func (s *Service) entries() ([]Entry, bool) {
+	ctx, cancel := context.WithTimeout(s.t.Context(context.Background()), callTime)
+	defer cancel()
+	entries, err := s.opts.Register.Entries(ctx)
+	if err != nil {
+		s.log.Warn("The register cannot be read.", "error", err)
+		return nil, false
+	}
+	return entries, true
+}
--- /dev/null
+++ b/services/discover/discover_test.go
@@ -0,0 +1,127 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package discover
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"gopkg.in/tomb.v2"
+
+	"madderway/modules/clock"
+	"madderway/modules/log"
+)
+
+// fleet is a register and the peers that a gateway knows.
+type fleet struct {
+	entries   map[string]string
+	reads     int
+	puts      int
+	down      bool
+	alone     bool
+	registrar bool
+	members   []string
+	called    []string
+}
+
+func (f *fleet) Entries(context.Context) ([]Entry, error) {
+	f.reads++
+	if f.down {
+		return nil, errors.New("the store is down")
+	}
+	var out []Entry
+	for id, address := range f.entries {
+		out = append(out, Entry{id, address})
+	}
+	return out, nil
+}
+
+func (f *fleet) Put(_ context.Context, e Entry, drop []string) error {
+	f.puts++
+	if f.down {
+		return errors.New("the store is down")
+	}
+	f.entries[e.ID] = e.Address
+	for _, id := range drop {
+		delete(f.entries, id)
+	}
+	return nil
+}
+
+func (f *fleet) Alone() bool           { return f.alone }
+func (f *fleet) Registrar() bool       { return f.registrar }
+func (f *fleet) Knows(id string) bool  { return slices.Contains(f.members, id) }
+func (f *fleet) Call(addresses []string) { f.called = append(f.called, addresses...) }
+
+var self = Entry{ID: "g1", Address: "127.0.0.1:1"}
+
+func serve(f *fleet) *Service {
+	if f.entries == nil {
+		f.entries = map[string]string{}
+	}
+	return newService(&tomb.Tomb{}, log.New("test"), Options{Self: self, Register: f, Peers: f, Clock: clock.NewFake()})
+}
+
+// A gateway that comes back before all its seeds finds the others through the
+// register, and reads it ever less often while nobody answers.
+func TestAloneCallsTheRegistered(t *testing.T) {
+	f := &fleet{alone: true, entries: map[string]string{"g1": "127.0.0.1:1", "g2": "127.0.0.1:2"}}
+	s := serve(f)
+	last := againAfter / 2
+	for range 8 {
+		wait := s.look()
+		if wait < last || wait > againMax {
+			t.Errorf("looks again after %v, before that after %v", wait, last)
+		}
+		last = wait
+	}
+	if last != againMax || f.puts != 0 {
+		t.Errorf("looks again after %v at last, %d writes", last, f.puts)
+	}
+	if len(f.called) != 8 || f.called[0] != "127.0.0.1:2" {
+		t.Errorf("called %v, want the other gateway at each look", f.called)
+	}
+}
+
+// A gateway with peers reads nothing, unless it is one of those that register:
+// then it writes its entry once, and not at all where it is there.
+func TestRegistersOnce(t *testing.T) {
+	f := &fleet{}
+	s := serve(f)
+	s.look()
+	if f.reads != 0 {
+		t.Error("a gateway that does not register reads the register")
+	}
+	f.registrar, f.down = true, true
+	s.look()
+	f.down = false
+	for range 3 {
+		s.look()
+	}
+	if f.entries["g1"] != self.Address || f.puts != 1 || f.reads != 2 {
+		t.Errorf("%+v", f)
+	}
+	again := serve(f)
+	again.look()
+	again.look()
+	if f.puts != 1 || f.reads != 3 {
+		t.Errorf("written again after a restart: %+v", f)
+	}
+}
+
+// The register does not grow for ever: entries of gateways that nobody knows go
+// once there are many.
+func TestOldEntriesAreDropped(t *testing.T) {
+	f := &fleet{registrar: true, entries: map[string]string{}, members: []string{"old-3"}}
+	for i := range maxEntries {
+		f.entries[fmt.Sprint("old-", i)] = "127.0.0.1:9"
+	}
+	serve(f).look()
+	if len(f.entries) != 2 || f.entries["old-3"] == "" || f.entries["g1"] == "" {
+		t.Errorf("%v", f.entries)
+	}
+}
--- a/services/mesh/api.go
+++ b/services/mesh/api.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"time"
 
 	"madderway/core/batch"
 	"madderway/core/cell"
@@ -44,6 +46,35 @@
 	l.Inspect(func() { l.setSeeds(addresses) })
 }
 
+// Alone implements discover.Peers.
+func (l *Loop) Alone() bool { return l.Members() == 1 }
+
+// Registrar implements discover.Peers.
+func (l *Loop) Registrar() bool { return l.register.Load() }
+
+// Knows implements discover.Peers.
+func (l *Loop) Knows(id string) bool {
+	known := false
+	l.Inspect(func() { _, known = l.members.Lookup(id) })
+	return known
+}
+
+// Call implements discover.Peers: gateways at these addresses are greeted at once,
+// and again while no other gateway is known.
+func (l *Loop) Call(addresses []string) {
+	l.Inspect(func() {
+		for _, address := range addresses {
+			if address == l.opts.Self.Address || slices.Contains(l.seedsAt, address) {
+				continue
+			}
+			l.seedsAt = append(l.seedsAt, address)
+			l.learned = append(l.learned, l.newLink("", address))
+		}
+		l.nextSeed = time.Time{}
+		l.callSeeds(l.opts.Clock.Now())
+	})
+}
+
 // Leave tells the other gateways that this one is leaving.
 func (l *Loop) Leave() { l.put(memberIn{member.Leave{}}) }
 
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -27,6 +27,7 @@
 	"madderway/modules/peernet"
 	"madderway/modules/ring"
 	"madderway/modules/wire"
+	"madderway/services/discover"
 	"madderway/services/follow"
 	"madderway/services/peerwire"
 )
@@ -42,7 +43,9 @@
 	seedCalm   = 5 * time.Second // between calls to seeds once members are known
 	dialTime   = 500 * time.Millisecond
 	watchKey   = "watch"
-	cellIdle   = 30 * time.Second // a cell that nobody has asked for so long is dropped
+	// registerKey draws the gateways that register.
+	registerKey = "register"
+	cellIdle    = 30 * time.Second // a cell that nobody has asked for so long is dropped
 )
 
 // Decision is what became of a submitted request.
@@ -93,7 +96,8 @@
 	answers   map[cell.RequestID]chan Decision
 	links     map[string]*peernet.Link
 	seeds     []*peernet.Link
-	seedsAt   []string // seedsAt are the addresses of the seeds.
+	seedsAt   []string        // seedsAt are the addresses of the seeds.
+	learned   []*peernet.Link // learned are gateways to call while no other one is known.
 	out       *peerwire.Outbox
 	nextSeed,
 	nextTally,
@@ -103,6 +107,7 @@
 
 	size     atomic.Int64
 	watches  atomic.Bool
+	register atomic.Bool // register tells that this gateway keeps its address in the register.
 	busy     atomic.Int64
 	requests atomic.Uint64
 }
@@ -254,10 +259,12 @@
 		return
 	}
 	l.nextSeed = now.Add(seedCalm)
+	call := l.seeds
 	if len(l.members.Others()) == 0 {
 		l.nextSeed = now.Add(seedEvery)
+		call = slices.Concat(l.seeds, l.learned)
 	}
-	for _, link := range l.seeds {
+	for _, link := range call {
 		link.Send(&wire.Frame{Heartbeat: l.heartbeat(l.members.Greeting())})
 	}
 }
@@ -266,6 +273,7 @@
 	nodes := l.members.Nodes()
 	l.size.Store(int64(max(len(nodes), 1)))
 	l.watches.Store(slices.Contains(place.Top(nodes, watchKey, watch.Watchers), l.opts.Self.ID))
+	l.register.Store(slices.Contains(place.Top(nodes, registerKey, discover.Registrars), l.opts.Self.ID))
 	l.layout = cell.NewLayout(l.index, l.targets, nodes)
 	for key, s := range l.cells {
 		l.setTargets(now, key, s)
