peernet: Reach a peer at once when it is heard from; compare accounts by half the span

(1) Service faded to a half in the whole span of four seconds: an account that had used idle engines for six seconds paid for it for the next six. (2) A gateway that came back after a loss of power knew nobody for 0.44 s and not all for 1.2 s: the others' links to it were in their pause between attempts, or held a connection to its former life, and dropped their greetings. It scheduled a cell beside its proper scheduler, and an account that landed there got several times what others got. Change: (1) the half-life is half the span; (2) what is heard from a peer ends the pause of its link, a new life of the peer ends the old connection.

--- a/core/cell/account.go
+++ b/core/cell/account.go
@@ -37,12 +37,16 @@
 	scored  uint64
 }
 
-// defaultFairWindow is the time in which the service that an account has had
-// fades to a half, where the settings name no span over which accounts are
-// compared. Shorter ones forget what an account is owed, with longer ones it pays
-// for what it got while there was room for all.
+// defaultFairWindow is the span over which accounts are compared where the
+// settings name none.
 const defaultFairWindow = 4 * time.Second
 
+// halfOf returns the time in which the service that an account has had fades to a
+// half: half of the span, so that what it got a whole span ago counts for a
+// quarter. With the whole span an account that had used idle engines paid for that
+// for seconds after others came, and got less than half of what they got.
+func halfOf(window time.Duration) time.Duration { return window / 2 }
+
 // sizeAging is how much later than it came a request stands in its account's
 // queue, in times that a target needs to read its prompt: short work goes first,
 // and long work is passed by what comes in that time only. With 1 to 5 the worth of
@@ -76,7 +80,7 @@
 func (c *Cell) account(name string) *account {
 	a := c.accounts[name]
 	if a == nil {
-		a = &account{name: name, half: c.fairWindow}
+		a = &account{name: name, half: halfOf(c.fairWindow)}
 		c.accounts[name] = a
 	}
 	return a
--- a/core/cell/account_test.go
+++ b/core/cell/account_test.go
@@ -88,9 +88,9 @@
 		c := New()
 		c.Step(epoch, TargetsSeen{TokensPerSecond: 10_000, FairWindow: window, Targets: []TargetInfo{{ID: "t", Slots: 1, CacheTokens: 1000}}})
 		c.account("a").charge(epoch, 1000)
-		half := max(window, time.Second)
+		half := halfOf(window)
 		if window == 0 {
-			half = defaultFairWindow
+			half = halfOf(defaultFairWindow)
 		}
 		a := c.account("a")
 		a.fade(epoch.Add(half))
--- a/modules/peernet/link.go
+++ b/modules/peernet/link.go
@@ -46,6 +46,7 @@
 	id      string
 	timeout time.Duration
 	frames  *ring.Ring[*wire.Frame]
+	renewal renewal
 
 	mu      sync.Mutex
 	address string
@@ -119,6 +120,9 @@
 // deliver writes a frame and returns the stream for the next one. A frame that
 // cannot be written is lost: all of it is state that will be sent again.
 func (l *Link) deliver(stream net.Conn, f *wire.Frame) net.Conn {
+	if l.renewal.session.Load() {
+		stream = nil
+	}
 	for range 2 {
 		if stream == nil {
 			var err error
@@ -155,6 +159,13 @@
 func (l *Link) connect() (*yamux.Session, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.renewal.session.Swap(false) && l.session != nil {
+		_ = l.session.Close()
+		l.session = nil
+	}
+	if l.renewal.backoff.Swap(false) {
+		l.retryAt, l.backoff = time.Time{}, redialFirst
+	}
 	if l.session != nil && !l.session.IsClosed() {
 		return l.session, nil
 	}
@@ -165,6 +176,7 @@
 		return nil, l.lastErr
 	}
 	session, err := l.dial()
+	l.renewal.failing.Store(err != nil)
 	if err != nil {
 		l.lastErr = err
 		l.retryAt = time.Now().Add(l.backoff)
@@ -176,7 +188,9 @@
 }
 
 func (l *Link) dial() (*yamux.Session, error) {
-	raw, err := netopt.Dialer(l.timeout).Dial("tcp", l.address)
+	ctx, end := l.renewal.begin()
+	defer end()
+	raw, err := netopt.Dialer(l.timeout).DialContext(ctx, "tcp", l.address)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/modules/peernet/renew.go
@@ -0,0 +1,63 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package peernet
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+)
+
+// A link waits longer and longer between attempts to reach a peer that does not
+// answer, and an open connection to a machine without power looks sound for some
+// seconds. What is heard from the peer itself ends both at once. The signals are
+// set by other goroutines while the link's own one may hang in an attempt.
+
+// renewal holds what the link has been told since its last attempt.
+type renewal struct {
+	session atomic.Bool // session tells that the open connection is to a former life.
+	backoff atomic.Bool // backoff tells that the peer can be reached again.
+	failing atomic.Bool // failing tells that the last attempt failed.
+
+	mu     sync.Mutex
+	cancel context.CancelFunc // cancel ends the attempt that is under way, nil where none is.
+}
+
+// begin returns the context of an attempt, and what to call at its end.
+func (r *renewal) begin() (context.Context, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.mu.Lock()
+	r.cancel = cancel
+	r.mu.Unlock()
+	return ctx, func() {
+		r.mu.Lock()
+		r.cancel = nil
+		r.mu.Unlock()
+		cancel()
+	}
+}
+
+func (r *renewal) stopAttempt() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancel != nil {
+		r.cancel()
+	}
+}
+
+// Renew tells that the peer has begun a new life: the next frame takes a new
+// connection. It does not wait.
+func (l *Link) Renew() {
+	l.renewal.session.Store(true)
+	l.renewal.backoff.Store(true)
+	l.renewal.stopAttempt()
+}
+
+// Reachable tells that the peer has been heard from: where attempts to reach it
+// failed, the next frame tries at once. It does not wait.
+func (l *Link) Reachable() {
+	if l.renewal.failing.Load() {
+		l.renewal.backoff.Store(true)
+	}
+}
--- a/services/discover/discover_test.go
+++ b/services/discover/discover_test.go
@@ -52,9 +52,9 @@
 	return nil
 }
 
-func (f *fleet) Alone() bool           { return f.alone }
-func (f *fleet) Registrar() bool       { return f.registrar }
-func (f *fleet) Knows(id string) bool  { return slices.Contains(f.members, id) }
+func (f *fleet) Alone() bool             { return f.alone }
+func (f *fleet) Registrar() bool         { return f.registrar }
+func (f *fleet) Knows(id string) bool    { return slices.Contains(f.members, id) }
 func (f *fleet) Call(addresses []string) { f.called = append(f.called, addresses...) }
 
 var self = Entry{ID: "g1", Address: "127.0.0.1:1"}
--- a/services/mesh/step.go
+++ b/services/mesh/step.go
@@ -23,6 +23,9 @@
 			changed = true
 		case member.Gone:
 			l.log.Warn("Member gone.", "id", a.ID, "incarnation", a.Incarnation)
+			if link := l.links[a.ID]; link != nil {
+				link.Renew()
+			}
 			for key, s := range l.cells {
 				l.schedule(now, key, s, cell.EntryGone{Entry: a.ID})
 			}
@@ -46,6 +49,9 @@
 // frame takes what a peer sent. Inventories come before asks, so that a new
 // scheduler knows the load before it places anything.
 func (l *Loop) frame(now time.Time, peer string, f *wire.Frame) {
+	if link := l.links[peer]; link != nil {
+		link.Reachable()
+	}
 	if f.Heartbeat != nil {
 		l.takeHeartbeat(now, peer, f.Heartbeat)
 	}
