lab: Show what each second of a play was like

Change: a scheduler writes a line a second for each cell that was asked (asked, placed, refused, refused with room, tokens asked, placed, read, read again, copied, engines, streams, share of time spent reading, reading given away), each gateway one of how its requests ended. madderway-lab seconds sums them over processes, as a table and a picture.

--- /dev/null
+++ b/cmd/madderway-lab/seconds.go
@@ -0,0 +1,56 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"errors"
+	"io"
+	"os"
+
+	"madderway/lab/seconds"
+	"madderway/services/trace"
+)
+
+type secondsCommand struct {
+	Picture string `long:"svg" description:"write a picture to this file as well"`
+	Args    struct {
+		Logs []string `positional-arg-name:"LOG" required:"1"`
+	} `positional-args:"yes" required:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *secondsCommand) Execute([]string) error {
+	var readers []io.Reader
+	for _, name := range c.Args.Logs {
+		if name == "-" {
+			readers = append(readers, os.Stdin)
+			continue
+		}
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		readers = append(readers, f)
+	}
+	lines, err := trace.ReadLines(io.MultiReader(readers...))
+	if err != nil {
+		return err
+	}
+	all := seconds.Gather(lines)
+	if len(all) == 0 {
+		return errors.New("no scheduler wrote a line about a second in these logs")
+	}
+	if err := seconds.WriteTable(os.Stdout, all); err != nil {
+		return err
+	}
+	if c.Picture == "" {
+		return nil
+	}
+	f, err := os.Create(c.Picture)
+	if err != nil {
+		return err
+	}
+	return errors.Join(seconds.WritePicture(f, all), f.Close())
+}
--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -23,6 +23,7 @@
 	OutcomeFailed                      // the engine answered with a failure
 	OutcomeBroken                      // the answer was cut or was no answer
 	OutcomeExpired                     // nothing came in time
+	OutcomeUnlisted                    // the entry gateway does not list the target, or no longer
 )
 
 // Run is one request at the engine.
@@ -69,6 +70,9 @@
 // Missing returns the tokens of the prompt that the engine has to read.
 func (e *Engine) Missing(p *routing.Prompt) int { return max(p.Tokens-e.cache.hit(p.Parts), 1) }
 
+// ReadingTime returns how long the engine has been reading since it is known.
+func (e *Engine) ReadingTime() time.Duration { return e.pace.done }
+
 // Ready returns the tokens at the beginning of the prompt that another engine can
 // copy from this one.
 func (e *Engine) Ready(p *routing.Prompt) int { return min(e.cache.ready(p.Parts), p.Tokens) }
@@ -124,6 +128,7 @@
 		return
 	}
 	e.unqueue(r)
+	e.pace.done += e.pace.readTime(r.Read)
 	e.cache.markRead(r.Prompt.Parts)
 	e.state.begun()
 	e.pace.learn(now, r)
--- a/core/batch/pace.go
+++ b/core/batch/pace.go
@@ -28,11 +28,12 @@
 // read prompts in the order in which they arrive, so each first event tells how
 // much is left.
 type pace struct {
-	clearAt   time.Time // clearAt is when all that was sent will have been read.
-	bookedTo  time.Time // bookedTo is until when the time for reading is given away.
-	read      float64   // tokens read while busy, older ones weigh less
-	busy      float64   // the seconds that this took
-	prior     float64   // tokens a second, before anything was measured
+	clearAt   time.Time     // clearAt is when all that was sent will have been read.
+	bookedTo  time.Time     // bookedTo is until when the time for reading is given away.
+	read      float64       // tokens read while busy, older ones weigh less
+	busy      float64       // the seconds that this took
+	done      time.Duration // done is how long the engine has been reading in all.
+	prior     float64       // tokens a second, before anything was measured
 	first     time.Duration
 	stream    time.Duration // stream is how long a request usually keeps its slot.
 	lastBegan time.Time
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -66,18 +66,6 @@
 	out        []Action
 }
 
-// Counts are what a cell has decided since its start.
-type Counts struct {
-	Asked, Placed, Refused, Expired uint64
-	// Tried counts how often a target was looked for, for a request that waits.
-	Tried uint64
-	// Anew counts the tokens of shared parts that placements let engines read
-	// again, by the reason of the placement.
-	Anew [reasons]uint64
-	// Copies counts the transfers between engines, Copied their tokens.
-	Copies, Copied uint64
-}
-
 // New returns a cell without targets.
 func New() *Cell {
 	return &Cell{
@@ -148,6 +136,7 @@
 		return
 	}
 	c.counts.Asked++
+	c.counts.AskedTokens += uint64(e.Ask.Prompt.Tokens)
 	w := &waiter{key: key, ask: e.Ask, arrived: now, stands: now, until: now.Add(e.Ask.Hold)}
 	if c.speed > 0 {
 		w.stands = now.Add(seconds(sizeAging * float64(e.Ask.Prompt.Tokens) / c.speed))
@@ -262,6 +251,8 @@
 		why = ReasonUnseen
 	}
 	c.counts.Placed++
+	c.counts.PlacedTokens += uint64(p.Tokens)
+	c.counts.Read += uint64(max(o.missing-x.tokens, 0))
 	c.counts.Anew[why] += uint64(anew)
 	c.account(w.ask.Account).placed++
 	c.start(now, w.key, w.ask.Account, t, p, x)
@@ -303,6 +294,3 @@
 
 // Idle tells whether nothing waits and nothing runs.
 func (c *Cell) Idle() bool { return len(c.waiting) == 0 && len(c.runs) == 0 }
-
-// Counts returns what the cell has decided since its start.
-func (c *Cell) Counts() Counts { return c.counts }
--- /dev/null
+++ b/lab/seconds/seconds.go
@@ -0,0 +1,146 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+// Package seconds puts the lines that gateways write each second together, so that
+// a person can see second by second what was asked for, placed, refused and why,
+// read again, and how the engines' time was spent.
+package seconds
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strconv"
+	"time"
+
+	"madderway/modules/log"
+)
+
+// Messages of the lines, as the mesh and forward services write them.
+const (
+	cellMessage    = "Second of a cell."
+	gatewayMessage = "Second of a gateway."
+	timeLayout     = "0102 15:04:05.999999"
+)
+
+// Second is what all gateways did in one second.
+type Second struct {
+	At int // At is the number of seconds since the first line.
+	// Of the schedulers:
+	Asked, Placed, Refused, WithRoom, Waiting int
+	AskedTokens, PlacedTokens, Read, Anew     int
+	Copies, Copied, Targets, Streams          int
+	readingTime                               float64 // share of the time times targets, over all cells
+	booked                                    time.Duration
+	// Outcomes counts how requests ended at the gateways, by name.
+	Outcomes map[string]int
+}
+
+// ReadingShare returns the part of the engines' time that was spent on reading.
+func (s *Second) ReadingShare() float64 { return s.readingTime / float64(max(s.Targets, 1)) }
+
+// Booked returns how much of the engines' reading was given away, on average.
+func (s *Second) Booked() time.Duration { return s.booked / time.Duration(max(s.Targets, 1)) }
+
+// Gather sums the lines of all processes by the second, beginning with the first
+// line of a scheduler.
+func Gather(lines []log.Line) []*Second {
+	start, found := firstCell(lines)
+	if !found {
+		return nil
+	}
+	bySecond := map[int]*Second{}
+	for _, l := range lines {
+		if l.Message != cellMessage && l.Message != gatewayMessage {
+			continue
+		}
+		at, err := time.Parse(timeLayout, l.Time)
+		if err != nil || at.Before(start) {
+			continue
+		}
+		n := int(at.Sub(start) / time.Second)
+		s := bySecond[n]
+		if s == nil {
+			s = &Second{At: n, Outcomes: map[string]int{}}
+			bySecond[n] = s
+		}
+		s.add(l)
+	}
+	out := make([]*Second, 0, len(bySecond))
+	for _, s := range bySecond {
+		out = append(out, s)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].At < out[j].At })
+	return out
+}
+
+func firstCell(lines []log.Line) (time.Time, bool) {
+	var first time.Time
+	found := false
+	for _, l := range lines {
+		if l.Message != cellMessage {
+			continue
+		}
+		at, err := time.Parse(timeLayout, l.Time)
+		if err == nil && (!found || at.Before(first)) {
+			first, found = at, true
+		}
+	}
+	return first, found
+}
+
+func (s *Second) add(l log.Line) {
+	if l.Message == gatewayMessage {
+		for name, text := range l.Values {
+			if n, err := strconv.Atoi(text); err == nil {
+				s.Outcomes[name] += n
+			}
+		}
+		return
+	}
+	number := func(name string) int {
+		n, err := strconv.Atoi(l.Values[name])
+		if err != nil {
+			return 0 // a line of another version lacks the value
+		}
+		return n
+	}
+	for name, sum := range map[string]*int{
+		"asked": &s.Asked, "placed": &s.Placed, "refused": &s.Refused, "with_room": &s.WithRoom, "waiting": &s.Waiting,
+		"asked_tokens": &s.AskedTokens, "placed_tokens": &s.PlacedTokens, "read": &s.Read, "anew": &s.Anew,
+		"copies": &s.Copies, "copied": &s.Copied, "targets": &s.Targets, "streams": &s.Streams,
+	} {
+		*sum += number(name)
+	}
+	if share, err := strconv.ParseFloat(l.Values["reading_share"], 64); err == nil {
+		s.readingTime += share * float64(number("targets"))
+	}
+	if booked, err := time.ParseDuration(l.Values["booked"]); err == nil {
+		s.booked += booked * time.Duration(number("targets"))
+	}
+}
+
+// WriteTable writes a row for each second.
+func WriteTable(w io.Writer, all []*Second) error {
+	_, err := fmt.Fprintln(w, "second  asked placed refused (room) waiting | ktok asked placed  read  anew copied | engines streams reading booked | in time  late entry refused failed")
+	for _, s := range all {
+		if err != nil {
+			return err
+		}
+		o := s.Outcomes
+		failed := 0
+		for name, n := range o {
+			switch name {
+			case "in_time", "late", "refused_at_entry", "not_in_time", "gone":
+			default:
+				failed += n
+			}
+		}
+		_, err = fmt.Fprintf(w, "%6d %6d %6d %7d %6d %7d | %10d %6d %5d %5d %6d | %7d %7d %6.0f%% %4dms | %7d %5d %5d %7d %6d\n",
+			s.At, s.Asked, s.Placed, s.Refused, s.WithRoom, s.Waiting,
+			s.AskedTokens/1000, s.PlacedTokens/1000, s.Read/1000, s.Anew/1000, s.Copied/1000,
+			s.Targets, s.Streams, 100*s.ReadingShare(), s.Booked().Milliseconds(),
+			o["in_time"], o["late"], o["refused_at_entry"], o["not_in_time"], failed)
+	}
+	return err
+}
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -92,6 +92,10 @@
 	g.assemble(listeners[0])
 	g.serve(listeners[1:])
 	g.t.Go(g.closeAtEnd)
+	g.t.Go(func() error {
+		g.forward.TellSeconds(g.t.Dying())
+		return nil
+	})
 	g.follow.Start()
 	g.log.Info("Gateway started.", "id", s.ID, "incarnation", g.self.Incarnation, "hall", s.DataHall, "seeds", len(s.Seeds))
 	return g, nil
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -62,6 +62,7 @@
 	throttle *throttle.Throttle
 
 	counters counters
+	outcomes outcomes
 }
 
 // New returns a service.
@@ -151,6 +152,7 @@
 		return nil
 	}
 	s.counters.note(service, err, 0)
+	s.outcomes.note(outcomeAtEntry)
 	s.log.Info("Request refused at the entry.", "id", call.ID, "account", account.NameOf(), "service", service.Name, "error", err)
 	return err
 }
--- a/services/forward/story.go
+++ b/services/forward/story.go
@@ -23,6 +23,9 @@
 // logEnd writes what became of a request: always where it failed, was late or
 // was repeated, else for a sample.
 func (s *Service) logEnd(j *job, err error) {
+	if scheduled(j.r.Service, &j.r.Call) {
+		s.outcomes.note(outcomeOf(j, err))
+	}
 	switch {
 	case errors.Is(err, context.Canceled):
 		if sampled(j.r.Call.ID) {
@@ -41,6 +44,23 @@
 	}
 }
 
+// outcomeOf names how a request ended.
+func outcomeOf(j *job, err error) string {
+	if e, numbered := result.From(err); numbered {
+		return e.Code.String()
+	}
+	switch {
+	case errors.Is(err, context.Canceled):
+		return outcomeGone
+	case err != nil:
+		return outcomeAborted
+	case j.r.Route.Stream && j.pace.late(j.r.Route):
+		return outcomeLate
+	default:
+		return outcomeInTime
+	}
+}
+
 // logNext writes what follows an attempt that came to nothing.
 func (s *Service) logNext(j *job, o attempt.Outcome, next attempt.Next) {
 	s.log.Info("Attempt failed.", "id", j.r.Call.ID, "number", j.number, "target", j.target, "outcome", o, "next", next,
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -76,7 +76,8 @@
 	cell    *cell.Cell
 	askedAt time.Time
 	keptAt  time.Time // keptAt is when the targets were last asked what they keep.
-	life    uint64    // life tells this hold of the cell from others.
+	second  lastSecond
+	life    uint64 // life tells this hold of the cell from others.
 }
 
 // Loop is the goroutine that owns the machines.
@@ -247,6 +248,7 @@
 		}
 	}
 	l.tellTallies(now)
+	l.tellSeconds(now)
 	l.enter(now, entry.Tick{Lag: l.lag(now)})
 	l.flush(now)
 	l.tickDue = now.Add(l.tickAfter())
--- /dev/null
+++ b/services/mesh/second.go
@@ -0,0 +1,53 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package mesh
+
+import (
+	"time"
+
+	"madderway/core/cell"
+)
+
+// secondEvery is how often a scheduler writes what its cells have done.
+const secondEvery = time.Second
+
+// lastSecond is what was written of a cell the last time.
+type lastSecond struct {
+	at     time.Time
+	counts cell.Counts
+	load   cell.Load
+}
+
+// tellSeconds writes a line for each cell that did anything in the last second:
+// what was asked for, placed and refused, what engines read and read again, and how
+// much of their time that took.
+func (l *Loop) tellSeconds(now time.Time) {
+	for key, s := range l.cells {
+		if now.Sub(s.second.at) < secondEvery {
+			continue
+		}
+		before := s.second
+		s.second = lastSecond{now, s.cell.Counts(), s.cell.Load(now)}
+		if !before.at.IsZero() {
+			l.tellSecond(key, before, s)
+		}
+	}
+}
+
+func (l *Loop) tellSecond(key cell.Key, before lastSecond, s *scheduled) {
+	a, b, load := before.counts, s.second.counts, s.second.load
+	if a.Asked == b.Asked {
+		return // nothing to do, or another gateway has taken the cell over
+	}
+	span := s.second.at.Sub(before.at)
+	share := 0.0
+	if load.Targets > 0 {
+		share = max(float64(load.Reading-before.load.Reading)/float64(load.Targets)/float64(span), 0)
+	}
+	l.log.Info("Second of a cell.", "cell", key, "span", span.Round(time.Millisecond), "asked", b.Asked-a.Asked, "placed", b.Placed-a.Placed,
+		"refused", b.Refused-a.Refused, "with_room", b.RefusedWithRoom-a.RefusedWithRoom, "waiting", s.cell.Waiting(),
+		"asked_tokens", b.AskedTokens-a.AskedTokens, "placed_tokens", b.PlacedTokens-a.PlacedTokens, "read", b.Read-a.Read,
+		"anew", b.AnewAll()-a.AnewAll(), "copies", b.Copies-a.Copies, "copied", b.Copied-a.Copied,
+		"targets", load.Targets, "streams", load.Streams, "reading_share", float64(int(share*1000))/1000, "booked", load.Booked.Round(time.Millisecond))
+}
