cell: Place before refusing

Change: what may be placed is placed first, what has found nothing then is refused. The test failed with the old order.

--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -4,6 +4,7 @@
 package cell
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -49,9 +50,9 @@
 	return open
 }
 
-// dispatch refuses what has waited too long and places what may be placed, the
-// account with the least service first. A request is tried once: what is placed
-// takes room away and makes none.
+// dispatch places what may be placed, the account with the least service first, and
+// refuses what has waited too long and has found no place now either. A request is
+// tried once: what is placed takes room away and makes none.
 func (c *Cell) dispatch(now time.Time) {
 	if len(c.waiting) == 0 {
 		return
@@ -62,7 +63,7 @@
 	}
 	accounts := c.order(now)
 	c.most = accounts[len(accounts)-1].level
-	c.refuseLate(now, accounts)
+	all := slices.Clone(accounts)
 	for open && len(accounts) > 0 {
 		a := accounts[0]
 		if !c.tryAccount(now, a) {
@@ -72,6 +73,7 @@
 		open = c.anyOpen()
 		sink(accounts)
 	}
+	c.refuseLate(now, all)
 }
 
 // sink moves the first account, which has just been given something, to its
@@ -95,11 +97,17 @@
 // refuseLate refuses the requests of these accounts that have waited too long.
 func (c *Cell) refuseLate(now time.Time, accounts []*account) {
 	least := accounts[0].level
+	for _, a := range accounts {
+		least = min(least, a.level)
+	}
 	for _, a := range accounts {
 		for _, w := range c.lateOf(now, a) {
 			elsewhere := c.siblings > 0 && a.starved(c.most)
 			c.drop(w)
 			c.counts.Refused++
+			if c.anyOpen() {
+				c.counts.RefusedWithRoom++
+			}
 			a.refused++
 			c.emit(Refuse{
 				Elsewhere: elsewhere,
--- a/core/cell/dispatch_test.go
+++ b/core/cell/dispatch_test.go
@@ -76,3 +76,23 @@
 		t.Errorf("%d looks for targets that are all busy", tried)
 	}
 }
+
+// A request whose time to wait is over is placed where a target has just become
+// free, not refused.
+func TestFreeTargetIsUsedBeforeRefusing(t *testing.T) {
+	c := New()
+	c.Step(epoch, TargetsSeen{TokensPerSecond: 40_000, Targets: []TargetInfo{{ID: "t", Slots: 1, CacheTokens: 500_000}}})
+	c.Step(epoch, crowdAsk(1))
+	ask := crowdAsk(2)
+	ask.Ask.Hold = 100 * time.Millisecond
+	c.Step(epoch, ask)
+	now := epoch.Add(110 * time.Millisecond)
+	c.Take(now, BeganSeen{"e", 1})
+	actions := c.Step(now, EndedSeen{"e", 1, batch.OutcomeDone})
+	if _, ok := placed(actions, 2); !ok || len(actions) != 1 {
+		t.Errorf("%+v, want a place at the target that is free", actions)
+	}
+	if n := c.Counts(); n.Refused != 0 || n.RefusedWithRoom != 0 {
+		t.Errorf("%+v", n)
+	}
+}
