forward: An engine that the entry does not list yet is not avoided

Gateways that did not list the two new engines yet gave their first placements back as "moved", and the scheduler avoided them for ten seconds. Change: that outcome has a name of its own and says nothing of the engine.

--- a/core/batch/engine_test.go
+++ b/core/batch/engine_test.go
@@ -175,6 +175,21 @@
 	}
 }
 
+// That an entry gateway does not know a target yet is no fault of the target: a new
+// engine serves those that know it.
+func TestUnlistedEngineIsNotAvoided(t *testing.T) {
+	for outcome, usable := range map[Outcome]bool{OutcomeUnlisted: true, OutcomeMoved: false} {
+		e := NewEngine(64, 1_000_000, 40_000)
+		e.End(start, e.Start(start, prompt(1, 1000), 10), outcome)
+		if got := e.Usable(start.Add(time.Millisecond)); got != usable {
+			t.Errorf("outcome %d: usable %v, want %v", outcome, got, usable)
+		}
+		if e.Missing(prompt(1, 1000)) != 1000 {
+			t.Errorf("outcome %d: what was never sent is thought to be kept", outcome)
+		}
+	}
+}
+
 func TestSilentEngineGetsNothingNew(t *testing.T) {
 	e := NewEngine(64, 1_000_000, 40_000)
 	e.Start(start, prompt(1, 1000), 10)
--- a/services/forward/place.go
+++ b/services/forward/place.go
@@ -57,8 +57,9 @@
 	j.s.counters.waited.Update(d.Waited.Seconds())
 	t := j.s.opts.Follow.Targets().Find(d.Target)
 	if t == nil || t.Leaving {
-		// The scheduler knows the list at another revision.
-		j.s.opts.Mesh.Ended(id, batch.OutcomeMoved)
+		// The scheduler knows the list at another revision. That says nothing of
+		// the target: a new one is known to some gateways before others.
+		j.s.opts.Mesh.Ended(id, batch.OutcomeUnlisted)
 		j.deny = append(j.deny, d.Target)
 		j.history.Unsent++
 		if j.history.Unsent > maxRounds/2 {
