--- a/core/cell/dispatch_test.go
+++ b/core/cell/dispatch_test.go
@@ -84,7 +84,7 @@
 	c.Step(epoch, TargetsSeen{TokensPerSecond: 40_000, Targets: []TargetInfo{{ID: "t", Slots: 1, CacheTokens: 500_000}}})
 	c.Step(epoch, crowdAsk(1))
 	ask := crowdAsk(2)
-	ask.Ask.Hold = 100 * time.Millisecond
+	ask.Ask.Hold, ask.Ask.Objective = 100*time.Millisecond, 180*time.Millisecond
 	c.Step(epoch, ask)
 	now := epoch.Add(110 * time.Millisecond)
 	c.Take(now, BeganSeen{"e", 1})
