cell: Drop two weights that were worth nothing

Schedulers ask engines what they keep, and copies are cheap. Change: both are gone, with their constants and the time a cell began.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -55,7 +55,6 @@
 	transfer   *routing.Transfer
 	fairWindow time.Duration
 	inHall     map[string]keeper // inHall is what keepers returns, kept for its memory.
-	started    time.Time
 	counts     Counts
 	layout     uint64     // layout counts the changes of the list of targets.
 	most       float64    // most is the highest level of an account that waits.
@@ -83,9 +82,6 @@
 // Take notes one event. What follows from it is decided by the next Decide, so
 // that events that come together cost one decision.
 func (c *Cell) Take(now time.Time, ev Event) {
-	if c.started.IsZero() {
-		c.started = now
-	}
 	switch e := ev.(type) {
 	case AskSeen:
 		c.ask(now, e)
--- a/core/cell/choose.go
+++ b/core/cell/choose.go
@@ -15,10 +15,8 @@
 // Weights of the choice of a target.
 const (
 	// rereadWeight makes reading a shared part anew dearer than its time alone:
-	// it also pushes out what others will need. For an account that has had far
-	// less than another it weighs less: it must not get less for its few subjects.
-	rereadWeight     = 3.0
-	rereadWeightOwed = 1.5
+	// it also pushes out what others will need.
+	rereadWeight = 3.0
 	// transferWeight makes a transfer dearer than its time alone, as rereadWeight
 	// does: it takes two engines' links, and memory that others' prompts are kept in.
 	transferWeight = 4.0
@@ -40,11 +38,7 @@
 // The home of a prompt's beginning is the target with the highest hash. Where
 // the scheduler has not seen who keeps a beginning, the home probably does:
 // earlier schedulers began there too.
-const (
-	homeBelief      = 0.25
-	homeBeliefYoung = 0.7
-	youngFor        = 15 * time.Second
-)
+const homeBelief = 0.25
 
 // option is a target that could take a request.
 type option struct {
@@ -133,10 +127,6 @@
 	p := w.ask.Prompt
 	output := p.OutputEstimate()
 	scores := c.scores(w)
-	weight := rereadWeight
-	if c.account(w.ask.Account).underserved(c.most) {
-		weight = rereadWeightOwed
-	}
 	out := c.scratch[:0]
 	home := -1
 	best, inHall := c.keepers(p)
@@ -149,7 +139,7 @@
 		if !v.target.engine.Fits(missing, output) {
 			continue
 		}
-		o := v.option(p, missing, weight, c.transferTo(now, v, p, missing, best, inHall))
+		o := v.option(p, missing, c.transferTo(now, v, p, missing, best, inHall))
 		o.at, o.tie = i, scores[i]
 		out = append(out, o)
 		if home < 0 || o.tie > out[home].tie {
@@ -158,7 +148,7 @@
 	}
 	c.scratch = out
 	if home >= 0 {
-		c.believe(now, &out[home], p, weight)
+		c.believe(&out[home], p)
 	}
 	return out
 }
@@ -177,21 +167,17 @@
 	return w.scores
 }
 
-func (v *view) option(p *routing.Prompt, missing int, weight float64, x transfer) option {
+func (v *view) option(p *routing.Prompt, missing int, x transfer) option {
 	read := missing - x.tokens
 	wait := max(v.base, x.takes) + seconds(float64(read)/v.speed)
-	reread := seconds((weight - 1) * float64(sharedOf(p, read)) / v.speed)
+	reread := seconds((rereadWeight - 1) * float64(sharedOf(p, read)) / v.speed)
 	return option{missing: missing, transfer: x, wait: wait, cost: wait + v.penalty + reread + x.cost()}
 }
 
 // believe makes the home cheaper by what it probably keeps.
-func (c *Cell) believe(now time.Time, o *option, p *routing.Prompt, weight float64) {
-	belief := homeBelief
-	if now.Sub(c.started) < youngFor {
-		belief = homeBeliefYoung
-	}
+func (c *Cell) believe(o *option, p *routing.Prompt) {
 	shared := float64(sharedOf(p, o.missing-o.tokens))
-	o.cost -= seconds(belief * weight * shared / c.views[o.at].speed)
+	o.cost -= seconds(homeBelief * rereadWeight * shared / c.views[o.at].speed)
 }
 
 // sharedOf returns how many of the missing tokens belong to parts that other
