discover: Do not read the register at the first start

Cause: 85 gateways start within 0.3 s; most of them were alone for 30 ms and read a register that nobody had written. Change: the platform says whether the whole fleet starts for the first time; then the register is read after two seconds only.

--- a/lab/seconds/picture.go
+++ b/lab/seconds/picture.go
@@ -33,8 +33,10 @@
 	}
 	return []panel{
 		{"requests a second at the gateways", []series{
-			{"in time", "#2a7", count("in_time")}, {"late", "#c80", count("late")},
-			{"refused by a scheduler", "#c33", count("not_in_time")}, {"refused at the entry", "#939", count("refused_at_entry")},
+			{"in time", "#2a7", count("in_time")},
+			{"late", "#c80", count("late")},
+			{"refused by a scheduler", "#c33", count("not_in_time")},
+			{"refused at the entry", "#939", count("refused_at_entry")},
 		}},
 		{"thousand prompt tokens a second", []series{
 			{"asked", "#999", func(s *Second) float64 { return float64(s.AskedTokens) / 1000 }},
--- a/modules/setting/gateway.go
+++ b/modules/setting/gateway.go
@@ -28,6 +28,7 @@
 	Store       string   `toml:"store"`     // address of the platform's store
 	StoreCall   Duration `toml:"store_call"`
 	Grace       Duration `toml:"grace"`        // from the order to stop until the process is killed
+	FirstStart  bool     `toml:"first_start"`  // the whole fleet starts for the first time; nobody is registered yet
 	Linger      Duration `toml:"linger"`       // how long a stopping gateway still takes requests
 	RetryWindow Duration `toml:"retry_window"` // span of the fleet's retry budget
 	RetryRatio  float64  `toml:"retry_ratio"`  // repeats for each first send
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -136,6 +136,7 @@
 	peernet.NewServer(&g.t, log.New("peer").With(s.ID), auth, g.meter, peers, g.loop)
 	discover.Start(&g.t, log.New("discover").With(s.ID), discover.Options{
 		Self: discover.Entry{ID: s.ID, Address: s.Peers}, Register: platform.NewGateways(store), Peers: g.loop, Clock: g.clock,
+		Empty: s.FirstStart,
 	})
 	guard := forward.NewGuard(log.New("guard").With(s.ID), g.clock)
 	g.forward = forward.New(log.New("forward").With(s.ID), forward.Options{
--- a/services/discover/discover.go
+++ b/services/discover/discover.go
@@ -25,8 +25,10 @@
 	// nobody knows any more are dropped.
 	maxEntries = 3 * Registrars
 	// aloneAfter is how long a gateway that has just started waits for its seeds;
-	// they answer within some milliseconds where they are up.
+	// they answer within some milliseconds where they are up. emptyAfter is the same
+	// where nobody can be registered yet: all start within some hundred milliseconds.
 	aloneAfter = 30 * time.Millisecond
+	emptyAfter = 2 * time.Second
 	// againAfter and againMax bound how often the register is read while nobody is
 	// found; each read is a call of the store.
 	againAfter = 300 * time.Millisecond
@@ -67,6 +69,9 @@
 	Register Register
 	Peers    Peers
 	Clock    clock.Clock
+	// Empty tells that nobody can be registered yet: the whole fleet starts for the
+	// first time.
+	Empty bool
 }
 
 // Service reads the register while this gateway is alone, and registers it where
@@ -90,7 +95,7 @@
 }
 
 func (s *Service) run() error {
-	wait := aloneAfter
+	wait := s.firstLook()
 	for {
 		select {
 		case <-s.t.Dying():
@@ -101,6 +106,13 @@
 	}
 }
 
+func (s *Service) firstLook() time.Duration {
+	if s.opts.Empty {
+		return emptyAfter
+	}
+	return aloneAfter
+}
+
 // look does what is to be done now and returns when to look again.
 func (s *Service) look() time.Duration {
 	if s.opts.Peers.Alone() {
--- a/services/discover/discover_test.go
+++ b/services/discover/discover_test.go
@@ -87,6 +87,19 @@
 	}
 }
 
+// Where all start for the first time the register is empty, and is not read while
+// the seeds come up.
+func TestEmptyRegisterIsNotReadAtOnce(t *testing.T) {
+	s := serve(&fleet{alone: true})
+	if got := s.firstLook(); got != aloneAfter {
+		t.Errorf("looks after %v", got)
+	}
+	s.opts.Empty = true
+	if got := s.firstLook(); got != emptyAfter {
+		t.Errorf("looks after %v where nobody can be registered", got)
+	}
+}
+
 // A gateway with peers reads nothing, unless it is one of those that register:
 // then it writes its entry once, and not at all where it is there.
 func TestRegistersOnce(t *testing.T) {
