--- a/services/follow/follow_test.go
+++ b/services/follow/follow_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
 	"testing"
 	"time"
@@ -243,3 +244,33 @@
 		}
 	}
 }
+
+// A target that has said it leaves gets nothing new for as long as the store is away,
+// whatever a peer with an older list says, and is not held when it is gone at last.
+func TestLeavingOutlastsTheStore(t *testing.T) {
+	source := newFakeSource()
+	source.version, source.targets = 5, []routing.Target{{ID: "a"}, {ID: "b"}}
+	older, err := json.Marshal(targetNews{Revision: 6, Whole: true, Changes: []TargetChange{{ID: "a", Revision: 5, Target: routing.Target{ID: "a"}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := start(t, source, fakePeers{"peer/targets": older})
+	h.await()
+	h.watched()
+	source.changes <- watchAnswer{revision: 8, changes: []TargetChange{{ID: "a", Revision: 8, Target: routing.Target{ID: "a", Leaving: true}}}}
+	h.await()
+	for range 20 { // an outage of many seconds
+		h.watched()
+		source.changes <- watchAnswer{err: errors.New("the store is down")}
+	}
+	h.PeerVersions("peer", Versions{Targets: 6})
+	if a := h.Targets().Find("a"); a == nil || !a.Leaving {
+		t.Fatalf("%+v while the store was away", h.Targets().Targets)
+	}
+	h.watched()
+	source.changes <- watchAnswer{revision: 9, changes: []TargetChange{{ID: "a", Revision: 9, Gone: true}, {ID: "b", Revision: 9, Gone: true}}}
+	h.await()
+	if set := h.Targets(); set.Find("a") != nil || set.Find("b") == nil {
+		t.Errorf("%+v after the store's return, want b held and a gone", set.Targets)
+	}
+}
