cell: Count reading over targets that go

Cause: the picture of seconds showed engines that read nothing in seconds in which a target had gone: its reading left the sum. Change: the cell counts it at each first event.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -89,7 +89,9 @@
 		c.withdraw(now, requestKey{e.Entry, e.ID})
 	case BeganSeen:
 		if r := c.runs[requestKey{e.Entry, e.ID}]; r != nil {
+			before := r.target.engine.ReadingTime()
 			r.target.engine.Begin(now, r.model)
+			c.counts.Reading += r.target.engine.ReadingTime() - before
 		}
 	case EndedSeen:
 		c.end(now, requestKey{e.Entry, e.ID}, e.Outcome)
--- a/core/cell/totals.go
+++ b/core/cell/totals.go
@@ -18,6 +18,9 @@
 	// Anew counts the tokens of shared parts that placements let engines read
 	// again, by the reason of the placement.
 	Anew [reasons]uint64
+	// Reading is how long the targets have been reading, together, those that are
+	// gone included.
+	Reading time.Duration
 	// Copies counts the transfers between engines, Copied their tokens.
 	Copies, Copied uint64
 }
@@ -35,7 +38,6 @@
 type Load struct {
 	Targets int           // Targets are those that take requests, full ones included.
 	Streams int           // Streams are the requests that run.
-	Reading time.Duration // Reading is how long the targets have been reading since they are known, together.
 	Booked  time.Duration // Booked is how much of the targets' reading is given away, on average.
 }
 
@@ -43,7 +45,6 @@
 func (c *Cell) Load(now time.Time) Load {
 	var l Load
 	for _, t := range c.sorted {
-		l.Reading += t.engine.ReadingTime()
 		l.Streams += t.engine.Running()
 		if t.info.Leaving || !t.engine.Usable(now) {
 			continue
--- /dev/null
+++ b/core/cell/totals_test.go
@@ -0,0 +1,39 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"madderway/core/batch"
+)
+
+// What targets have read stays counted when a target goes.
+func TestReadingOutlastsATarget(t *testing.T) {
+	c := New()
+	targets := []TargetInfo{{ID: "a", Slots: 1, CacheTokens: 500_000}, {ID: "b", Slots: 1, CacheTokens: 500_000}}
+	c.Step(epoch, TargetsSeen{TokensPerSecond: 40_000, Targets: targets})
+	for id := RequestID(1); id <= 2; id++ {
+		c.Step(epoch, crowdAsk(id))
+		c.Step(epoch.Add(200*time.Millisecond), BeganSeen{"e", id})
+	}
+	read := c.Counts().Reading
+	if read < 350*time.Millisecond || read > 450*time.Millisecond {
+		t.Errorf("reading for %v, want 400ms for 16,000 tokens", read)
+	}
+	now := epoch.Add(time.Second)
+	if l := c.Load(now); l.Targets != 2 || l.Streams != 2 {
+		t.Errorf("%+v", l)
+	}
+	c.Step(now, EndedSeen{"e", 1, batch.OutcomeDone})
+	c.Step(now, EndedSeen{"e", 2, batch.OutcomeDone})
+	c.Step(now, TargetsSeen{TokensPerSecond: 40_000, Targets: targets[:1]})
+	if got := c.Counts().Reading; got != read {
+		t.Errorf("reading for %v after a target went, %v before", got, read)
+	}
+	if n := c.Counts(); n.AskedTokens != 16_000 || n.PlacedTokens != 16_000 || n.Read != 16_000 {
+		t.Errorf("%+v", n)
+	}
+}
--- a/services/mesh/second.go
+++ b/services/mesh/second.go
@@ -16,7 +16,6 @@
 type lastSecond struct {
 	at     time.Time
 	counts cell.Counts
-	load   cell.Load
 }
 
 // tellSeconds writes a line for each cell that did anything in the last second:
@@ -28,22 +27,22 @@
 			continue
 		}
 		before := s.second
-		s.second = lastSecond{now, s.cell.Counts(), s.cell.Load(now)}
+		s.second = lastSecond{now, s.cell.Counts()}
 		if !before.at.IsZero() {
-			l.tellSecond(key, before, s)
+			l.tellSecond(key, before, s, s.cell.Load(now))
 		}
 	}
 }
 
-func (l *Loop) tellSecond(key cell.Key, before lastSecond, s *scheduled) {
-	a, b, load := before.counts, s.second.counts, s.second.load
+func (l *Loop) tellSecond(key cell.Key, before lastSecond, s *scheduled, load cell.Load) {
+	a, b := before.counts, s.second.counts
 	if a.Asked == b.Asked {
 		return // nothing to do, or another gateway has taken the cell over
 	}
 	span := s.second.at.Sub(before.at)
 	share := 0.0
 	if load.Targets > 0 {
-		share = max(float64(load.Reading-before.load.Reading)/float64(load.Targets)/float64(span), 0)
+		share = max(float64(b.Reading-a.Reading)/float64(load.Targets)/float64(span), 0)
 	}
 	l.log.Info("Second of a cell.", "cell", key, "span", span.Round(time.Millisecond), "asked", b.Asked-a.Asked, "placed", b.Placed-a.Placed,
 		"refused", b.Refused-a.Refused, "with_room", b.RefusedWithRoom-a.RefusedWithRoom, "waiting", s.cell.Waiting(),
