--- a/core/cell/account.go
+++ b/core/cell/account.go
@@ -49,8 +49,8 @@
 
 // sizeAging is how much later than it came a request stands in its account's
 // queue, in times that a target needs to read its prompt: short work goes first,
-// and long work is passed by what comes in that time only. With 1 to 5 the worth of
-// days was the same.
+// and long work is passed by what comes in that time only. With 1 the worth of days
+// was the same, with 0 it fell by 0.02 on a deployment with many short replies.
 const sizeAging = 2
 
 // account is one client account's queue. Level is the service that it has had
--- a/core/cell/choose.go
+++ b/core/cell/choose.go
@@ -50,9 +50,9 @@
 	tie      uint64
 }
 
-// choose returns the target for a request, and false where it is better to wait. The cheapest one is taken once its backlog is
-// short; a request that has waited for some time takes any target where it is
-// still in time.
+// choose returns the target for a request, and false where it is better to wait. The
+// cheapest one is taken once its backlog is short; a request that has waited for some
+// time takes any target where it is still in time.
 func (c *Cell) choose(now time.Time, w *waiter) (option, Reason, bool) {
 	options := c.options(now, w)
 	best, ok := c.prefer(w, options)
--- a/core/cell/transfer.go
+++ b/core/cell/transfer.go
@@ -43,10 +43,14 @@
 }
 
 // keepers returns who keeps most of the prompt, of all engines and in each data
-// hall. Engines that leave or give no sign are no sources.
+// hall; nobody where engines do not copy. Engines that leave or give no sign are no
+// sources.
 func (c *Cell) keepers(p *routing.Prompt) (best keeper, inHall map[string]keeper) {
 	inHall = c.inHall
 	clear(inHall)
+	if c.transfer == nil {
+		return best, inHall
+	}
 	for i := range c.views {
 		v := &c.views[i]
 		if !v.usable {
