member: Make what a change costs independent of the fleet's size

Change: monitors are the next members on three circles of hashes, a salt each; those that a member watches are its neighbours there. A tick looks at the watched, the doubted and the records still to be told on, not at all members. News goes to these neighbours, not to ten others that change each time, so that no connections to all others arise. Contacts other than monitors get a heartbeat each second, not each beat.

--- /dev/null
+++ b/core/member/circle.go
@@ -0,0 +1,87 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package member
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// circle holds members in the order of their hashes. A few circles, each with a salt
+// of its own, give each member a few random successors that a change elsewhere does
+// not move, and that are found without looking at all members.
+type circle struct {
+	salt   uint64
+	points []point
+}
+
+type point struct {
+	hash uint64
+	id   string
+}
+
+func (c *circle) pointOf(id string) point {
+	var d xxhash.Digest
+	d.ResetWithSeed(c.salt)
+	var raw [8]byte
+	binary.LittleEndian.PutUint64(raw[:], c.salt)
+	_, _ = d.Write(raw[:])
+	_, _ = d.WriteString(id)
+	return point{d.Sum64(), id}
+}
+
+func comparePoints(a, b point) int {
+	switch {
+	case a.hash < b.hash:
+		return -1
+	case a.hash > b.hash:
+		return 1
+	case a.id < b.id:
+		return -1
+	case a.id > b.id:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (c *circle) insert(id string) {
+	p := c.pointOf(id)
+	if at, found := slices.BinarySearchFunc(c.points, p, comparePoints); !found {
+		c.points = slices.Insert(c.points, at, p)
+	}
+}
+
+func (c *circle) remove(id string) {
+	if at, found := slices.BinarySearchFunc(c.points, c.pointOf(id), comparePoints); found {
+		c.points = slices.Delete(c.points, at, at+1)
+	}
+}
+
+// forward calls visit for the members after one, in order and once round, until
+// visit returns false.
+func (c *circle) forward(id string, visit func(id string) bool) {
+	at, _ := slices.BinarySearchFunc(c.points, c.pointOf(id), comparePoints)
+	n := len(c.points)
+	for i := range n {
+		next := c.points[(at+i)%n].id
+		if next != id && !visit(next) {
+			return
+		}
+	}
+}
+
+// backward is forward in the other direction.
+func (c *circle) backward(id string, visit func(id string) bool) {
+	at, _ := slices.BinarySearchFunc(c.points, c.pointOf(id), comparePoints)
+	n := len(c.points)
+	for i := range n {
+		next := c.points[(at-1-i+2*n)%n].id
+		if next != id && !visit(next) {
+			return
+		}
+	}
+}
--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -7,8 +7,6 @@
 	"slices"
 	"sort"
 	"time"
-
-	"madderway/core/place"
 )
 
 // assign computes, after a change, whom this member watches and who watches
@@ -20,7 +18,7 @@
 	l.stale = false
 	l.guards = l.monitorsOf(l.self.ID)
 	watched := map[string]time.Time{}
-	for _, id := range l.sorted {
+	for _, id := range l.neighbours() {
 		if !slices.Contains(l.monitorsOf(id), l.self.ID) {
 			continue
 		}
@@ -33,37 +31,66 @@
 	l.watched = watched
 }
 
-// monitorsOf returns the members that watch a member. They are drawn from all
-// data halls, so that the loss of one hall leaves somebody to notice. A suspect
-// stays a monitor: views differ on who is suspect, and must not differ on who
-// watches whom. A leaving member watches nobody, since the others no longer
-// tell it that they live.
+// monitorsOf returns the members that watch a member: on each circle the next one
+// that is not chosen yet. Circles mix the data halls, so that the loss of one hall
+// leaves somebody to notice.
 func (l *List) monitorsOf(id string) []string {
-	nodes := make([]place.Node, 0, len(l.members)+1)
-	if id != l.self.ID && l.self.State == StateAlive {
-		nodes = append(nodes, place.Node{ID: l.self.ID})
+	monitors := make([]string, 0, len(l.circles))
+	for i := range l.circles {
+		l.circles[i].forward(id, func(next string) bool {
+			if !l.mayWatch(next) || slices.Contains(monitors, next) {
+				return true
+			}
+			monitors = append(monitors, next)
+			return false
+		})
 	}
-	for other, m := range l.members {
-		if other != id && (m.State == StateAlive || m.State == StateSuspect) {
-			nodes = append(nodes, place.Node{ID: other})
-		}
+	return monitors
+}
+
+// neighbours returns the members that this one may have to watch: on each circle
+// those before it, as far as another member could not have been chosen for all.
+func (l *List) neighbours() []string {
+	var ids []string
+	for i := range l.circles {
+		between := 0
+		l.circles[i].backward(l.self.ID, func(id string) bool {
+			if !slices.Contains(ids, id) {
+				ids = append(ids, id)
+			}
+			if l.mayWatch(id) {
+				between++
+			}
+			return between < len(l.circles)
+		})
 	}
-	return place.Top(nodes, "monitor/"+id, l.cfg.Monitors)
+	return ids
 }
 
-// beat sends heartbeats to this member's monitors and, in rotation, to a few
-// others, the suspects and dead included so that they can refute and rejoin.
-func (l *List) beat() {
-	to := map[string]bool{}
-	for _, id := range l.guards {
-		to[id] = true
+// mayWatch tells whether a member watches others. A suspect does: views differ on
+// who is suspect, and must not differ on who watches whom. A leaving member does
+// not, since the others no longer tell it that they live.
+func (l *List) mayWatch(id string) bool {
+	if id == l.self.ID {
+		return l.self.State == StateAlive
 	}
-	for range min(l.cfg.Contacts, len(l.sorted)) {
+	m := l.members[id]
+	return m.State == StateAlive || m.State == StateSuspect
+}
+
+// beat sends heartbeats to this member's monitors and now and then to another one,
+// the suspects and dead included so that they can refute and rejoin.
+func (l *List) beat(now time.Time) {
+	to := slices.Clone(l.guards)
+	if len(l.sorted) > 0 && !now.Before(l.nextMeet) {
+		l.nextMeet = now.Add(l.cfg.ContactEvery)
 		l.rotate++
-		to[l.sorted[l.rotate%len(l.sorted)]] = true
+		if contact := l.sorted[l.rotate%len(l.sorted)]; !slices.Contains(to, contact) {
+			to = append(to, contact)
+		}
 	}
 	rumors := l.rumors()
-	for id := range to {
+	for _, id := range to {
 		l.out = append(l.out, HeartbeatOut{id, l.self, rumors})
 	}
 }
@@ -76,14 +103,24 @@
 
 // rumors picks the records that were told on the least.
 func (l *List) rumors() []Record {
-	var news []*entry
+	if len(l.news) == 0 {
+		return nil
+	}
 	limit := 3 * log2(len(l.members)+2)
-	for _, id := range l.sorted {
-		if m := l.members[id]; m.Incarnation != 0 && m.spread < limit {
+	var news []*entry
+	for id, m := range l.news {
+		if m.spread >= limit {
+			delete(l.news, id)
+		} else if m.Incarnation != 0 {
 			news = append(news, m)
 		}
 	}
-	sort.Slice(news, func(i, j int) bool { return news[i].spread < news[j].spread })
+	sort.Slice(news, func(i, j int) bool {
+		if news[i].spread != news[j].spread {
+			return news[i].spread < news[j].spread
+		}
+		return news[i].ID < news[j].ID
+	})
 	news = news[:min(len(news), l.cfg.MaxRumors)]
 	out := make([]Record, len(news))
 	for i, m := range news {
@@ -115,18 +152,22 @@
 
 const maxGreeting = 400
 
-// Some returns the IDs of at most n other live members, others each time.
-func (l *List) Some(n int) []string {
+// Near returns the live members that this one exchanges heartbeats with: its
+// monitors and those that it watches. What each tells these, all hear of within a
+// number of steps that grows with the logarithm of the fleet.
+func (l *List) Near(now time.Time) []string {
+	l.assign(now)
 	var ids []string
-	for i := range l.sorted {
-		id := l.sorted[(l.rotate+i)%len(l.sorted)]
+	for _, id := range l.guards {
 		if l.members[id].State == StateAlive {
 			ids = append(ids, id)
 		}
-		if len(ids) == n {
-			break
+	}
+	for id := range l.watched {
+		if l.members[id].State == StateAlive && !slices.Contains(l.guards, id) {
+			ids = append(ids, id)
 		}
 	}
-	l.rotate += n
+	slices.Sort(ids)
 	return ids
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -7,7 +7,7 @@
 package member
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"madderway/core/fair"
@@ -114,7 +114,9 @@
 	SuspectAfter time.Duration // SuspectAfter is how long a monitor waits for a heartbeat.
 	DeadAfter    time.Duration // DeadAfter is how long a suspect may refute.
 	Monitors     int           // Monitors is how many members watch each member.
-	Contacts     int           // Contacts is how many other members get a heartbeat in rotation.
+	// ContactEvery is the time between heartbeats to members other than the monitors,
+	// one at a time in rotation, the suspects and dead included.
+	ContactEvery time.Duration
 	MaxRumors    int           // MaxRumors bounds the rumors in a heartbeat.
 	// Greet makes a member that is heard for the first time be told all that is
 	// known, so that a list grows from a few seeds.
@@ -125,7 +127,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Interval: time.Second, SuspectAfter: 2500 * time.Millisecond, DeadAfter: 4 * time.Second,
-		Monitors: 3, Contacts: 1, MaxRumors: 16,
+		Monitors: 3, ContactEvery: time.Second, MaxRumors: 16,
 	}
 }
 
@@ -143,10 +145,16 @@
 	self     Record
 	members  map[string]*entry
 	sorted   []string
+	circles  []circle // circles hold this member and all others, one for each monitor.
 	nextBeat time.Time
+	nextMeet time.Time // nextMeet is when the next contact gets a heartbeat.
 	rotate   int
 	out      []Action
 	changed  bool
+	// doubted holds the suspects and the dead, news the records that are still to be
+	// told on; so a tick looks at few members.
+	doubted map[string]*entry
+	news    map[string]*entry
 	// watched holds since when this member watches others, guards holds its own
 	// monitors. Both are computed anew after a change only.
 	watched map[string]time.Time
@@ -157,7 +165,15 @@
 // New returns a list that knows only this router.
 func New(cfg Config, self Record) *List {
 	self.State = StateAlive
-	return &List{cfg: cfg, self: self, members: map[string]*entry{}, watched: map[string]time.Time{}, stale: true}
+	l := &List{
+		cfg: cfg, self: self, members: map[string]*entry{}, doubted: map[string]*entry{}, news: map[string]*entry{},
+		watched: map[string]time.Time{}, circles: make([]circle, cfg.Monitors), stale: true,
+	}
+	for i := range l.circles {
+		l.circles[i].salt = uint64(i)
+		l.circles[i].insert(self.ID)
+	}
+	return l
 }
 
 // Step takes one event and returns what is to be done.
@@ -205,32 +221,54 @@
 	m, ok := l.members[v.ID]
 	if !ok {
 		m = &entry{Record: Record{ID: v.ID, State: StateAlive, Address: v.Address, DataHall: v.DataHall, Region: v.Region}, heardAt: now}
-		l.members[v.ID] = m
-		l.resort()
+		l.add(m)
 	}
 	m.Address = v.Address
 	if v.Leaving && m.State < StateLeaving {
-		m.State = StateLeaving
-		m.spread = 0
-		l.changed = true
+		l.setState(m, StateLeaving)
 	}
 }
 
 func (l *List) remove(id string, m *entry) {
-	delete(l.members, id)
-	l.resort()
+	l.drop(id)
 	if m.State != StateDead {
 		l.out = append(l.out, Gone{id, m.Incarnation})
 	}
 }
 
-func (l *List) resort() {
+func (l *List) add(m *entry) {
+	l.changed = true
+	l.members[m.ID] = m
+	at, _ := slices.BinarySearch(l.sorted, m.ID)
+	l.sorted = slices.Insert(l.sorted, at, m.ID)
+	for i := range l.circles {
+		l.circles[i].insert(m.ID)
+	}
+	l.renew(m)
+}
+
+func (l *List) drop(id string) {
 	l.changed = true
-	l.sorted = l.sorted[:0]
-	for id := range l.members {
-		l.sorted = append(l.sorted, id)
+	delete(l.members, id)
+	delete(l.doubted, id)
+	delete(l.news, id)
+	if at, found := slices.BinarySearch(l.sorted, id); found {
+		l.sorted = slices.Delete(l.sorted, at, at+1)
+	}
+	for i := range l.circles {
+		l.circles[i].remove(id)
+	}
+}
+
+// renew notes that a record is new: it is to be told on.
+func (l *List) renew(m *entry) {
+	m.spread = 0
+	l.news[m.ID] = m
+	if m.State == StateSuspect || m.State == StateDead {
+		l.doubted[m.ID] = m
+	} else {
+		delete(l.doubted, m.ID)
 	}
-	sort.Strings(l.sorted)
 }
 
 func (l *List) heartbeat(now time.Time, e HeartbeatSeen) {
@@ -257,9 +295,7 @@
 		if r.State == StateDead {
 			return
 		}
-		m = &entry{Record: r, heardAt: now}
-		l.members[r.ID] = m
-		l.resort()
+		l.add(&entry{Record: r, heardAt: now})
 		return
 	}
 	if direct {
@@ -278,7 +314,7 @@
 	old := m.Incarnation
 	wasState := m.State
 	m.Record = r
-	m.spread = 0
+	l.renew(m)
 	if r.State == StateSuspect && wasState != StateSuspect {
 		m.suspectAt = now
 	}
@@ -299,7 +335,7 @@
 		return
 	}
 	m.State = s
-	m.spread = 0
+	l.renew(m)
 	l.changed = true
 }
 
@@ -321,14 +357,19 @@
 
 func (l *List) tick(now time.Time) {
 	l.assign(now)
-	for id, m := range l.members {
+	for id := range l.watched {
+		if m := l.members[id]; m != nil {
+			l.watch(now, id, m)
+		}
+	}
+	for id, m := range l.doubted {
 		l.watch(now, id, m)
 	}
 	if now.Before(l.nextBeat) {
 		return
 	}
 	l.nextBeat = now.Add(l.cfg.Interval)
-	l.beat()
+	l.beat(now)
 }
 
 func (l *List) watch(now time.Time, id string, m *entry) {
@@ -350,8 +391,7 @@
 		}
 	case StateDead:
 		if !m.listed && now.Sub(m.heardAt) > 10*l.cfg.DeadAfter {
-			delete(l.members, id)
-			l.resort()
+			l.drop(id)
 		}
 	}
 }
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -283,22 +283,19 @@
 	l.enter(now, entry.LayoutSeen{Layout: l.layout})
 }
 
-// announce tells the peers at once that this gateway knows something newer.
+// announce tells its neighbours at once that this gateway knows something newer;
+// each tells its own, so that the fleet hears within a few steps.
 func (l *Loop) announce(now time.Time) {
 	v := l.opts.Follow.Versions()
 	if v.Configuration == l.told.Configuration && v.Targets == l.told.Targets {
 		return
 	}
 	l.told = v
-	for _, id := range l.members.Some(announceTo) {
+	for _, id := range l.members.Near(now) {
 		l.out.Frame(now, id, true).Versions = versionsToWire(v)
 	}
 }
 
-// announceTo bounds how many peers hear of news at once; the others hear by
-// those and by heartbeats.
-const announceTo = 10
-
 func (l *Loop) setTargets(now time.Time, key cell.Key, s *scheduled) {
 	g := l.layout.Group(key)
 	if g == nil {
