cell: Name the schedulers of a cell when they are asked for; take members once a batch

Cause: each change of a member divided all targets into cells anew and drew the schedulers of all cells among all gateways, for each heartbeat that changed anything (32 cells times 295 gateways, 320 targets times 32 cells). Each gateway also sent all that it knows of members to each seed every 5 s, some 20 KB at 295.

Change: a change of members keeps the division, and schedulers are worked out for the cells that are asked; changes are taken once for a batch of frames. Later calls to seeds carry this gateway's own record only, and are the rarer the larger the fleet.

--- a/core/cell/layout.go
+++ b/core/cell/layout.go
@@ -25,14 +25,25 @@
 type Layout struct {
 	cells map[string][]*Group // by service
 	byKey map[Key]*Group
+	nodes []place.Node
 }
 
-// Group is one cell of a layout.
+// Group is one cell of a layout. It is not safe for concurrent use.
 type Group struct {
 	Key        Key
 	Service    string
 	Targets    []*routing.Target
-	Schedulers []string // Schedulers are the gateways in the order of preference.
+	layout     *Layout
+	schedulers []string // schedulers are worked out when they are first asked for.
+}
+
+// Schedulers returns the gateways that schedule the cell, in the order of
+// preference.
+func (g *Group) Schedulers() []string {
+	if g.schedulers == nil {
+		g.schedulers = place.Top(g.layout.nodes, string(g.Key), candidates)
+	}
+	return g.schedulers
 }
 
 // candidates is how many gateways are named for each cell.
@@ -40,7 +51,7 @@
 
 // NewLayout divides the targets of the services that have engines into cells.
 func NewLayout(x *routing.Index, targets *routing.TargetSet, nodes []place.Node) *Layout {
-	l := &Layout{cells: map[string][]*Group{}, byKey: map[Key]*Group{}}
+	l := &Layout{cells: map[string][]*Group{}, byKey: map[Key]*Group{}, nodes: nodes}
 	if x == nil || targets == nil {
 		return l
 	}
@@ -49,23 +60,38 @@
 		if s.Engine == nil {
 			continue
 		}
-		l.divide(s.Name, targets.Of(s.Name), nodes)
+		l.divide(s.Name, targets.Of(s.Name))
 	}
 	return l
 }
 
-func (l *Layout) divide(service string, targets []*routing.Target, nodes []place.Node) {
+// WithNodes returns a layout of the same cells that other gateways schedule. It
+// costs as much as there are cells, not as there are gateways: those of a large
+// fleet come and go often.
+func (l *Layout) WithNodes(nodes []place.Node) *Layout {
+	out := &Layout{cells: make(map[string][]*Group, len(l.cells)), byKey: make(map[Key]*Group, len(l.byKey)), nodes: nodes}
+	for service, groups := range l.cells {
+		for _, g := range groups {
+			moved := &Group{Key: g.Key, Service: g.Service, Targets: g.Targets, layout: out}
+			out.cells[service] = append(out.cells[service], moved)
+			out.byKey[g.Key] = moved
+		}
+	}
+	return out
+}
+
+func (l *Layout) divide(service string, targets []*routing.Target) {
 	groups := make([]*Group, cellCount(len(targets)))
 	for i := range groups {
 		key := Key(fmt.Sprintf("%s/%d", service, i))
-		groups[i] = &Group{Key: key, Service: service, Schedulers: place.Top(nodes, string(key), candidates)}
+		groups[i] = &Group{Key: key, Service: service, layout: l}
 		l.byKey[key] = groups[i]
 	}
 	for _, t := range targets {
-		best := 0
+		best, bestScore := 0, uint64(0)
 		for i := range groups {
-			if place.Score(t.ID, uint64(i)) > place.Score(t.ID, uint64(best)) {
-				best = i
+			if score := place.Score(t.ID, uint64(i)); score > bestScore {
+				best, bestScore = i, score
 			}
 		}
 		groups[best].Targets = append(groups[best].Targets, t)
--- a/core/cell/layout_test.go
+++ b/core/cell/layout_test.go
@@ -36,8 +36,8 @@
 		for _, g := range l.Groups() {
 			total += len(g.Targets)
 			largest = max(largest, len(g.Targets))
-			if len(g.Schedulers) != candidates {
-				t.Errorf("%s has schedulers %v", g.Key, g.Schedulers)
+			if len(g.Schedulers()) != candidates {
+				t.Errorf("%s has schedulers %v", g.Key, g.Schedulers())
 			}
 		}
 		if total != n {
@@ -72,8 +72,8 @@
 	all := nodes(320)
 	before, after := NewLayout(x, set, all), NewLayout(x, set, append(append([]place.Node{}, all[:7]...), all[8:]...))
 	for key, g := range before.Groups() {
-		if g.Schedulers[0] != all[7].ID && after.Group(key).Schedulers[0] != g.Schedulers[0] {
-			t.Errorf("%s moved from %s to %s", key, g.Schedulers[0], after.Group(key).Schedulers[0])
+		if g.Schedulers()[0] != all[7].ID && after.Group(key).Schedulers()[0] != g.Schedulers()[0] {
+			t.Errorf("%s moved from %s to %s", key, g.Schedulers()[0], after.Group(key).Schedulers()[0])
 		}
 	}
 }
--- a/core/entry/machine.go
+++ b/core/entry/machine.go
@@ -117,7 +117,7 @@
 func (m *Machine) askNext(now time.Time, p *pending) {
 	p.to = m.self
 	if g := m.layout.Group(p.cell); g != nil {
-		for _, id := range g.Schedulers {
+		for _, id := range g.Schedulers() {
 			if !p.tried[id] && !m.suspected(now, id) {
 				p.to = id
 				break
--- a/core/entry/machine_test.go
+++ b/core/entry/machine_test.go
@@ -34,7 +34,7 @@
 		nodes = append(nodes, place.Node{ID: id})
 	}
 	layout := cell.NewLayout(x, targets, nodes)
-	schedulers := layout.Group("s/0").Schedulers
+	schedulers := layout.Group("s/0").Schedulers()
 	self := ""
 	for _, n := range nodes {
 		if n.ID != schedulers[0] && n.ID != schedulers[1] && n.ID != schedulers[2] {
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -117,7 +117,7 @@
 	// ContactEvery is the time between heartbeats to members other than the monitors,
 	// one at a time in rotation, the suspects and dead included.
 	ContactEvery time.Duration
-	MaxRumors    int           // MaxRumors bounds the rumors in a heartbeat.
+	MaxRumors    int // MaxRumors bounds the rumors in a heartbeat.
 	// Greet makes a member that is heard for the first time be told all that is
 	// known, so that a list grows from a few seeds.
 	Greet bool
@@ -439,6 +439,9 @@
 	return m.Record, true
 }
 
+// Count returns how many other members are known, the dead included.
+func (l *List) Count() int { return len(l.sorted) }
+
 // Others returns the records of all other members, sorted by ID.
 func (l *List) Others() []Record {
 	out := make([]Record, 0, len(l.sorted))
--- a/services/mesh/kept.go
+++ b/services/mesh/kept.go
@@ -37,7 +37,7 @@
 // for a moment, or knows no other one yet, asks nobody.
 func (l *Loop) askKept(now time.Time, key cell.Key, s *scheduled) {
 	g := l.layout.Group(key)
-	if l.opts.Kept == nil || g == nil || len(g.Schedulers) < 2 || g.Schedulers[0] != l.opts.Self.ID || now.Sub(s.keptAt) < askKeptAgain {
+	if l.opts.Kept == nil || g == nil || len(g.Schedulers()) < 2 || g.Schedulers()[0] != l.opts.Self.ID || now.Sub(s.keptAt) < askKeptAgain {
 		return
 	}
 	s.keptAt = now
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -40,9 +40,12 @@
 	batchLimit = 256 // inputs taken before the frames go out
 	lazyDelay  = 15 * time.Millisecond
 	seedEvery  = 500 * time.Millisecond
-	seedCalm   = 5 * time.Second // between calls to seeds once members are known
-	dialTime   = 500 * time.Millisecond
-	watchKey   = "watch"
+	// seedCalm is the least time between calls to seeds once members are known,
+	// seedShare what each of these adds to it.
+	seedCalm  = 5 * time.Second
+	seedShare = 100 * time.Millisecond
+	dialTime  = 500 * time.Millisecond
+	watchKey  = "watch"
 	// registerKey draws the gateways that register.
 	registerKey = "register"
 	cellIdle    = 30 * time.Second // a cell that nobody has asked for so long is dropped
@@ -105,6 +108,8 @@
 	nextTick,
 	tickDue time.Time // tickDue is when the next tick comes at the latest, unless this process is late.
 	told follow.Versions
+	// membersChanged tells that changes of the members are not in force yet.
+	membersChanged bool
 
 	size     atomic.Int64
 	watches  atomic.Bool
@@ -199,6 +204,7 @@
 		break
 	}
 	now := l.opts.Clock.Now()
+	l.takeMembers(now)
 	if now.After(l.nextTick) {
 		l.tick()
 		return
@@ -237,6 +243,7 @@
 	now := l.opts.Clock.Now()
 	l.nextTick = now.Add(tickBusy)
 	l.member(now, member.Tick{})
+	l.takeMembers(now)
 	l.callSeeds(now)
 	for key, s := range l.cells {
 		l.schedule(now, key, s, cell.Tick{})
@@ -255,31 +262,54 @@
 }
 
 // callSeeds makes this gateway known to the seeds, often until any member is
-// known.
+// known. Later it only says that it is there: a seed that does not know it answers
+// with all that it knows.
 func (l *Loop) callSeeds(now time.Time) {
 	if now.Before(l.nextSeed) {
 		return
 	}
-	l.nextSeed = now.Add(seedCalm)
+	alone := l.members.Count() == 0
+	l.nextSeed = now.Add(seedPause(l.members.Count()))
 	call := l.seeds
-	if len(l.members.Others()) == 0 {
-		l.nextSeed = now.Add(seedEvery)
+	if alone {
 		call = slices.Concat(l.seeds, l.learned)
 	}
+	hello := l.heartbeat(member.HeartbeatOut{From: l.members.Self()})
 	for _, link := range call {
-		link.Send(&wire.Frame{Heartbeat: l.heartbeat(l.members.Greeting())})
+		link.Send(&wire.Frame{Heartbeat: hello})
 	}
 }
 
+// seedPause returns how long after a call to the seeds the next one follows. All
+// gateways together call as often as a small fleet does.
+func seedPause(others int) time.Duration {
+	if others == 0 {
+		return seedEvery
+	}
+	return max(seedCalm, time.Duration(others)*seedShare)
+}
+
+// relayout divides the targets into cells anew.
 func (l *Loop) relayout(now time.Time) {
+	l.layout = cell.NewLayout(l.index, l.targets, l.members.Nodes())
+	for key, s := range l.cells {
+		l.setTargets(now, key, s)
+	}
+	l.enter(now, entry.LayoutSeen{Layout: l.layout})
+}
+
+// takeMembers puts changes of the members in force, once for all of a batch.
+func (l *Loop) takeMembers(now time.Time) {
+	if !l.membersChanged {
+		return
+	}
+	l.membersChanged = false
 	nodes := l.members.Nodes()
+	l.log.Info("Members changed.", "alive", len(nodes))
 	l.size.Store(int64(max(len(nodes), 1)))
 	l.watches.Store(slices.Contains(place.Top(nodes, watchKey, watch.Watchers), l.opts.Self.ID))
 	l.register.Store(slices.Contains(place.Top(nodes, registerKey, discover.Registrars), l.opts.Self.ID))
-	l.layout = cell.NewLayout(l.index, l.targets, nodes)
-	for key, s := range l.cells {
-		l.setTargets(now, key, s)
-	}
+	l.layout = l.layout.WithNodes(nodes)
 	l.enter(now, entry.LayoutSeen{Layout: l.layout})
 }
 
--- a/services/mesh/step.go
+++ b/services/mesh/step.go
@@ -14,13 +14,12 @@
 )
 
 func (l *Loop) member(now time.Time, ev member.Event) {
-	changed := false
 	for _, a := range l.members.Step(now, ev) {
 		switch a := a.(type) {
 		case member.HeartbeatOut:
 			l.out.Frame(now, a.To, true).Heartbeat = l.heartbeat(a)
 		case member.Changed:
-			changed = true
+			l.membersChanged = true
 		case member.Gone:
 			l.log.Warn("Member gone.", "id", a.ID, "incarnation", a.Incarnation)
 			if link := l.links[a.ID]; link != nil {
@@ -32,10 +31,6 @@
 			l.enter(now, entry.PeerRestarted{ID: a.ID})
 		}
 	}
-	if changed {
-		l.log.Info("Members changed.", "alive", len(l.members.Nodes()))
-		l.relayout(now)
-	}
 }
 
 func (l *Loop) heartbeat(a member.HeartbeatOut) *wire.Heartbeat {
--- a/services/mesh/tally.go
+++ b/services/mesh/tally.go
@@ -46,10 +46,10 @@
 func (l *Loop) spread(now time.Time, t *wire.EngineTally, cells []*cell.Group) {
 	told := map[string]bool{}
 	for _, g := range cells {
-		if len(g.Schedulers) == 0 || told[g.Schedulers[0]] {
+		if len(g.Schedulers()) == 0 || told[g.Schedulers()[0]] {
 			continue
 		}
-		to := g.Schedulers[0]
+		to := g.Schedulers()[0]
 		told[to] = true
 		if to == l.opts.Self.ID {
 			l.takeTally(now, to, t)
