member: Tell views apart and probe before suspecting; watch: read the store little at the start

Cause, found with 300 members on a fake clock (TestLargeFleetMeets*, which failed first): of 300 gateways that start within 0.3 s with three seeds some knew 62 others after 3 s, and the fleet never settled: members whose views differ do not name the same monitors, who then suspect them; the rumors of that fill the heartbeats (248 records a second and member, for ever).

Change: heartbeats carry the number and a digest of the members that the sender knows; who knows far fewer, or differs for a second, asks for all. A member that should have been heard is asked for a heartbeat before it is suspected. Records are told on four times, not three times the logarithm, since monitors are reached over connections. Of members that were held for dead and are heard, both sides refute. A heartbeat no longer replaces a greeting that waits in the outbox. At the first start only seeds read the store at once, others after 0.7 to 2.7 s if no peer has told them; later starts wait 0.1 to 0.3 s.

A gateway whose peers knew nothing took their age for its own and asked at once; found by TestAFirstStartReadsLittle.

--- /dev/null
+++ b/core/member/fleet_test.go
@@ -0,0 +1,120 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// The times of these tests are of the fake clock.
+
+// fleet steps many lists that begin with three seeds, as gateways do.
+type fleet struct {
+	now   time.Time
+	ids   []string
+	lists map[string]*List
+	cut   map[string]int // cut holds the side of a partition that a member is on.
+	bytes int            // bytes counts records sent.
+}
+
+func fleetConfig() Config {
+	cfg := DefaultConfig()
+	cfg.Interval, cfg.SuspectAfter, cfg.DeadAfter, cfg.Greet = 400*time.Millisecond, 1200*time.Millisecond, 1500*time.Millisecond, true
+	cfg.MaxRumors = 128
+	return cfg
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{now: epoch, lists: map[string]*List{}, cut: map[string]int{}}
+	for i := range n {
+		id := fmt.Sprintf("m%04d", i)
+		f.ids = append(f.ids, id)
+		f.lists[id] = New(fleetConfig(), Record{ID: id, Incarnation: 1, State: StateAlive, Address: "a"})
+	}
+	return f
+}
+
+// callSeeds lets members make themselves known to the seeds.
+func (f *fleet) callSeeds(ids []string) {
+	for _, id := range ids {
+		for _, seed := range f.ids[:3] {
+			if seed != id {
+				f.deliver(id, []Action{HeartbeatOut{To: seed, From: f.lists[id].Self()}})
+			}
+		}
+	}
+}
+
+func (f *fleet) deliver(from string, actions []Action) {
+	for _, a := range actions {
+		hb, ok := a.(HeartbeatOut)
+		if !ok || f.cut[from] != f.cut[hb.To] {
+			continue
+		}
+		f.bytes += 1 + len(hb.Rumors)
+		f.deliver(hb.To, f.lists[hb.To].Step(f.now, HeartbeatSeen{From: hb.From, Rumors: hb.Rumors, View: hb.View, Ask: hb.Ask, Probe: hb.Probe}))
+	}
+}
+
+func (f *fleet) run(d time.Duration) {
+	const step = 100 * time.Millisecond
+	for range d / step {
+		f.now = f.now.Add(step)
+		for _, id := range f.ids {
+			f.deliver(id, f.lists[id].Step(f.now, Tick{}))
+		}
+	}
+}
+
+// fewest returns the size of the smallest view among some members.
+func (f *fleet) fewest(ids []string) int {
+	fewest := len(f.ids)
+	for _, id := range ids {
+		fewest = min(fewest, len(f.lists[id].Nodes()))
+	}
+	return fewest
+}
+
+// All gateways of a large fleet start within 0.3 s and know three addresses. They
+// must know each other some seconds later.
+func TestLargeFleetMeetsAtItsStart(t *testing.T) {
+	const n = 300
+	f := newFleet(n)
+	for i := range 3 {
+		f.callSeeds(f.ids[i*n/3 : (i+1)*n/3])
+		f.run(100 * time.Millisecond)
+	}
+	f.run(6 * time.Second)
+	if got := f.fewest(f.ids); got != n {
+		t.Errorf("some member knows %d of %d after 6 s", got, n)
+	}
+	f.bytes = 0
+	f.run(10 * time.Second)
+	if perSecond := float64(f.bytes) / n / 10; perSecond > 12 {
+		t.Errorf("in calm a member sends %.1f records a second", perSecond)
+	}
+}
+
+// After a partition both sides learn of each other again, and no member stays
+// unknown to any other.
+func TestLargeFleetMeetsAfterAPartition(t *testing.T) {
+	const n = 300
+	f := newFleet(n)
+	f.callSeeds(f.ids)
+	f.run(5 * time.Second)
+	for i, id := range f.ids {
+		f.cut[id] = i % 3 / 2
+	}
+	f.run(8 * time.Second)
+	if got := len(f.lists[f.ids[2]].Nodes()); got > n/2 {
+		t.Errorf("the smaller side counts %d members", got)
+	}
+	clear(f.cut)
+	f.run(8 * time.Second)
+	if got := f.fewest(f.ids); got != n {
+		t.Errorf("some member knows %d of %d after 8 s", got, n)
+	}
+}
--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -91,25 +91,29 @@
 	}
 	rumors := l.rumors()
 	for _, id := range to {
-		l.out = append(l.out, HeartbeatOut{id, l.self, rumors})
+		l.out = append(l.out, HeartbeatOut{To: id, From: l.self, Rumors: rumors, View: l.view()})
 	}
 }
 
 func (l *List) beatAll() {
 	for _, id := range l.sorted {
-		l.out = append(l.out, HeartbeatOut{id, l.self, nil})
+		l.out = append(l.out, HeartbeatOut{To: id, From: l.self, View: l.view()})
 	}
 }
 
+// toldTimes is in how many heartbeats a record is told on. They go to the same
+// monitors over connections, so that more would be needed only where some of these
+// were lost; who still lacks a record notices that views differ.
+const toldTimes = 4
+
 // rumors picks the records that were told on the least.
 func (l *List) rumors() []Record {
 	if len(l.news) == 0 {
 		return nil
 	}
-	limit := 3 * log2(len(l.members)+2)
 	var news []*entry
 	for id, m := range l.news {
-		if m.spread >= limit {
+		if m.spread >= toldTimes {
 			delete(l.news, id)
 		} else if m.Incarnation != 0 {
 			news = append(news, m)
@@ -130,27 +134,23 @@
 	return out
 }
 
-func log2(n int) int {
-	bits := 0
-	for ; n > 0; n >>= 1 {
-		bits++
-	}
-	return bits
-}
-
 // Greeting returns a heartbeat that tells all that is known, for members that
-// have just met.
+// have just met or whose views differ. The dead are left out where they are many: this
+// member may have been cut off, and others would take its view for the truth.
 func (l *List) Greeting() HeartbeatOut {
-	out := HeartbeatOut{From: l.self}
+	out := HeartbeatOut{From: l.self, View: l.view()}
+	telling := len(l.members)-out.View.Count < max(behindLeast, len(l.members)/behindShare)
 	for _, id := range l.sorted {
-		if m := l.members[id]; m.Incarnation != 0 && len(out.Rumors) < maxGreeting {
+		m := l.members[id]
+		if m.Incarnation != 0 && (m.State != StateDead || telling) && len(out.Rumors) < maxGreeting {
 			out.Rumors = append(out.Rumors, m.Record)
 		}
 	}
 	return out
 }
 
-const maxGreeting = 400
+// maxGreeting bounds the records of a greeting; each takes some 80 bytes.
+const maxGreeting = 4096
 
 // Near returns the live members that this one exchanges heartbeats with: its
 // monitors and those that it watches. What each tells these, all hear of within a
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -72,6 +72,9 @@
 type HeartbeatSeen struct {
 	From   Record
 	Rumors []Record
+	View   View // View is whom the sender knows, empty where it does not say.
+	Ask    bool // Ask tells that the sender wants to be told of all members.
+	Probe  bool // Probe tells that the sender wants a heartbeat back at once.
 }
 
 // Leave makes this member tell the others that it is leaving.
@@ -93,6 +96,9 @@
 	To     string
 	From   Record
 	Rumors []Record
+	View   View
+	Ask    bool
+	Probe  bool
 }
 
 // Changed tells that the live members have changed.
@@ -119,7 +125,8 @@
 	ContactEvery time.Duration
 	MaxRumors    int // MaxRumors bounds the rumors in a heartbeat.
 	// Greet makes a member that is heard for the first time be told all that is
-	// known, so that a list grows from a few seeds.
+	// known, so that a list grows from a few seeds, and makes members whose views
+	// differ for long tell each other all.
 	Greet bool
 }
 
@@ -135,6 +142,7 @@
 	Record
 	listed    bool
 	heardAt   time.Time // heardAt is the last heartbeat or the start of watching.
+	probedAt  time.Time // probedAt is when it was last asked for a heartbeat.
 	suspectAt time.Time
 	spread    int // spread counts how often the record was told on.
 }
@@ -160,6 +168,7 @@
 	watched map[string]time.Time
 	guards  []string
 	stale   bool
+	sync    viewSync
 }
 
 // New returns a list that knows only this router.
@@ -195,6 +204,7 @@
 	}
 	if l.changed {
 		l.stale = true
+		l.sync.changed(now)
 		l.out = append(l.out, Changed{})
 	}
 	return l.out
@@ -274,29 +284,41 @@
 func (l *List) heartbeat(now time.Time, e HeartbeatSeen) {
 	known := l.members[e.From.ID]
 	met := known == nil || known.Incarnation != e.From.Incarnation
+	if !met && known.State == StateDead {
+		l.rejoin(now, e, known.Record)
+	}
 	l.merge(now, e.From, true)
+	// What comes in a greeting is not told on: who lacks it notices that views differ.
+	fresh := len(e.Rumors) <= l.cfg.MaxRumors
 	for _, r := range e.Rumors {
-		l.merge(now, r, false)
+		if l.merge(now, r, false) && !fresh {
+			delete(l.news, r.ID)
+		}
 	}
-	if met && l.cfg.Greet {
+	if l.cfg.Greet && (met || e.Ask) {
 		greeting := l.Greeting()
 		greeting.To = e.From.ID
 		l.out = append(l.out, greeting)
 	}
+	if e.Probe {
+		l.out = append(l.out, HeartbeatOut{To: e.From.ID, From: l.self, View: l.view()})
+	}
+	l.compareViews(now, e)
 }
 
-func (l *List) merge(now time.Time, r Record, direct bool) {
+// merge takes a record and tells whether the member was unknown.
+func (l *List) merge(now time.Time, r Record, direct bool) bool {
 	if r.ID == l.self.ID {
 		l.refute(r)
-		return
+		return false
 	}
 	m, ok := l.members[r.ID]
 	if !ok {
 		if r.State == StateDead {
-			return
+			return false
 		}
 		l.add(&entry{Record: r, heardAt: now})
-		return
+		return true
 	}
 	if direct {
 		m.heardAt = now
@@ -305,10 +327,10 @@
 		// Heard from directly: the suspicion was wrong here. The member itself
 		// refutes it elsewhere once a rumor reaches it.
 		l.setState(m, StateAlive)
-		return
+		return false
 	}
 	if !r.newer(m.Record) {
-		return
+		return false
 	}
 	restarted := m.Incarnation != 0 && r.Incarnation != m.Incarnation
 	old := m.Incarnation
@@ -328,6 +350,7 @@
 	if restarted || r.State == StateDead && wasState != StateDead {
 		l.out = append(l.out, Gone{r.ID, old})
 	}
+	return false
 }
 
 func (l *List) setState(m *entry, s State) {
@@ -376,7 +399,12 @@
 	switch m.State {
 	case StateAlive, StateLeaving:
 		since, watched := l.watched[id]
-		if !watched || now.Sub(m.heardAt) <= l.cfg.SuspectAfter || now.Sub(since) <= l.cfg.SuspectAfter {
+		if !watched {
+			return
+		}
+		silence := min(now.Sub(m.heardAt), now.Sub(since))
+		if silence <= l.cfg.SuspectAfter {
+			l.probe(now, m, silence)
 			return
 		}
 		if m.State == StateLeaving {
@@ -396,6 +424,15 @@
 	}
 }
 
+// probe asks a member that should have been heard for a heartbeat. As long as views
+// differ, it may not know that this member watches it.
+func (l *List) probe(now time.Time, m *entry, silence time.Duration) {
+	if pause := l.cfg.SuspectAfter / 3; silence >= 2*pause && now.Sub(m.probedAt) >= pause {
+		m.probedAt = now
+		l.out = append(l.out, HeartbeatOut{To: m.ID, From: l.self, View: l.view(), Probe: true})
+	}
+}
+
 func (l *List) kill(m *entry) {
 	l.setState(m, StateDead)
 	l.out = append(l.out, Gone{m.ID, m.Incarnation})
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -64,7 +64,7 @@
 			if to == nil || g.cut[from] || g.cut[a.To] {
 				continue
 			}
-			g.deliver(a.To, to.Step(g.now, HeartbeatSeen{a.From, a.Rumors}))
+			g.deliver(a.To, to.Step(g.now, HeartbeatSeen{From: a.From, Rumors: a.Rumors, View: a.View, Ask: a.Ask, Probe: a.Probe}))
 		}
 	}
 }
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -26,11 +26,22 @@
 	staleAfter   = 1200 * time.Millisecond
 	stalePerStep = 150 * time.Millisecond
 	staleSpread  = 500 * time.Millisecond
+	// firstWait is how long a gateway leaves it to its peers to tell what there is when
+	// the whole fleet starts for the first time, firstSpread what others wait longer:
+	// news crosses 300 gateways within some hundred milliseconds, and they all start
+	// within a few hundred. againWait and againSpread are the same for a gateway that
+	// starts later: its peers answer within milliseconds where any is up.
+	firstWait   = 700 * time.Millisecond
+	firstSpread = 2 * time.Second
+	againWait   = 100 * time.Millisecond
+	againSpread = 200 * time.Millisecond
 	// longSilence is the age of knowledge from which on entries that their owners
 	// renew may have run out; settleTime is how long after that they may still be
 	// missing.
 	longSilence = 3500 * time.Millisecond
 	settleTime  = 2 * time.Second
+	// unknownAge is told as the age of what is not known at all.
+	unknownAge = time.Hour
 )
 
 // Watch is what one gateway believes of the age of one table.
@@ -39,7 +50,8 @@
 	freshAt time.Time // freshAt is the latest time at which what is known here was all there was.
 	askedAt time.Time
 	backAt  time.Time // backAt is when a long silence ended.
-	known   bool
+	beginAt time.Time // beginAt is when to read all that peers have not told until then.
+	gap     bool      // gap tells that changes may be missing here.
 }
 
 // New returns a watch; draw, between 0 and 1, is the gateway's own delay.
@@ -47,12 +59,37 @@
 	return &Watch{delay: time.Duration(draw * float64(staleSpread))}
 }
 
+// Start tells how a gateway starts.
+type Start struct {
+	Seed  bool // Seed tells that others begin with this gateway.
+	First bool // First tells that the whole fleet starts for the first time.
+}
+
+// Wait returns how long a gateway that starts leaves it to its peers to tell it what
+// the store holds; draw is between 0 and 1. Seeds read the store at once.
+func (s Start) Wait(draw float64) time.Duration {
+	switch {
+	case s.Seed:
+		return 0
+	case s.First:
+		return firstWait + time.Duration(draw*float64(firstSpread))
+	default:
+		return againWait + time.Duration(draw*float64(againSpread))
+	}
+}
+
+// Begin makes the first reading of all wait for peers.
+func (w *Watch) Begin(now time.Time, wait time.Duration) { w.beginAt = now.Add(wait) }
+
 // Due tells whether to ask the store now, in a fleet of so many gateways.
 // Preferred ones ask all the time.
 func (w *Watch) Due(now time.Time, preferred bool, members int) bool {
-	if !w.known {
+	if w.gap {
 		return true
 	}
+	if w.freshAt.IsZero() {
+		return !now.Before(w.beginAt)
+	}
 	if now.Sub(w.askedAt) < Pace {
 		return false
 	}
@@ -68,15 +105,20 @@
 
 // Answered notes that the store answered with all there was at a time.
 func (w *Watch) Answered(at time.Time) {
-	w.known = true
+	w.gap = false
 	w.fresh(at)
 }
 
 // Lost notes that what is known may have a gap and must be read anew.
-func (w *Watch) Lost() { w.known = false }
+func (w *Watch) Lost() { w.gap = true }
 
-// Heard takes the age of a peer's knowledge, which is known here too.
-func (w *Watch) Heard(now time.Time, age time.Duration) { w.fresh(now.Add(-age)) }
+// Heard takes the age of a peer's knowledge, which is known here too. Peers that know
+// nothing themselves tell nothing.
+func (w *Watch) Heard(now time.Time, age time.Duration) {
+	if age < unknownAge {
+		w.fresh(now.Add(-age))
+	}
+}
 
 func (w *Watch) fresh(at time.Time) {
 	if !at.After(w.freshAt) {
@@ -100,7 +142,7 @@
 // Age returns how old the knowledge is; it is very old where nothing is known.
 func (w *Watch) Age(now time.Time) time.Duration {
 	if w.freshAt.IsZero() {
-		return time.Hour
+		return unknownAge
 	}
 	return max(now.Sub(w.freshAt), 0)
 }
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -134,6 +134,43 @@
 	}
 }
 
+// When hundreds of gateways start at once the seeds read the store, and all others
+// hear of it from their peers: each reading both tables was most of a day's calls.
+func TestAFirstStartReadsLittle(t *testing.T) {
+	const n = 295
+	f := newFleet(0)
+	for i := range n {
+		w := New(float64(i) / n)
+		w.Begin(start, Start{Seed: i < 3, First: true}.Wait(float64(i)/n))
+		f.watches = append(f.watches, w)
+	}
+	f.run(5 * time.Second)
+	others := 0
+	for i, calls := range f.calls {
+		if i >= Watchers {
+			others += calls
+		}
+	}
+	if others > n/10 {
+		t.Errorf("%d gateways made %d calls besides the seeds'", n, others)
+	}
+}
+
+// A gateway that nobody tells anything asks the store itself, soon where it starts
+// again.
+func TestNobodyTellsSoItAsks(t *testing.T) {
+	for _, s := range []Start{{Seed: true}, {First: true}, {}} {
+		w := New(0)
+		w.Begin(start, s.Wait(1))
+		if got := w.Due(start, true, 1); got != s.Seed {
+			t.Errorf("%+v asks at once: %v", s, got)
+		}
+		if !w.Due(start.Add(s.Wait(1)), false, 1) {
+			t.Errorf("%+v does not ask after %v", s, s.Wait(1))
+		}
+	}
+}
+
 // A long silence leaves the knowledge unsettled until a while after its end; short
 // ones, and the very first word, do not.
 func TestLongSilenceUnsettles(t *testing.T) {
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 
 	"madderway/core/drain"
 	"madderway/core/member"
+	"madderway/core/watch"
 	"madderway/handlers/gateway"
 	"madderway/modules/clock"
 	"madderway/modules/ident"
@@ -42,6 +44,9 @@
 	callerShare = 0.45
 	drainPoll   = 20 * time.Millisecond
 	probeEvery  = 25 * time.Millisecond
+	// maxRumors bounds the records of a heartbeat, some 80 bytes each: the loss of half
+	// of 300 machines is told on within a second or two.
+	maxRumors = 128
 	// memoryShare is the part of the memory that the runtime aims to stay under,
 	// bodyShare the part that bodies may take.
 	memoryShare = 0.6
@@ -123,11 +128,12 @@
 	g.follow = follow.New(&g.t, log.New("follow").With(s.ID), follow.Options{
 		Source: store, Peers: fetcher{g}, Clock: g.clock, OnChange: g.changed,
 		Fleet: func() (bool, int) { return g.loop.Watches(), g.loop.Members() },
+		Start: watch.Start{Seed: len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.Peers), First: s.FirstStart},
 	})
 	g.pool = upstream.NewPool(dialTimeout, idlePerTarget)
 	members := member.DefaultConfig()
 	members.Interval, members.SuspectAfter, members.DeadAfter = 400*time.Millisecond, 1200*time.Millisecond, 1500*time.Millisecond
-	members.Greet = true
+	members.Greet, members.MaxRumors = true, maxRumors
 	client := upstream.NewClient(g.pool, platform.Dialect{})
 	g.loop = mesh.NewLoop(&g.t, log.New("mesh").With(s.ID), mesh.Options{
 		Self: g.self, Seeds: s.Seeds, Clock: g.clock, Auth: auth, Meter: g.meter, Member: members, Follow: g.follow,
--- a/services/control/loop.go
+++ b/services/control/loop.go
@@ -274,7 +274,7 @@
 	for _, a := range l.members.Step(now, ev) {
 		switch a := a.(type) {
 		case member.HeartbeatOut:
-			l.out.Frame(now, a.To, true).Heartbeat = l.heartbeat(a)
+			l.addHeartbeat(l.out.Frame(now, a.To, true), a)
 		case member.Changed:
 			l.publish()
 			if l.reroute.IsZero() {
@@ -287,13 +287,10 @@
 	}
 }
 
-func (l *Loop) heartbeat(a member.HeartbeatOut) *wire.Heartbeat {
+func (l *Loop) addHeartbeat(f *wire.Frame, a member.HeartbeatOut) {
 	v := l.opts.Versions.InForce()
-	hb := &wire.Heartbeat{From: peerwire.MemberToWire(a.From), ConfigVersion: v.Number, ConfigHash: v.Hash}
-	for _, r := range a.Rumors {
-		hb.Rumors = append(hb.Rumors, peerwire.MemberToWire(r))
-	}
-	return hb
+	hb := peerwire.AddHeartbeat(f, a)
+	hb.ConfigVersion, hb.ConfigHash = v.Number, v.Hash
 }
 
 func (l *Loop) publish() {
@@ -335,12 +332,12 @@
 }
 
 func (l *Loop) takeHeartbeat(now time.Time, peer string, hb *wire.Heartbeat) {
-	from, ok := peerwire.MemberFromWire(hb.From)
-	if !ok || from.ID != peer {
+	seen, ok := peerwire.HeartbeatFromWire(peer, hb)
+	if !ok {
 		l.log.Warn("Dropped a heartbeat that is not the sender's own.", "peer", peer)
 		return
 	}
-	l.member(now, member.HeartbeatSeen{From: from, Rumors: peerwire.MembersFromWire(hb.Rumors)})
+	l.member(now, seen)
 	l.opts.Versions.PeerVersion(peer, head.Version{Number: hb.ConfigVersion, Hash: hb.ConfigHash})
 }
 
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -38,6 +38,9 @@
 	// Fleet tells whether this gateway is one of those that ask the store all
 	// the time, and how many gateways there are.
 	Fleet func() (preferred bool, members int)
+	// Start tells how this gateway starts; it decides how long peers may tell it what
+	// the store holds before it asks.
+	Start watch.Start
 	// OnChange is called after each change, from one goroutine at a time.
 	OnChange func()
 }
@@ -69,6 +72,9 @@
 		watchConfiguration: watch.New(rand.Float64()), watchTargets: watch.New(rand.Float64()),
 	}
 	s.targets.Store((&routing.TargetSet{}).Build())
+	wait, now := o.Start.Wait(rand.Float64()), o.Clock.Now()
+	s.watchConfiguration.Begin(now, wait)
+	s.watchTargets.Begin(now, wait)
 	return s
 }
 
--- a/services/follow/follow_test.go
+++ b/services/follow/follow_test.go
@@ -13,6 +13,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"madderway/core/watch"
 	"madderway/models/routing"
 	"madderway/modules/clock"
 	"madderway/modules/log"
@@ -93,7 +94,7 @@
 	t.Helper()
 	h := &harness{source: source, clock: clock.NewFake(), changed: make(chan struct{}, 64)}
 	h.Service = New(&h.tomb, log.New("test"), Options{
-		Source: source, Peers: peers, Clock: h.clock, Fleet: func() (bool, int) { return true, 3 }, OnChange: func() { h.changed <- struct{}{} },
+		Source: source, Peers: peers, Clock: h.clock, Fleet: func() (bool, int) { return true, 3 }, Start: watch.Start{Seed: true}, OnChange: func() { h.changed <- struct{}{} },
 	})
 	h.Start()
 	t.Cleanup(func() {
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -274,9 +274,10 @@
 	if alone {
 		call = slices.Concat(l.seeds, l.learned)
 	}
-	hello := l.heartbeat(member.HeartbeatOut{From: l.members.Self()})
+	hello := &wire.Frame{}
+	l.addHeartbeat(hello, member.HeartbeatOut{From: l.members.Self()})
 	for _, link := range call {
-		link.Send(&wire.Frame{Heartbeat: hello})
+		link.Send(hello)
 	}
 }
 
--- a/services/mesh/step.go
+++ b/services/mesh/step.go
@@ -17,7 +17,7 @@
 	for _, a := range l.members.Step(now, ev) {
 		switch a := a.(type) {
 		case member.HeartbeatOut:
-			l.out.Frame(now, a.To, true).Heartbeat = l.heartbeat(a)
+			l.addHeartbeat(l.out.Frame(now, a.To, true), a)
 		case member.Changed:
 			l.membersChanged = true
 		case member.Gone:
@@ -33,12 +33,8 @@
 	}
 }
 
-func (l *Loop) heartbeat(a member.HeartbeatOut) *wire.Heartbeat {
-	hb := &wire.Heartbeat{From: peerwire.MemberToWire(a.From), Versions: versionsToWire(l.opts.Follow.Versions())}
-	for _, r := range a.Rumors {
-		hb.Rumors = append(hb.Rumors, peerwire.MemberToWire(r))
-	}
-	return hb
+func (l *Loop) addHeartbeat(f *wire.Frame, a member.HeartbeatOut) {
+	peerwire.AddHeartbeat(f, a).Versions = versionsToWire(l.opts.Follow.Versions())
 }
 
 // frame takes what a peer sent. Inventories come before asks, so that a new
@@ -80,12 +76,12 @@
 }
 
 func (l *Loop) takeHeartbeat(now time.Time, peer string, hb *wire.Heartbeat) {
-	from, ok := peerwire.MemberFromWire(hb.From)
-	if !ok || from.ID != peer {
+	seen, ok := peerwire.HeartbeatFromWire(peer, hb)
+	if !ok {
 		l.log.Warn("Dropped a heartbeat that is not the sender's own.", "peer", peer)
 		return
 	}
-	l.member(now, member.HeartbeatSeen{From: from, Rumors: peerwire.MembersFromWire(hb.Rumors)})
+	l.member(now, seen)
 	l.opts.Follow.PeerVersions(peer, versionsFromWire(hb.Versions))
 }
 
--- a/services/peerwire/member.go
+++ b/services/peerwire/member.go
@@ -38,3 +38,34 @@
 	}
 	return out
 }
+
+// AddHeartbeat puts a heartbeat into the frame that will go to its receiver, and
+// returns it. Where one waits there already, nothing that it tells is lost.
+func AddHeartbeat(f *wire.Frame, a member.HeartbeatOut) *wire.Heartbeat {
+	hb := f.Heartbeat
+	if hb == nil {
+		hb = &wire.Heartbeat{}
+		f.Heartbeat = hb
+	}
+	hb.From = MemberToWire(a.From)
+	hb.ViewCount, hb.ViewDigest = uint32(a.View.Count), a.View.Digest
+	hb.Ask = hb.Ask || a.Ask
+	hb.Probe = hb.Probe || a.Probe
+	for _, r := range a.Rumors {
+		hb.Rumors = append(hb.Rumors, MemberToWire(r))
+	}
+	return hb
+}
+
+// HeartbeatFromWire reads a heartbeat; it reports false where it does not come from
+// the peer that sent it.
+func HeartbeatFromWire(peer string, hb *wire.Heartbeat) (member.HeartbeatSeen, bool) {
+	from, ok := MemberFromWire(hb.From)
+	if !ok || from.ID != peer {
+		return member.HeartbeatSeen{}, false
+	}
+	return member.HeartbeatSeen{
+		From: from, Rumors: MembersFromWire(hb.Rumors), View: member.View{Count: int(hb.ViewCount), Digest: hb.ViewDigest},
+		Ask: hb.Ask, Probe: hb.Probe,
+	}, true
+}
