mesh: Close idle connections, tell empty cells twice, wake up less

Cause: besides the members, what grew with the fleet were connections (a contact a beat and announcements to ten others each time open one to nearly each other gateway, some 30 KB at both ends), inventories of cells in which nothing runs (a message to each scheduler every 2 s), and what wakes an idle process: the probe of lateness 40 times a second, two looks at the store's age ten times a second each.

Change: connections close after 10 s without a frame; a scheduler is told twice that nothing runs here, then not until something does; the probe measures four times as seldom while the process is in time; whether to ask the store is looked at when that can have become due.

--- a/core/entry/machine.go
+++ b/core/entry/machine.go
@@ -11,6 +11,10 @@
 
 const (
 	inventoryEvery = 2 * time.Second
+	// emptyTold is how often a scheduler is told that nothing runs here: once more
+	// than needed, since a message may be lost. A gateway of a large fleet seldom has
+	// something in most cells.
+	emptyTold = 2
 	// moveShare is the part of the objective that a second cell may take.
 	moveShare     = 0.15
 	noTargetRetry = 500 * time.Millisecond
@@ -38,6 +42,7 @@
 type seat struct {
 	scheduler string
 	toldAt    time.Time // toldAt is when it was last told all that runs here.
+	empty     int       // empty is how often in a row it was told that nothing does.
 }
 
 // Machine is the entry side of one gateway.
@@ -146,7 +151,7 @@
 	if s.scheduler == scheduler {
 		return
 	}
-	s.scheduler, s.toldAt = scheduler, now
+	s.scheduler, s.toldAt, s.empty = scheduler, now, 0
 	m.tell(key, s)
 }
 
@@ -157,6 +162,11 @@
 			out.Held = append(out.Held, r.held)
 		}
 	}
+	if len(out.Held) > 0 {
+		s.empty = 0
+	} else {
+		s.empty++
+	}
 	m.emit(out)
 }
 
@@ -247,13 +257,25 @@
 		}
 	}
 	for key, s := range m.seats {
-		if s.scheduler != "" && now.Sub(s.toldAt) >= inventoryEvery {
-			s.toldAt = now
+		if s.scheduler == "" || now.Sub(s.toldAt) < inventoryEvery {
+			continue
+		}
+		s.toldAt = now
+		if s.empty < emptyTold || m.runsIn(key) {
 			m.tell(key, s)
 		}
 	}
 }
 
+func (m *Machine) runsIn(key cell.Key) bool {
+	for _, r := range m.running {
+		if r.cell == key {
+			return true
+		}
+	}
+	return false
+}
+
 // Seats returns the scheduler that is in use for each cell.
 func (m *Machine) Seats() map[string]string {
 	out := map[string]string{}
--- a/core/entry/machine_test.go
+++ b/core/entry/machine_test.go
@@ -265,6 +265,31 @@
 	}
 }
 
+// A scheduler is told twice that nothing runs here any more, not for ever.
+func TestEmptyInventoryIsNotRepeatedForEver(t *testing.T) {
+	f := setUp(t)
+	f.after(0, submit(1))
+	f.after(time.Millisecond, PlacementSeen{From: f.first, Cell: "s/0", ID: 1, Target: "t"})
+	told := func() (n int) {
+		for range 10 {
+			if inv, ok := find[InventoryOut](f.after(inventoryEvery, Tick{})); ok {
+				n++
+				if len(inv.Held) != f.Running() {
+					t.Errorf("told of %d, %d run", len(inv.Held), f.Running())
+				}
+			}
+		}
+		return n
+	}
+	if n := told(); n != 10 {
+		t.Errorf("told %d times of 10 while a request runs", n)
+	}
+	f.after(time.Millisecond, Ended{1, batch.OutcomeDone})
+	if n := told(); n != emptyTold {
+		t.Errorf("told %d times that nothing runs", n)
+	}
+}
+
 func TestWithdrawnAskIsTakenBack(t *testing.T) {
 	f := setUp(t)
 	f.after(0, submit(1))
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -84,16 +84,23 @@
 // Due tells whether to ask the store now, in a fleet of so many gateways.
 // Preferred ones ask all the time.
 func (w *Watch) Due(now time.Time, preferred bool, members int) bool {
-	if w.gap {
-		return true
-	}
-	if w.freshAt.IsZero() {
-		return !now.Before(w.beginAt)
+	return w.Next(now, preferred, members) == 0
+}
+
+// Next returns how long it takes until Due may say so, unless something is heard
+// before; 0 where it does now.
+func (w *Watch) Next(now time.Time, preferred bool, members int) time.Duration {
+	switch {
+	case w.gap:
+		return 0
+	case w.freshAt.IsZero():
+		return max(w.beginAt.Sub(now), 0)
 	}
-	if now.Sub(w.askedAt) < Pace {
-		return false
+	due := w.askedAt.Add(Pace)
+	if stale := w.freshAt.Add(staleAge(members) + w.delay); !preferred && stale.After(due) {
+		due = stale
 	}
-	return preferred || now.Sub(w.freshAt) >= staleAge(members)+w.delay
+	return max(due.Sub(now), 0)
 }
 
 func staleAge(members int) time.Duration {
--- a/modules/lateness/lateness.go
+++ b/modules/lateness/lateness.go
@@ -9,11 +9,19 @@
 
 import (
 	"os"
+	"sync/atomic"
 	"time"
 
 	"gopkg.in/tomb.v2"
 )
 
+// calm is the lateness up to which a process is in time; calmFactor is how much more
+// seldom it is measured then: each measurement wakes the process twice.
+const (
+	calm       = 3 * time.Millisecond
+	calmFactor = 4
+)
+
 // Probe sends itself bytes until its tomb dies.
 type Probe struct {
 	t      *tomb.Tomb
@@ -22,10 +30,11 @@
 	reader *os.File
 	writer *os.File
 	due    chan time.Time // due holds the time of the byte that is under way.
+	last   atomic.Int64   // last is the latest lateness in ns.
 }
 
-// Start runs a probe that reports a lateness for each span of time; report must
-// not wait.
+// Start runs a probe that reports a lateness for each span of time, more seldom while
+// the process is in time; report must not wait.
 func Start(t *tomb.Tomb, every time.Duration, report func(lateness time.Duration)) error {
 	reader, writer, err := os.Pipe()
 	if err != nil {
@@ -40,8 +49,8 @@
 // send writes a byte at each time, unless the last one has not been read yet.
 func (p *Probe) send() error {
 	defer p.writer.Close()
-	due := time.Now().Add(p.every)
-	timer := time.NewTimer(p.every)
+	due := time.Now().Add(p.pause())
+	timer := time.NewTimer(time.Until(due))
 	defer timer.Stop()
 	for {
 		select {
@@ -56,9 +65,17 @@
 			}
 		default:
 		}
-		due = time.Now().Add(p.every)
-		timer.Reset(p.every)
+		due = time.Now().Add(p.pause())
+		timer.Reset(time.Until(due))
+	}
+}
+
+// pause returns how long to wait before the next byte.
+func (p *Probe) pause() time.Duration {
+	if time.Duration(p.last.Load()) <= calm {
+		return calmFactor * p.every
 	}
+	return p.every
 }
 
 func (p *Probe) receive() error {
@@ -68,6 +85,8 @@
 		if _, err := p.reader.Read(one); err != nil {
 			return nil // the sender has ended
 		}
-		p.report(max(time.Since(<-p.due), 0))
+		lateness := max(time.Since(<-p.due), 0)
+		p.last.Store(int64(lateness))
+		p.report(lateness)
 	}
 }
--- a/modules/peernet/link.go
+++ b/modules/peernet/link.go
@@ -45,6 +45,7 @@
 	meter   *Meter
 	id      string
 	timeout time.Duration
+	idle    time.Duration
 	frames  *ring.Ring[*wire.Frame]
 	renewal renewal
 
@@ -65,12 +66,15 @@
 	Address     string
 	DialTimeout time.Duration
 	Ring        int
+	// Idle is how long a connection that carries nothing stays open, 0 for ever. A
+	// router of a large fleet has something to say to many others now and then.
+	Idle time.Duration
 }
 
 // NewLink starts the goroutine that sends to a peer; it ends with the tomb.
 func NewLink(t *tomb.Tomb, o LinkOptions) *Link {
 	l := &Link{
-		t: t, auth: o.Auth, meter: o.Meter, id: o.PeerID, address: o.Address, timeout: o.DialTimeout,
+		t: t, auth: o.Auth, meter: o.Meter, id: o.PeerID, address: o.Address, timeout: o.DialTimeout, idle: o.Idle,
 		frames: ring.New[*wire.Frame]("peer "+o.PeerID, o.Ring), backoff: redialFirst,
 	}
 	t.Go(l.run)
@@ -106,6 +110,8 @@
 
 func (l *Link) run() error {
 	var stream net.Conn
+	var used time.Time // used is when the connection last carried a frame.
+	var unused <-chan time.Time
 	for {
 		select {
 		case <-l.t.Dying():
@@ -113,6 +119,18 @@
 			return nil
 		case f := <-l.frames.Out():
 			stream = l.deliver(stream, f)
+			used = time.Now()
+			if unused == nil && l.idle > 0 {
+				unused = time.After(l.idle)
+			}
+		case <-unused:
+			unused = nil
+			if left := l.idle - time.Since(used); left > 0 {
+				unused = time.After(left)
+				continue
+			}
+			l.drop()
+			stream = nil
 		}
 	}
 }
--- a/modules/peernet/peernet_test.go
+++ b/modules/peernet/peernet_test.go
@@ -16,6 +16,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"runtime"
 	"testing"
 	"time"
 
@@ -94,6 +95,25 @@
 	}
 }
 
+// A connection that carries nothing is closed after a while, and the next frame opens
+// another one.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	r, s, tb := serve(t, NewSharedKey("server", "the shared key"))
+	link := NewLink(tb, LinkOptions{
+		Auth: NewSharedKey("client", "the shared key"), Meter: &Meter{}, PeerID: "server", Address: s.listener.Addr().String(),
+		DialTimeout: time.Second, Ring: 16, Idle: 5 * time.Millisecond,
+	})
+	for _, name := range []string{"a", "b"} {
+		link.Send(frame(name))
+		if got := <-r.frames; got != "client/"+name {
+			t.Fatalf("got %s", got)
+		}
+		for s.connections() > 0 {
+			runtime.Gosched()
+		}
+	}
+}
+
 func TestWrongKeyIsRefused(t *testing.T) {
 	_, s, tb := serve(t, NewSharedKey("server", "the shared key"))
 	link := linkTo(tb, s, NewSharedKey("client", "another key here"), &Meter{})
--- a/modules/peernet/server.go
+++ b/modules/peernet/server.go
@@ -64,6 +64,13 @@
 	return s.Refused
 }
 
+// connections returns how many connections are open.
+func (s *Server) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Block refuses and cuts the connections of a peer, or admits them again;
 // tests use it to partition routers.
 func (s *Server) Block(peer string, blocked bool) {
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -21,8 +21,11 @@
 const (
 	retryFirst = 50 * time.Millisecond
 	retryMax   = time.Second
-	// lookEvery is how often it is decided whether to ask the store.
-	lookEvery = 100 * time.Millisecond
+	// lookLeast and lookMost bound how long it is waited before it is decided again
+	// whether to ask the store: what peers tell only puts that off, but who asks all
+	// the time changes with the members.
+	lookLeast = 20 * time.Millisecond
+	lookMost  = 500 * time.Millisecond
 	fromStore = "store"
 	fromLapse = "the end of a hold"
 	// answerTime is how old the store's answer may be when it comes. A call that
@@ -170,15 +173,15 @@
 		preferred, members := s.opts.Fleet()
 		now := s.opts.Clock.Now()
 		s.mu.Lock()
-		due := w.Due(now, preferred, members)
-		if due {
+		wait := w.Next(now, preferred, members)
+		if wait == 0 {
 			w.Asked(now)
 		}
 		s.mu.Unlock()
-		if due {
+		if wait == 0 {
 			return true
 		}
-		if !s.sleep(lookEvery) {
+		if !s.sleep(min(max(wait, lookLeast), lookMost)) {
 			return false
 		}
 	}
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -34,7 +34,7 @@
 
 const (
 	inputRing  = 8192
-	linkRing   = 512
+	linkRing   = 128
 	tickBusy   = 10 * time.Millisecond
 	tickIdle   = 100 * time.Millisecond
 	batchLimit = 256 // inputs taken before the frames go out
@@ -45,7 +45,10 @@
 	seedCalm  = 5 * time.Second
 	seedShare = 100 * time.Millisecond
 	dialTime  = 500 * time.Millisecond
-	watchKey  = "watch"
+	// linkIdle is how long a connection to another gateway stays open unused. An entry
+	// of a large fleet asks each scheduler every few seconds.
+	linkIdle = 10 * time.Second
+	watchKey = "watch"
 	// registerKey draws the gateways that register.
 	registerKey = "register"
 	cellIdle    = 30 * time.Second // a cell that nobody has asked for so long is dropped
@@ -153,7 +156,7 @@
 
 func (l *Loop) newLink(id, address string) *peernet.Link {
 	return peernet.NewLink(l.t, peernet.LinkOptions{
-		Auth: l.opts.Auth, Meter: l.opts.Meter, PeerID: id, Address: address, DialTimeout: dialTime, Ring: linkRing,
+		Auth: l.opts.Auth, Meter: l.opts.Meter, PeerID: id, Address: address, DialTimeout: dialTime, Ring: linkRing, Idle: linkIdle,
 	})
 }
 
