batch: Count reading by the clock, not by first events

Cause: reading_share in "Second of a cell." counted a prompt when its first event was reported. A scheduler that heard of none said that its engines idled while they read without a pause.

Change: an engine reads while its backlog lasts, and on while it owes a first event. TestReadingIsCountedWithoutFirstEvents says 0s of 2s on the old code.

--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -70,8 +70,12 @@
 // Missing returns the tokens of the prompt that the engine has to read.
 func (e *Engine) Missing(p *routing.Prompt) int { return max(p.Tokens-e.cache.hit(p.Parts), 1) }
 
-// ReadingTime returns how long the engine has been reading since it is known.
-func (e *Engine) ReadingTime() time.Duration { return e.pace.done }
+// ReadingTime returns how long the engine has been reading until now, since it is
+// known. One that owes a first event is taken to read on.
+func (e *Engine) ReadingTime(now time.Time) time.Duration {
+	e.pace.count(now, e.queue)
+	return e.pace.done
+}
 
 // Ready returns the tokens at the beginning of the prompt that another engine can
 // copy from this one.
@@ -113,6 +117,7 @@
 // StartCopy puts a request onto the engine, which first copies so many tokens of
 // the prompt from another engine; that takes so long.
 func (e *Engine) StartCopy(now time.Time, p *routing.Prompt, output, tokens int, takes time.Duration) *Run {
+	e.pace.count(now, e.queue)
 	r := &Run{Prompt: p, Output: output, Read: max(e.Missing(p)-tokens, 1), granted: now, copied: now.Add(takes)}
 	e.runs[r] = struct{}{}
 	e.queue = append(e.queue, r)
@@ -127,8 +132,8 @@
 	if r.begun {
 		return
 	}
+	e.pace.count(now, e.queue)
 	e.unqueue(r)
-	e.pace.done += e.pace.readTime(r.Read)
 	e.cache.markRead(r.Prompt.Parts)
 	e.state.begun()
 	e.pace.learn(now, r)
@@ -147,6 +152,7 @@
 		e.cache.markRead(p.Parts)
 		return r
 	}
+	e.pace.count(now, e.queue)
 	r.Read = min(p.Own(), p.Tokens)
 	e.queue = append(e.queue, r)
 	r.dueAt = e.pace.add(now, r, len(e.runs))
@@ -174,6 +180,7 @@
 	}
 	e.state.ended(now, r, o, e.silent(now))
 	if !r.begun {
+		e.pace.count(now, e.queue)
 		e.unqueue(r)
 		e.pace.resume(now, e.queue)
 	}
--- a/core/batch/pace.go
+++ b/core/batch/pace.go
@@ -32,7 +32,8 @@
 	bookedTo  time.Time     // bookedTo is until when the time for reading is given away.
 	read      float64       // tokens read while busy, older ones weigh less
 	busy      float64       // the seconds that this took
-	done      time.Duration // done is how long the engine has been reading in all.
+	done      time.Duration // done is how long the engine has been reading until countedAt.
+	countedAt time.Time
 	prior     float64       // tokens a second, before anything was measured
 	first     time.Duration
 	stream    time.Duration // stream is how long a request usually keeps its slot.
@@ -45,6 +46,20 @@
 	return time.Duration(float64(tokens) / p.speed() * float64(time.Second))
 }
 
+// count adds the time since the last call in which the engine was reading. It does
+// not hang on first events: where none come, the engine still reads, or the process
+// that should hear of them is cut off.
+func (p *pace) count(now time.Time, queue []*Run) {
+	until := p.clearAt
+	if len(queue) > 0 && now.After(queue[0].dueAt) || until.After(now) {
+		until = now
+	}
+	if !p.countedAt.IsZero() && until.After(p.countedAt) {
+		p.done += until.Sub(p.countedAt)
+	}
+	p.countedAt = later(p.countedAt, now)
+}
+
 // shareFor returns the part of the time for reading beside so many streams.
 func shareFor(running int) float64 {
 	return max(readShare-readSharePerRun*float64(running), readShareLeast)
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -30,6 +30,7 @@
 type target struct {
 	info     TargetInfo
 	engine   *batch.Engine
+	counted  time.Duration // counted is how much of its reading is in the cell's counts.
 	linkFree time.Time // linkFree is when the transfers that it takes part in are over.
 }
 
@@ -89,9 +90,7 @@
 		c.withdraw(now, requestKey{e.Entry, e.ID})
 	case BeganSeen:
 		if r := c.runs[requestKey{e.Entry, e.ID}]; r != nil {
-			before := r.target.engine.ReadingTime()
 			r.target.engine.Begin(now, r.model)
-			c.counts.Reading += r.target.engine.ReadingTime() - before
 		}
 	case EndedSeen:
 		c.end(now, requestKey{e.Entry, e.ID}, e.Outcome)
@@ -100,6 +99,7 @@
 	case EntryGone:
 		c.entryGone(now, e.Entry)
 	case TargetsSeen:
+		c.countReading(now)
 		c.setTargets(e)
 	case TallySeen:
 		c.takeTally(now, e)
@@ -165,7 +165,8 @@
 	}
 	delete(c.runs, key)
 	r.target.engine.End(now, r.model, o)
-	if r.target.engine.Empty() {
+	if gone := c.gone[r.target.info.ID]; gone == r.target && gone.engine.Empty() {
+		c.countTarget(now, gone)
 		delete(c.gone, r.target.info.ID)
 	}
 }
--- a/core/cell/dispatch_test.go
+++ b/core/cell/dispatch_test.go
@@ -53,26 +53,26 @@
 				c.Take(now, EndedSeen{key.entry, key.id, batch.OutcomeDone})
 			}
 		}
-		waiting, before, placed := c.Waiting(), c.Counts().Tried, c.Counts().Placed
+		waiting, before, placed := c.Waiting(), c.counts.Tried, c.counts.Placed
 		c.Decide(now)
-		if tried := c.Counts().Tried - before; tried > uint64(waiting) {
-			t.Fatalf("step %d looked %d times for targets with %d waiting, placed %d", i, tried, waiting, c.Counts().Placed-placed)
+		if tried := c.counts.Tried - before; tried > uint64(waiting) {
+			t.Fatalf("step %d looked %d times for targets with %d waiting, placed %d", i, tried, waiting, c.counts.Placed-placed)
 		}
 	}
-	if c.Counts().Placed < 20 {
-		t.Errorf("only %d of %d were placed", c.Counts().Placed, next)
+	if c.counts.Placed < 20 {
+		t.Errorf("only %d of %d were placed", c.counts.Placed, next)
 	}
 }
 
 // While no target takes anything, nothing is looked for.
 func TestBusyTargetsCostNothing(t *testing.T) {
 	c, next := crowd(t, 150)
-	before := c.Counts().Tried
+	before := c.counts.Tried
 	for range 50 {
 		next++
 		c.Step(epoch, crowdAsk(next))
 	}
-	if tried := c.Counts().Tried - before; tried != 0 {
+	if tried := c.counts.Tried - before; tried != 0 {
 		t.Errorf("%d looks for targets that are all busy", tried)
 	}
 }
@@ -92,7 +92,7 @@
 	if _, ok := placed(actions, 2); !ok || len(actions) != 1 {
 		t.Errorf("%+v, want a place at the target that is free", actions)
 	}
-	if n := c.Counts(); n.Refused != 0 || n.RefusedWithRoom != 0 {
+	if n := c.counts; n.Refused != 0 || n.RefusedWithRoom != 0 {
 		t.Errorf("%+v", n)
 	}
 }
--- a/core/cell/totals.go
+++ b/core/cell/totals.go
@@ -57,4 +57,22 @@
 }
 
 // Counts returns what the cell has decided since its start.
-func (c *Cell) Counts() Counts { return c.counts }
+func (c *Cell) Counts(now time.Time) Counts {
+	c.countReading(now)
+	return c.counts
+}
+
+func (c *Cell) countReading(now time.Time) {
+	for _, t := range c.sorted {
+		c.countTarget(now, t)
+	}
+	for _, t := range c.gone {
+		c.countTarget(now, t)
+	}
+}
+
+func (c *Cell) countTarget(now time.Time, t *target) {
+	reading := t.engine.ReadingTime(now)
+	c.counts.Reading += reading - t.counted
+	t.counted = reading
+}
--- a/core/cell/totals_test.go
+++ b/core/cell/totals_test.go
@@ -19,7 +19,7 @@
 		c.Step(epoch, crowdAsk(id))
 		c.Step(epoch.Add(200*time.Millisecond), BeganSeen{"e", id})
 	}
-	read := c.Counts().Reading
+	read := c.Counts(epoch.Add(200*time.Millisecond)).Reading
 	if read < 350*time.Millisecond || read > 450*time.Millisecond {
 		t.Errorf("reading for %v, want 400ms for 16,000 tokens", read)
 	}
@@ -30,10 +30,23 @@
 	c.Step(now, EndedSeen{"e", 1, batch.OutcomeDone})
 	c.Step(now, EndedSeen{"e", 2, batch.OutcomeDone})
 	c.Step(now, TargetsSeen{TokensPerSecond: 40_000, Targets: targets[:1]})
-	if got := c.Counts().Reading; got != read {
+	if got := c.Counts(epoch.Add(200*time.Millisecond)).Reading; got != read {
 		t.Errorf("reading for %v after a target went, %v before", got, read)
 	}
-	if n := c.Counts(); n.AskedTokens != 16_000 || n.PlacedTokens != 16_000 || n.Read != 16_000 {
+	if n := c.Counts(now); n.AskedTokens != 16_000 || n.PlacedTokens != 16_000 || n.Read != 16_000 {
 		t.Errorf("%+v", n)
 	}
 }
+
+// Engines that read without a pause are said to, also where nobody hears of their
+// first events: a scheduler whose entries are cut off said that its engines idled.
+func TestReadingIsCountedWithoutFirstEvents(t *testing.T) {
+	c := New()
+	c.Step(epoch, TargetsSeen{TokensPerSecond: 40_000, Targets: []TargetInfo{{ID: "a", Slots: 64, CacheTokens: 500_000}}})
+	for i := range 10 {
+		c.Step(epoch.Add(time.Duration(i)*200*time.Millisecond), crowdAsk(RequestID(i)))
+	}
+	if got := c.Counts(epoch.Add(2 * time.Second)).Reading; got < 1900*time.Millisecond || got > 2*time.Second {
+		t.Errorf("reading for %v of 2s", got)
+	}
+}
--- a/core/cell/transfer_test.go
+++ b/core/cell/transfer_test.go
@@ -50,7 +50,7 @@
 	if !ok || p.Target != "near" || p.Source != "keeper" || p.Copied != 8_000 || p.Anew != 0 {
 		t.Fatalf("%+v %v, want near to copy 8000 tokens from the keeper", p, ok)
 	}
-	if n := c.Counts(); n.Copies != 1 || n.Copied != 8_000 {
+	if n := c.counts; n.Copies != 1 || n.Copied != 8_000 {
 		t.Errorf("%+v", n)
 	}
 }
@@ -64,7 +64,7 @@
 		if p, ok := askTransfer(c, time.Second, 2); ok && p.Source != "" {
 			t.Errorf("%s: %+v", name, p)
 		}
-		if n := c.Counts().Copies; n != 0 {
+		if n := c.counts.Copies; n != 0 {
 			t.Errorf("%s: %d copies", name, n)
 		}
 	}
--- a/services/mesh/second.go
+++ b/services/mesh/second.go
@@ -27,7 +27,7 @@
 			continue
 		}
 		before := s.second
-		s.second = lastSecond{now, s.cell.Counts()}
+		s.second = lastSecond{now, s.cell.Counts(now)}
 		if !before.at.IsZero() {
 			l.tellSecond(key, before, s, s.cell.Load(now))
 		}
