--- a/core/batch/pace.go
+++ b/core/batch/pace.go
@@ -34,7 +34,7 @@
 	busy      float64       // the seconds that this took
 	done      time.Duration // done is how long the engine has been reading until countedAt.
 	countedAt time.Time
-	prior     float64       // tokens a second, before anything was measured
+	prior     float64 // tokens a second, before anything was measured
 	first     time.Duration
 	stream    time.Duration // stream is how long a request usually keeps its slot.
 	lastBegan time.Time
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -31,7 +31,7 @@
 	info     TargetInfo
 	engine   *batch.Engine
 	counted  time.Duration // counted is how much of its reading is in the cell's counts.
-	linkFree time.Time // linkFree is when the transfers that it takes part in are over.
+	linkFree time.Time     // linkFree is when the transfers that it takes part in are over.
 }
 
 type run struct {
--- a/core/cell/totals_test.go
+++ b/core/cell/totals_test.go
@@ -19,7 +19,7 @@
 		c.Step(epoch, crowdAsk(id))
 		c.Step(epoch.Add(200*time.Millisecond), BeganSeen{"e", id})
 	}
-	read := c.Counts(epoch.Add(200*time.Millisecond)).Reading
+	read := c.Counts(epoch.Add(200 * time.Millisecond)).Reading
 	if read < 350*time.Millisecond || read > 450*time.Millisecond {
 		t.Errorf("reading for %v, want 400ms for 16,000 tokens", read)
 	}
@@ -30,7 +30,7 @@
 	c.Step(now, EndedSeen{"e", 1, batch.OutcomeDone})
 	c.Step(now, EndedSeen{"e", 2, batch.OutcomeDone})
 	c.Step(now, TargetsSeen{TokensPerSecond: 40_000, Targets: targets[:1]})
-	if got := c.Counts(epoch.Add(200*time.Millisecond)).Reading; got != read {
+	if got := c.Counts(epoch.Add(200 * time.Millisecond)).Reading; got != read {
 		t.Errorf("reading for %v after a target went, %v before", got, read)
 	}
 	if n := c.Counts(now); n.AskedTokens != 16_000 || n.PlacedTokens != 16_000 || n.Read != 16_000 {
