mesh, follow: Count messages by kind and calls of the store by reason

Metrics for the bytes between gateways by kind of message and direction (one frame in 16 is measured) and for reads of the store by table and reason: first, gap, watch, stale.

--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -107,6 +107,31 @@
 	return staleAfter + time.Duration(bits.Len(uint(max(members, 1)-1)))*stalePerStep
 }
 
+// Reason names why the store is asked.
+type Reason string
+
+// The reasons.
+const (
+	ReasonFirst Reason = "first" // nothing is known, and no peer has told anything
+	ReasonGap   Reason = "gap"   // changes may be missing
+	ReasonWatch Reason = "watch" // this gateway asks all the time
+	ReasonStale Reason = "stale" // what is known has grown old
+)
+
+// Why returns the reason of a call that is due.
+func (w *Watch) Why(preferred bool) Reason {
+	switch {
+	case w.gap:
+		return ReasonGap
+	case w.freshAt.IsZero():
+		return ReasonFirst
+	case preferred:
+		return ReasonWatch
+	default:
+		return ReasonStale
+	}
+}
+
 // Asked notes that a call begins.
 func (w *Watch) Asked(now time.Time) { w.askedAt = now }
 
--- a/router/gatewaystate.go
+++ b/router/gatewaystate.go
@@ -60,6 +60,8 @@
 // WriteMetrics writes the gateway's figures in text form.
 func (g *Gateway) WriteMetrics(w io.Writer) {
 	g.forward.WriteMetrics(w)
+	g.follow.WriteMetrics(w)
+	g.loop.WriteMetrics(w)
 	d := g.Dump()
 	gauge := func(name string, v any) { fmt.Fprintf(w, "madderway_gateway_%s %v\n", name, v) }
 	gauge("ready", boolNumber(d.Ready))
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -5,11 +5,14 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gopkg.in/tomb.v2"
 
 	"madderway/core/watch"
@@ -64,14 +67,15 @@
 	targets            atomic.Pointer[routing.TargetSet]
 
 	peerNews chan peerNews
-	calls    atomic.Uint64
 	fetches  atomic.Uint64
+	counters *metrics.Set
+	calls    atomic.Uint64
 }
 
 // New returns a service; Start starts it.
 func New(t *tomb.Tomb, logger log.Logger, o Options) *Service {
 	s := &Service{
-		t: t, log: logger, opts: o, table: newTargetTable(), lapses: newLapses(), peerNews: make(chan peerNews, newsRing),
+		t: t, log: logger, opts: o, table: newTargetTable(), lapses: newLapses(), peerNews: make(chan peerNews, newsRing), counters: metrics.NewSet(),
 		watchConfiguration: watch.New(rand.Float64()), watchTargets: watch.New(rand.Float64()),
 	}
 	s.targets.Store((&routing.TargetSet{}).Build())
@@ -134,9 +138,13 @@
 func (s *Service) follow(what string, w *watch.Watch, step func(ctx context.Context, all bool, since uint64) (uint64, error)) {
 	ctx := s.t.Context(context.Background())
 	all, since, pause, lost := true, uint64(0), retryFirst, false
-	for s.awaitDue(w) {
+	for {
+		why, alive := s.awaitDue(w)
+		if !alive {
+			return
+		}
 		began := s.opts.Clock.Now()
-		s.calls.Add(1)
+		s.countCall(what, why)
 		revision, err := step(ctx, all, since)
 		switch {
 		case err == nil:
@@ -166,26 +174,35 @@
 	}
 }
 
-// awaitDue waits until the store is to be asked, and reports false where the
-// service ends.
-func (s *Service) awaitDue(w *watch.Watch) bool {
+func (s *Service) countCall(what string, why watch.Reason) {
+	s.calls.Add(1)
+	s.counters.GetOrCreateCounter(fmt.Sprintf("madderway_gateway_store_reads_total{table=%q,reason=%q}", what, why)).Inc()
+}
+
+// WriteMetrics writes the calls of the store by table and reason.
+func (s *Service) WriteMetrics(w io.Writer) { s.counters.WritePrometheus(w) }
+
+// awaitDue waits until the store is to be asked and returns why, and reports false
+// where the service ends.
+func (s *Service) awaitDue(w *watch.Watch) (why watch.Reason, alive bool) {
 	for s.t.Alive() {
 		preferred, members := s.opts.Fleet()
 		now := s.opts.Clock.Now()
 		s.mu.Lock()
 		wait := w.Next(now, preferred, members)
+		why := w.Why(preferred)
 		if wait == 0 {
 			w.Asked(now)
 		}
 		s.mu.Unlock()
 		if wait == 0 {
-			return true
+			return why, true
 		}
 		if !s.sleep(min(max(wait, lookLeast), lookMost)) {
-			return false
+			return why, false
 		}
 	}
-	return false
+	return "", false
 }
 
 func (s *Service) sleep(d time.Duration) bool {
--- a/services/mesh/api.go
+++ b/services/mesh/api.go
@@ -35,6 +35,7 @@
 	if err != nil {
 		return &wire.Reply{Error: err.Error()}
 	}
+	l.traffic.noteState(fetch.StateFetch.Targets, len(content))
 	return &wire.Reply{Ok: true, Content: content}
 }
 
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -106,6 +106,7 @@
 	seedsAt   []string        // seedsAt are the addresses of the seeds.
 	learned   []*peernet.Link // learned are gateways to call while no other one is known.
 	out       *peerwire.Outbox
+	traffic   traffic
 	nextSeed,
 	nextTally,
 	nextTick,
@@ -126,7 +127,7 @@
 	l := &Loop{
 		t: t, log: logger, opts: o, inputs: ring.New[input]("mesh", inputRing), members: member.New(o.Member, o.Self),
 		entry: entry.New(o.Self.ID), cells: map[cell.Key]*scheduled{}, undecided: map[cell.Key]*scheduled{}, layout: &cell.Layout{},
-		answers: map[cell.RequestID]chan Decision{}, links: map[string]*peernet.Link{}, out: peerwire.NewOutbox(lazyDelay),
+		answers: map[cell.RequestID]chan Decision{}, links: map[string]*peernet.Link{}, out: peerwire.NewOutbox(lazyDelay), traffic: newTraffic(),
 	}
 	l.requests.Store(firstID(o.Self.Incarnation))
 	l.size.Store(1)
--- a/services/mesh/step.go
+++ b/services/mesh/step.go
@@ -40,6 +40,7 @@
 // frame takes what a peer sent. Inventories come before asks, so that a new
 // scheduler knows the load before it places anything.
 func (l *Loop) frame(now time.Time, peer string, f *wire.Frame) {
+	l.traffic.note(receivedFromPeers, f)
 	if link := l.links[peer]; link != nil {
 		link.Reachable()
 	}
--- /dev/null
+++ b/services/mesh/traffic.go
@@ -0,0 +1,84 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package mesh
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/protobuf/proto"
+
+	"madderway/modules/wire"
+)
+
+// sizedOneIn is the share of frames whose parts are measured: it costs about as much
+// as encoding them.
+const sizedOneIn = 16
+
+// Directions of messages between gateways.
+const (
+	sentToPeers       = "sent"
+	receivedFromPeers = "received"
+)
+
+// traffic counts the bytes of messages between gateways by their kind, estimated from
+// a sample. The headers of packets and streams are not in it. It belongs to the loop.
+type traffic struct {
+	set    *metrics.Set
+	frames int
+}
+
+func newTraffic() traffic { return traffic{set: metrics.NewSet()} }
+
+// note counts a frame.
+func (t *traffic) note(direction string, f *wire.Frame) {
+	t.frames++
+	if t.frames%sizedOneIn != 0 {
+		return
+	}
+	add := func(kind string, size int) {
+		if size == 0 {
+			return
+		}
+		name := fmt.Sprintf("madderway_gateway_peer_message_bytes_total{kind=%q,direction=%q}", kind, direction)
+		t.set.GetOrCreateCounter(name).Add(size * sizedOneIn)
+	}
+	add("heartbeat", sizeOf(f.Heartbeat != nil, f.Heartbeat))
+	add("versions", sizeOf(f.Versions != nil, f.Versions))
+	add("ask", sizeOfAll(f.EngineAsks))
+	add("placement", sizeOfAll(f.EnginePlacements))
+	add("wait", sizeOfAll(f.EngineWaits))
+	add("refusal", sizeOfAll(f.EngineRefusals))
+	add("progress", sizeOfAll(f.EngineProgress))
+	add("inventory", sizeOfAll(f.EngineInventories))
+	add("tally", sizeOfAll(f.EngineTallies))
+}
+
+// noteState counts a configuration or list of targets that a peer was given.
+func (t *traffic) noteState(targets bool, size int) {
+	kind := "configuration"
+	if targets {
+		kind = "targets"
+	}
+	t.set.GetOrCreateCounter(fmt.Sprintf("madderway_gateway_peer_message_bytes_total{kind=%q,direction=%q}", kind, sentToPeers)).Add(size)
+}
+
+func sizeOf(there bool, m proto.Message) int {
+	if !there {
+		return 0
+	}
+	return proto.Size(m)
+}
+
+func sizeOfAll[M proto.Message](ms []M) int {
+	size := 0
+	for _, m := range ms {
+		size += proto.Size(m)
+	}
+	return size
+}
+
+// WriteMetrics writes the bytes between gateways by the kind of message.
+func (l *Loop) WriteMetrics(w io.Writer) { l.traffic.set.WritePrometheus(w) }
