overload: A full link is overload, too

Change: the bytes that cross a gateway's connections are counted; where the busier direction uses 0.8 of the link (a new setting, link_mbps, from the machine's limits) for a window, the governor admits less, max-min between accounts, before bodies are read, and callers come back at other gateways.

--- /dev/null
+++ b/core/overload/link.go
@@ -0,0 +1,45 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package overload
+
+import "time"
+
+const (
+	// linkHigh is the use of the link from which a machine counts as overloaded: packets
+	// begin to wait, and the headers of packets are not in what is counted.
+	linkHigh = 0.8
+	// linkSpan is the least time over which the use is measured; one request's body
+	// crosses the link in some ten milliseconds.
+	linkSpan = 100 * time.Millisecond
+)
+
+// Link tells how much of a machine's link is in use. It is not safe for concurrent
+// use.
+type Link struct {
+	perSecond      float64 // perSecond is how many bytes cross the link in a second, each way; 0 where that is not known.
+	at             time.Time
+	sent, received uint64
+	use            float64
+}
+
+// NewLink returns a link of so many megabits a second, 0 where that is not known.
+func NewLink(mbps float64) *Link { return &Link{perSecond: mbps * 1e6 / 8} }
+
+// Observe takes the bytes sent and received since the start and returns the use of
+// the busier direction, 1 where it is full.
+func (l *Link) Observe(now time.Time, sent, received uint64) float64 {
+	if l.perSecond <= 0 {
+		return 0
+	}
+	span := now.Sub(l.at)
+	if !l.at.IsZero() && span < linkSpan {
+		return l.use
+	}
+	if !l.at.IsZero() {
+		most := max(sent-l.sent, received-l.received)
+		l.use = float64(most) / span.Seconds() / l.perSecond
+	}
+	l.at, l.sent, l.received = now, sent, received
+	return l.use
+}
--- a/handlers/gateway/server.go
+++ b/handlers/gateway/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"madderway/models/routing"
+	"madderway/modules/netopt"
 )
 
 const (
@@ -39,6 +40,7 @@
 type Server struct {
 	handler  http.Handler
 	listener net.Listener
+	traffic  *netopt.Traffic
 	most     int64 // most is how many connections are open at once.
 	open     atomic.Int64
 
@@ -50,9 +52,9 @@
 }
 
 // NewServer returns a server with default limits and at most so many open
-// connections; Serve runs it.
-func NewServer(l net.Listener, h http.Handler, most int) *Server {
-	s := &Server{handler: h, listener: l, most: int64(most)}
+// connections, whose bytes are counted; Serve runs it.
+func NewServer(l net.Listener, h http.Handler, most int, traffic *netopt.Traffic) *Server {
+	s := &Server{handler: h, listener: l, most: int64(most), traffic: traffic}
 	s.replace(routing.Limits{})
 	return s
 }
@@ -112,7 +114,7 @@
 			s.turnAway(c)
 			continue
 		}
-		s.hand(&counted{Conn: c, open: &s.open})
+		s.hand(&counted{Conn: s.traffic.Count(c), open: &s.open})
 	}
 }
 
--- a/handlers/gateway/server_test.go
+++ b/handlers/gateway/server_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"madderway/models/routing"
+	"madderway/modules/netopt"
 )
 
 // flaky is a listener whose first accepts fail, as where descriptors are gone.
@@ -36,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := NewServer(&flaky{l, failures}, h, most)
+	s := NewServer(&flaky{l, failures}, h, most, &netopt.Traffic{})
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve() }()
 	t.Cleanup(func() {
--- a/modules/setting/gateway.go
+++ b/modules/setting/gateway.go
@@ -36,6 +36,7 @@
 	FairWindow  Duration `toml:"fair_window"`  // span over which client accounts are compared
 	MemoryMB    int64    `toml:"memory_mb"`
 	Descriptors int      `toml:"descriptors"`
+	LinkMbps    float64  `toml:"link_mbps"` // what the machine's link carries each way, 0 where that is not known
 	Verbosity   int      `toml:"verbosity"`
 }
 
@@ -116,5 +117,6 @@
 		checkRange("gateway.retry_extra", g.RetryExtra, 0, 1e6),
 		checkRange("gateway.memory_mb", g.MemoryMB, 16, 1<<20),
 		checkRange("gateway.descriptors", g.Descriptors, 64, 1<<24),
+		checkRange("gateway.link_mbps", g.LinkMbps, 0, 1e7),
 	)
 }
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -63,6 +63,7 @@
 	self     member.Record
 
 	meter   *peernet.Meter
+	traffic *netopt.Traffic // traffic is that with callers and targets.
 	loop    *mesh.Loop
 	follow  *follow.Service
 	pool    *upstream.Pool
@@ -80,7 +81,8 @@
 func StartGateway(s *setting.Gateway) (*Gateway, error) {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
 	g := &Gateway{
-		clock: clock.System{}, log: log.New("gateway").With(s.ID), meter: &peernet.Meter{}, draining: make(chan struct{}),
+		clock: clock.System{}, log: log.New("gateway").With(s.ID), meter: &peernet.Meter{}, traffic: &netopt.Traffic{},
+		draining: make(chan struct{}),
 	}
 	g.settings.Store(s)
 	g.self = member.Record{
@@ -130,7 +132,7 @@
 		Fleet: func() (bool, int) { return g.loop.Watches(), g.loop.Members() },
 		Start: watch.Start{Seed: len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.Peers), First: s.FirstStart},
 	})
-	g.pool = upstream.NewPool(dialTimeout, idlePerTarget)
+	g.pool = upstream.NewPool(dialTimeout, idlePerTarget, g.traffic)
 	members := member.DefaultConfig()
 	members.Interval, members.SuspectAfter, members.DeadAfter = 400*time.Millisecond, 1200*time.Millisecond, 1500*time.Millisecond
 	members.Greet, members.MaxRumors = true, maxRumors
@@ -144,7 +146,7 @@
 		Self: discover.Entry{ID: s.ID, Address: s.Peers}, Register: platform.NewGateways(store), Peers: g.loop, Clock: g.clock,
 		Empty: s.FirstStart,
 	})
-	guard := forward.NewGuard(log.New("guard").With(s.ID), g.clock)
+	guard := forward.NewGuard(log.New("guard").With(s.ID), g.clock, g.crossed, s.LinkMbps)
 	g.forward = forward.New(log.New("forward").With(s.ID), forward.Options{
 		DataHall: s.DataHall, Clock: g.clock, Follow: g.follow, Mesh: g.loop, Client: client,
 		Guard: guard, Retry: retryBudget(s),
@@ -158,6 +160,12 @@
 	}
 }
 
+// crossed returns the bytes that have crossed the machine's link.
+func (g *Gateway) crossed() (sent, received uint64) {
+	sent, received = g.traffic.Bytes()
+	return sent + g.meter.Bytes(), received + g.meter.Received.Load()
+}
+
 func retryBudget(s *setting.Gateway) forward.RetryBudget {
 	return forward.RetryBudget{Window: s.RetryWindow.Duration, Ratio: s.RetryRatio, Extra: s.RetryExtra}
 }
@@ -195,7 +203,7 @@
 }
 
 func (g *Gateway) serve(listeners []net.Listener) {
-	g.callers = gateway.NewServer(listeners[0], g.handler, int(callerShare*float64(g.settings.Load().Descriptors)))
+	g.callers = gateway.NewServer(listeners[0], g.handler, int(callerShare*float64(g.settings.Load().Descriptors)), g.traffic)
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.ReadinessPath, g.answerReadiness)
 	g.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
--- a/services/forward/guard.go
+++ b/services/forward/guard.go
@@ -22,25 +22,33 @@
 	log   log.Logger
 	clock clock.Clock
 
+	// bytes tells what has crossed the link so far.
+	bytes func() (sent, received uint64)
+
 	mu       sync.Mutex
 	governor *overload.Governor
+	link     *overload.Link
 }
 
-// NewGuard returns a guard that admits everything.
-func NewGuard(logger log.Logger, c clock.Clock) *Guard {
-	return &Guard{log: logger, clock: c, governor: overload.New()}
+// NewGuard returns a guard that admits everything, on a machine with a link of so many
+// megabits a second, 0 where that is not known; bytes tells what has crossed it so far.
+func NewGuard(logger log.Logger, c clock.Clock, bytes func() (sent, received uint64), linkMbps float64) *Guard {
+	return &Guard{log: logger, clock: c, bytes: bytes, governor: overload.New(), link: overload.NewLink(linkMbps)}
 }
 
 // Late takes how late the process has come to its work.
 func (g *Guard) Late(lateness time.Duration) {
+	now := g.clock.Now()
+	sent, received := g.bytes()
 	g.mu.Lock()
-	changed := g.governor.Observe(g.clock.Now(), lateness)
+	use := g.link.Observe(now, sent, received)
+	changed := g.governor.Observe(now, lateness, use)
 	share, refused := g.governor.Share(), g.governor.Refused()
 	g.mu.Unlock()
 	switch {
 	case !changed:
 	case share < 1:
-		g.log.Warn("Overloaded, refusing some requests.", "late", lateness, "share", share)
+		g.log.Warn("Overloaded, refusing some requests.", "late", lateness, "link", float64(int(100*use))/100, "share", share)
 	default:
 		g.log.Info("No longer overloaded.", "refused since the start", refused)
 	}
@@ -57,5 +65,7 @@
 	g.mu.Lock()
 	share, refused := g.governor.Share(), g.governor.Refused()
 	g.mu.Unlock()
+	sent, received := g.bytes()
+	fmt.Fprintf(w, "madderway_gateway_bytes_total{direction=\"sent\"} %d\nmadderway_gateway_bytes_total{direction=\"received\"} %d\n", sent, received)
 	fmt.Fprintf(w, "madderway_gateway_admitted_share %v\nmadderway_gateway_overload_refused_total %d\n", share, refused)
 }
--- a/services/upstream/exchange_test.go
+++ b/services/upstream/exchange_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"madderway/models/routing"
+	"madderway/modules/netopt"
 )
 
 // plainDialect is a small dialect of the tests' own.
@@ -133,7 +134,7 @@
 }
 
 func newClient() (*Client, *Pool) {
-	p := NewPool(time.Second, 4)
+	p := NewPool(time.Second, 4, &netopt.Traffic{})
 	return NewClient(p, plainDialect{}), p
 }
 
--- a/services/upstream/pool.go
+++ b/services/upstream/pool.go
@@ -37,7 +37,8 @@
 
 // Pool holds the idle connections to all targets.
 type Pool struct {
-	dialer *net.Dialer
+	dialer  *net.Dialer
+	traffic *netopt.Traffic
 
 	mu      sync.Mutex
 	idle    map[string][]*conn // by target ID, the latest used last
@@ -45,9 +46,10 @@
 	dials   uint64
 }
 
-// NewPool returns a pool that keeps at most maxIdle connections for each target.
-func NewPool(dialTimeout time.Duration, maxIdle int) *Pool {
-	return &Pool{dialer: netopt.Dialer(dialTimeout), idle: map[string][]*conn{}, maxIdle: maxIdle}
+// NewPool returns a pool that keeps at most maxIdle connections for each target, whose
+// bytes are counted.
+func NewPool(dialTimeout time.Duration, maxIdle int, traffic *netopt.Traffic) *Pool {
+	return &Pool{dialer: netopt.Dialer(dialTimeout), traffic: traffic, idle: map[string][]*conn{}, maxIdle: maxIdle}
 }
 
 // SetMaxIdle changes how many idle connections are kept for each target.
@@ -114,7 +116,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), keep: idleDefault}, nil
+	counted := p.traffic.Count(raw)
+	return &conn{Conn: counted, reader: bufio.NewReaderSize(counted, readBuffer), keep: idleDefault}, nil
 }
 
 func (p *Pool) put(id string, c *conn) {
@@ -135,7 +138,11 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
+	counted, ok := c.Conn.(interface{ NetConn() net.Conn })
+	if !ok {
+		return false
+	}
+	tcp, ok := counted.NetConn().(*net.TCPConn)
 	if !ok {
 		return false
 	}
