watch: A large fleet asks the store little while it is away

Change: who asks first is spread over 0.5 s for each 60 gateways, and the pause after a failed call grows to 1 s for each 30, so that the fleet as a whole tries as often as a small one; who reaches the store tells the others.

--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -22,10 +22,17 @@
 	Pace = 250 * time.Millisecond
 	// staleAfter is the age of knowledge at which any gateway asks, stalePerStep
 	// longer for each doubling of the fleet, since word of mouth takes so much
-	// longer, and after a delay of its own so that not all ask at once.
-	staleAfter   = 1200 * time.Millisecond
-	stalePerStep = 150 * time.Millisecond
-	staleSpread  = 500 * time.Millisecond
+	// longer, and after a delay of its own so that not all ask at once: up to
+	// staleSpread, longer in proportion in a fleet of more than spreadMembers. Who asks
+	// first tells the others.
+	staleAfter    = 1200 * time.Millisecond
+	stalePerStep  = 150 * time.Millisecond
+	staleSpread   = 500 * time.Millisecond
+	spreadMembers = 60
+	// retryMost is the longest pause after a call that failed, longer in proportion in
+	// a fleet of more than retryMembers: all of them together try as often.
+	retryMost    = time.Second
+	retryMembers = 30
 	// firstWait is how long a gateway leaves it to its peers to tell what there is when
 	// the whole fleet starts for the first time, firstSpread what others wait longer:
 	// news crosses 300 gateways within some hundred milliseconds, and they all start
@@ -46,7 +53,7 @@
 
 // Watch is what one gateway believes of the age of one table.
 type Watch struct {
-	delay   time.Duration
+	draw    float64   // draw, between 0 and 1, is this gateway's own.
 	freshAt time.Time // freshAt is the latest time at which what is known here was all there was.
 	askedAt time.Time
 	backAt  time.Time // backAt is when a long silence ended.
@@ -55,8 +62,17 @@
 }
 
 // New returns a watch; draw, between 0 and 1, is the gateway's own delay.
-func New(draw float64) *Watch {
-	return &Watch{delay: time.Duration(draw * float64(staleSpread))}
+func New(draw float64) *Watch { return &Watch{draw: draw} }
+
+// delay returns how much later than the first one this gateway asks.
+func (w *Watch) delay(members int) time.Duration {
+	spread := staleSpread * time.Duration(max(members, spreadMembers)) / spreadMembers
+	return time.Duration(w.draw * float64(spread))
+}
+
+// RetryMost returns the longest pause after a call of the store that failed.
+func RetryMost(members int) time.Duration {
+	return retryMost * time.Duration(max(members, retryMembers)) / retryMembers
 }
 
 // Start tells how a gateway starts.
@@ -97,7 +113,7 @@
 		return max(w.beginAt.Sub(now), 0)
 	}
 	due := w.askedAt.Add(Pace)
-	if stale := w.freshAt.Add(staleAge(members) + w.delay); !preferred && stale.After(due) {
+	if stale := w.freshAt.Add(staleAge(members) + w.delay(members)); !preferred && stale.After(due) {
 		due = stale
 	}
 	return max(due.Sub(now), 0)
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -23,7 +23,6 @@
 
 const (
 	retryFirst = 50 * time.Millisecond
-	retryMax   = time.Second
 	// lookLeast and lookMost bound how long it is waited before it is decided again
 	// whether to ask the store: what peers tell only puts that off, but who asks all
 	// the time changes with the members.
@@ -170,7 +169,8 @@
 		if !s.sleep(pause/2 + rand.N(pause)) {
 			return
 		}
-		pause = min(2*pause, retryMax)
+		_, members := s.opts.Fleet()
+		pause = min(2*pause, watch.RetryMost(members))
 	}
 }
 
