place: Cells are scheduled on strong gateways that keep up with their callers

Cause: 280 of the 295 gateways have 0.19 of a core and schedule as often as the 15 with 0.8; and a gateway that cannot keep up with its own callers (processor or link) still schedules cells, which then suffer with it.

Change: members tell how much of a core they have (a new setting, processor, from the machine's limits); cells draw their schedulers by weighted rendezvous hashing, with the third power of that. A gateway that refuses requests for 0.7 s tells 1 percent until it has admitted all for 5 s. Equal gateways are drawn as before.

--- a/core/cell/layout.go
+++ b/core/cell/layout.go
@@ -41,7 +41,7 @@
 // preference.
 func (g *Group) Schedulers() []string {
 	if g.schedulers == nil {
-		g.schedulers = place.Top(g.layout.nodes, string(g.Key), candidates)
+		g.schedulers = place.TopByStrength(g.layout.nodes, string(g.Key), candidates)
 	}
 	return g.schedulers
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -40,6 +40,7 @@
 	Address     string
 	DataHall    string
 	Region      string
+	Strength    uint32 // Strength is what the member has to give to scheduling, in percent of a core; 0 is not said.
 }
 
 // newer tells whether r overrides old.
@@ -80,12 +81,16 @@
 // Leave makes this member tell the others that it is leaving.
 type Leave struct{}
 
+// StrengthSeen tells what this member has to give to scheduling from now on.
+type StrengthSeen struct{ Percent uint32 }
+
 // Tick lets time pass.
 type Tick struct{}
 
 func (ListSeen) isEvent()      {}
 func (HeartbeatSeen) isEvent() {}
 func (Leave) isEvent()         {}
+func (StrengthSeen) isEvent()  {}
 func (Tick) isEvent()          {}
 
 // Action is something that the owner of a List must do.
@@ -199,6 +204,13 @@
 		l.nextBeat = now
 		l.changed = true
 		l.beatAll()
+	case StrengthSeen:
+		if l.self.Strength != e.Percent {
+			l.self.Strength = e.Percent
+			l.self.Epoch++
+			l.nextBeat = now
+			l.changed = true
+		}
 	case Tick:
 		l.tick(now)
 	}
@@ -446,11 +458,11 @@
 func (l *List) Nodes() []place.Node {
 	var nodes []place.Node
 	if l.self.State == StateAlive {
-		nodes = append(nodes, place.Node{ID: l.self.ID, DataHall: l.self.DataHall, Region: l.self.Region})
+		nodes = append(nodes, place.Node{ID: l.self.ID, DataHall: l.self.DataHall, Region: l.self.Region, Strength: l.self.Strength})
 	}
 	for _, id := range l.sorted {
 		if m := l.members[id]; m.State == StateAlive {
-			nodes = append(nodes, place.Node{ID: id, DataHall: m.DataHall, Region: m.Region})
+			nodes = append(nodes, place.Node{ID: id, DataHall: m.DataHall, Region: m.Region, Strength: m.Strength})
 		}
 	}
 	return nodes
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -186,3 +186,18 @@
 		t.Errorf("an old incarnation's word changed %+v", r)
 	}
 }
+
+// What a member has to give to scheduling is told to all, like its state.
+func TestStrengthIsTold(t *testing.T) {
+	g := newGroup(9)
+	g.run(3 * time.Second)
+	g.deliver(id(4), g.lists[id(4)].Step(g.now, StrengthSeen{Percent: 19}))
+	g.run(2 * time.Second)
+	for _, at := range keys(g.lists) {
+		for _, n := range g.lists[at].Nodes() {
+			if n.ID == id(4) && n.Strength != 19 {
+				t.Errorf("%s takes the strength for %d", at, n.Strength)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/overload/duties.go
@@ -0,0 +1,42 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package overload
+
+import "time"
+
+const (
+	// dropAfter is how long a gateway must refuse requests before it leaves scheduling to
+	// others, takeAfter how long it must admit all before it takes part again: each
+	// move of a cell costs its new scheduler what the old one knew.
+	dropAfter = 700 * time.Millisecond
+	takeAfter = 5 * time.Second
+)
+
+// Duties decides whether a gateway schedules for others while it cannot keep up with
+// its own callers. It is not safe for concurrent use.
+type Duties struct {
+	dropped bool
+	since   time.Time // since is when the share began to say otherwise; zero while it agrees.
+}
+
+// Observe takes the share of requests that is admitted. It reports whether the gateway
+// keeps its duties, and whether that has changed.
+func (d *Duties) Observe(now time.Time, share float64) (keeps, changed bool) {
+	if (share < 1) == d.dropped {
+		d.since = time.Time{}
+		return !d.dropped, false
+	}
+	if d.since.IsZero() {
+		d.since = now
+	}
+	patience := dropAfter
+	if d.dropped {
+		patience = takeAfter
+	}
+	if now.Sub(d.since) < patience {
+		return !d.dropped, false
+	}
+	d.dropped, d.since = !d.dropped, time.Time{}
+	return !d.dropped, true
+}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -71,3 +72,40 @@
 		t.Fatalf("%d hints", m.Len())
 	}
 }
+
+// Strong nodes get nearly all of the work that weak ones should not get; equal ones get
+// even parts, and a node that leaves moves nothing but its own.
+func TestStrongNodesAreDrawnFirst(t *testing.T) {
+	var fleet []Node
+	for i := range 300 {
+		n := Node{ID: fmt.Sprintf("g%03d", i), Strength: 19}
+		if i < 20 {
+			n.Strength = 80
+		}
+		fleet = append(fleet, n)
+	}
+	strong, moved := 0, 0
+	const keys = 1000
+	for i := range keys {
+		key := fmt.Sprint("s/", i)
+		first := TopByStrength(fleet, key, 3)[0]
+		if first < "g020" {
+			strong++
+		}
+		if first != fleet[7].ID && TopByStrength(append(slices.Clone(fleet[:7]), fleet[8:]...), key, 3)[0] != first {
+			moved++
+		}
+	}
+	if strong < keys*3/4 || moved != 0 {
+		t.Errorf("%d of %d keys on strong nodes, %d moved", strong, keys, moved)
+	}
+	drawn := map[string]int{}
+	for i := range keys {
+		drawn[TopByStrength(fleet[:10], fmt.Sprint("s/", i), 3)[0]]++
+	}
+	for id, n := range drawn {
+		if n < keys/20 || n > keys/5 {
+			t.Errorf("%s of ten equal nodes has %d of %d keys", id, n, keys)
+		}
+	}
+}
--- a/core/place/rendezvous.go
+++ b/core/place/rendezvous.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -16,6 +17,9 @@
 	ID       string
 	DataHall string
 	Region   string
+	// Strength is how much of a processor core the router has to give, in percent; 0
+	// counts as a whole core.
+	Strength uint32
 }
 
 // Site is where a target stands.
@@ -57,15 +61,42 @@
 
 // Top returns the IDs of the k nodes with the highest hash for a key.
 func Top(nodes []Node, key string, k int) []string {
+	return top(nodes, k, func(n Node) float64 { return unit(hash(n.ID, key)) })
+}
+
+// strengthPower makes a node with four times the processor time 64 times as likely to
+// be drawn, so that few weak nodes are among the first while strong ones are there,
+// and all are drawn evenly where they are equal.
+const strengthPower = 3
+
+// TopByStrength is Top for work that weak nodes should not get: each node has as many
+// chances as its strength gives it (weighted rendezvous hashing).
+func TopByStrength(nodes []Node, key string, k int) []string {
+	return top(nodes, k, func(n Node) float64 {
+		strength := float64(n.Strength) / wholeCore
+		if n.Strength == 0 {
+			strength = 1
+		}
+		return math.Pow(strength, strengthPower) / -math.Log(unit(hash(n.ID, key)))
+	})
+}
+
+const wholeCore = 100 // percent
+
+// unit maps a hash to a number between 0 and 1, neither included.
+func unit(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
+
+// top returns the IDs of the k nodes with the highest score.
+func top(nodes []Node, k int, score func(n Node) float64) []string {
 	type scored struct {
-		id   string
-		hash uint64
+		id    string
+		score float64
 	}
 	top := make([]scored, 0, k+1)
 	for _, n := range nodes {
-		s := scored{n.ID, hash(n.ID, key)}
+		s := scored{n.ID, score(n)}
 		at := len(top)
-		for at > 0 && top[at-1].hash < s.hash {
+		for at > 0 && top[at-1].score < s.score {
 			at--
 		}
 		if at >= k {
--- a/modules/setting/gateway.go
+++ b/modules/setting/gateway.go
@@ -36,6 +36,7 @@
 	FairWindow  Duration `toml:"fair_window"`  // span over which client accounts are compared
 	MemoryMB    int64    `toml:"memory_mb"`
 	Descriptors int      `toml:"descriptors"`
+	Processor   float64  `toml:"processor"` // share of a core that the machine has
 	LinkMbps    float64  `toml:"link_mbps"` // what the machine's link carries each way, 0 where that is not known
 	Verbosity   int      `toml:"verbosity"`
 }
@@ -49,7 +50,7 @@
 	return Gateway{
 		StoreCall: Duration{time.Second},
 		Grace:     Duration{8 * time.Second}, Linger: Duration{2200 * time.Millisecond},
-		RetryWindow: Duration{10 * time.Second}, RetryRatio: 0.2, FairWindow: Duration{4 * time.Second}, MemoryMB: 256, Descriptors: 1024,
+		RetryWindow: Duration{10 * time.Second}, RetryRatio: 0.2, FairWindow: Duration{4 * time.Second}, MemoryMB: 256, Descriptors: 1024, Processor: 1,
 	}
 }
 
@@ -117,6 +118,7 @@
 		checkRange("gateway.retry_extra", g.RetryExtra, 0, 1e6),
 		checkRange("gateway.memory_mb", g.MemoryMB, 16, 1<<20),
 		checkRange("gateway.descriptors", g.Descriptors, 64, 1<<24),
+		checkRange("gateway.processor", g.Processor, 0.01, 1024),
 		checkRange("gateway.link_mbps", g.LinkMbps, 0, 1e7),
 	)
 }
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -87,6 +87,7 @@
 	g.settings.Store(s)
 	g.self = member.Record{
 		ID: s.ID, Incarnation: ident.Incarnation(g.clock.Now().Unix()), Address: s.Peers, DataHall: s.DataHall, Region: s.Region,
+		Strength: strengthOf(s, true),
 	}
 	addresses := []string{s.Peers, s.Callers, s.Readiness}
 	if s.Metrics != "" {
@@ -146,7 +147,9 @@
 		Self: discover.Entry{ID: s.ID, Address: s.Peers}, Register: platform.NewGateways(store), Peers: g.loop, Clock: g.clock,
 		Empty: s.FirstStart,
 	})
-	guard := forward.NewGuard(log.New("guard").With(s.ID), g.clock, g.crossed, s.LinkMbps)
+	guard := forward.NewGuard(log.New("guard").With(s.ID), g.clock, g.crossed, s.LinkMbps, func(keepsUp bool) {
+		g.loop.SetStrength(strengthOf(s, keepsUp))
+	})
 	g.forward = forward.New(log.New("forward").With(s.ID), forward.Options{
 		DataHall: s.DataHall, Clock: g.clock, Follow: g.follow, Mesh: g.loop, Client: client,
 		Guard: guard, Retry: retryBudget(s),
@@ -166,6 +169,16 @@
 	return sent + g.meter.Bytes(), received + g.meter.Received.Load()
 }
 
+// strengthOf returns what the machine has to give to scheduling, in percent of a core.
+// One that cannot keep up with its callers leaves it to others.
+func strengthOf(s *setting.Gateway, keepsUp bool) uint32 {
+	const percent = 100
+	if !keepsUp {
+		return 1
+	}
+	return uint32(max(s.Processor*percent, 1))
+}
+
 func retryBudget(s *setting.Gateway) forward.RetryBudget {
 	return forward.RetryBudget{Window: s.RetryWindow.Duration, Ratio: s.RetryRatio, Extra: s.RetryExtra}
 }
--- a/services/forward/guard.go
+++ b/services/forward/guard.go
@@ -28,12 +28,16 @@
 	mu       sync.Mutex
 	governor *overload.Governor
 	link     *overload.Link
+	duties   overload.Duties
+	onDuties func(keepsUp bool)
 }
 
 // NewGuard returns a guard that admits everything, on a machine with a link of so many
 // megabits a second, 0 where that is not known; bytes tells what has crossed it so far.
-func NewGuard(logger log.Logger, c clock.Clock, bytes func() (sent, received uint64), linkMbps float64) *Guard {
-	return &Guard{log: logger, clock: c, bytes: bytes, governor: overload.New(), link: overload.NewLink(linkMbps)}
+// onDuties is called when the gateway can no longer schedule for others, and when it
+// can again.
+func NewGuard(logger log.Logger, c clock.Clock, bytes func() (sent, received uint64), linkMbps float64, onDuties func(keepsUp bool)) *Guard {
+	return &Guard{log: logger, clock: c, bytes: bytes, governor: overload.New(), link: overload.NewLink(linkMbps), onDuties: onDuties}
 }
 
 // Late takes how late the process has come to its work.
@@ -44,7 +48,12 @@
 	use := g.link.Observe(now, sent, received)
 	changed := g.governor.Observe(now, lateness, use)
 	share, refused := g.governor.Share(), g.governor.Refused()
+	keepsUp, moved := g.duties.Observe(now, share)
 	g.mu.Unlock()
+	if moved {
+		g.log.Info("Scheduling for others changed.", "keeps_up", keepsUp, "late", lateness, "link", float64(int(100*use))/100, "share", share)
+		g.onDuties(keepsUp)
+	}
 	switch {
 	case !changed:
 	case share < 1:
--- a/services/mesh/api.go
+++ b/services/mesh/api.go
@@ -79,6 +79,10 @@
 // Leave tells the other gateways that this one is leaving.
 func (l *Loop) Leave() { l.put(memberIn{member.Leave{}}) }
 
+// SetStrength tells the other gateways what this one has to give to scheduling, in
+// percent of a core.
+func (l *Loop) SetStrength(percent uint32) { l.put(memberIn{member.StrengthSeen{Percent: percent}}) }
+
 // NextID returns an ID for a request to submit.
 func (l *Loop) NextID() cell.RequestID { return cell.RequestID(l.requests.Add(1)) }
 
--- a/services/peerwire/member.go
+++ b/services/peerwire/member.go
@@ -12,7 +12,7 @@
 func MemberToWire(r member.Record) *wire.Member {
 	return &wire.Member{
 		Id: r.ID, Incarnation: r.Incarnation, Epoch: r.Epoch, State: uint32(r.State),
-		Address: r.Address, DataHall: r.DataHall, Region: r.Region,
+		Address: r.Address, DataHall: r.DataHall, Region: r.Region, Strength: r.Strength,
 	}
 }
 
@@ -24,7 +24,7 @@
 	}
 	return member.Record{
 		ID: m.Id, Incarnation: m.Incarnation, Epoch: m.Epoch, State: state,
-		Address: m.Address, DataHall: m.DataHall, Region: m.Region,
+		Address: m.Address, DataHall: m.DataHall, Region: m.Region, Strength: m.Strength,
 	}, true
 }
 
