overload: A full link ends the duties, not the admission

A refused request's body has crossed the link already, and comes again at another thin link; a few bodies fill 0.8 of 10 Mbit/s for a window of 150 ms.

Change: reverted for admission. A link that stays full for 0.7 s is a reason to leave scheduling to others, measured over 0.5 s.

--- a/core/overload/duties.go
+++ b/core/overload/duties.go
@@ -6,7 +6,7 @@
 import "time"
 
 const (
-	// dropAfter is how long a gateway must refuse requests before it leaves scheduling to
+	// dropAfter is how long a gateway must refuse requests, or have a full link, before it leaves scheduling to
 	// others, takeAfter how long it must admit all before it takes part again: each
 	// move of a cell costs its new scheduler what the old one knew.
 	dropAfter = 700 * time.Millisecond
@@ -17,13 +17,13 @@
 // its own callers. It is not safe for concurrent use.
 type Duties struct {
 	dropped bool
-	since   time.Time // since is when the share began to say otherwise; zero while it agrees.
+	since   time.Time // since is when what is observed began to say otherwise; zero while it agrees.
 }
 
-// Observe takes the share of requests that is admitted. It reports whether the gateway
-// keeps its duties, and whether that has changed.
-func (d *Duties) Observe(now time.Time, share float64) (keeps, changed bool) {
-	if (share < 1) == d.dropped {
+// Observe takes the share of requests that is admitted and how much of the link is in
+// use. It reports whether the gateway keeps its duties, and whether that has changed.
+func (d *Duties) Observe(now time.Time, share, link float64) (keeps, changed bool) {
+	if (share < 1 || link >= linkHigh) == d.dropped {
 		d.since = time.Time{}
 		return !d.dropped, false
 	}
--- a/core/overload/link.go
+++ b/core/overload/link.go
@@ -6,12 +6,12 @@
 import "time"
 
 const (
-	// linkHigh is the use of the link from which a machine counts as overloaded: packets
-	// begin to wait, and the headers of packets are not in what is counted.
+	// linkHigh is the use of the link from which a machine leaves scheduling to others:
+	// packets begin to wait, and their headers are not in what is counted.
 	linkHigh = 0.8
-	// linkSpan is the least time over which the use is measured; one request's body
-	// crosses the link in some ten milliseconds.
-	linkSpan = 100 * time.Millisecond
+	// linkSpan is the least time over which the use is measured: a few bodies that come
+	// at once fill a thin link for some hundred milliseconds.
+	linkSpan = 500 * time.Millisecond
 )
 
 // Link tells how much of a machine's link is in use. It is not safe for concurrent
--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -4,8 +4,8 @@
 // Package overload protects a gateway that is given less of the processor than
 // its callers ask of it. Callers land unevenly: one gateway may be asked for ten
 // times what others are, and where it serves all of that late, nobody is served
-// in time. A Governor watches how late the process comes to its work and how full the
-// machine's link is; while either stays high, it refuses a part of the requests at once, so that they come back
+// in time. A Governor watches how late the process comes to its work; while that
+// stays high, it refuses a part of the requests at once, so that they come back
 // at another gateway. Accounts that ask for the most are refused first: what is
 // admitted is shared max-min between accounts. A Governor is a pure state
 // machine; it is not safe for concurrent use.
@@ -40,7 +40,6 @@
 	began   time.Time
 	least   time.Duration // least is the least lateness of this window.
 	samples int
-	full    int // full counts the samples of this window in which the link was full.
 	asked   map[string]*count
 	level   float64 // level is the most that an account is admitted for; 0 for any number.
 	refused uint64
@@ -62,25 +61,20 @@
 // New returns a governor that admits everything.
 func New() *Governor { return &Governor{share: 1, asked: map[string]*count{}} }
 
-// Observe takes how late the process has come to its work and how much of the link
-// is in use. It reports whether what is admitted has changed between all and less
-// than all.
-func (g *Governor) Observe(now time.Time, lateness time.Duration, link float64) (changed bool) {
+// Observe takes how late the process has come to its work. It reports whether
+// what is admitted has changed between all and less than all.
+func (g *Governor) Observe(now time.Time, lateness time.Duration) (changed bool) {
 	if g.samples == 0 {
-		g.began, g.least, g.full = now, lateness, 0
+		g.began, g.least = now, lateness
 	}
 	g.samples++
-	if link >= linkHigh {
-		g.full++
-	}
 	g.least = min(g.least, lateness)
 	if now.Sub(g.began) < window {
 		return false
 	}
 	before := g.share
 	// A sample that is late by a whole window stands for all of it.
-	isLate := (g.samples > 1 || lateness >= window) && g.least >= late
-	if isLate || g.full == g.samples {
+	if (g.samples > 1 || lateness >= window) && g.least >= late {
 		g.share = max(lessShare*g.share, leastShare)
 	} else {
 		g.share = min(g.share+moreShare, 1)
--- a/services/forward/guard.go
+++ b/services/forward/guard.go
@@ -46,9 +46,9 @@
 	sent, received := g.bytes()
 	g.mu.Lock()
 	use := g.link.Observe(now, sent, received)
-	changed := g.governor.Observe(now, lateness, use)
+	changed := g.governor.Observe(now, lateness)
 	share, refused := g.governor.Share(), g.governor.Refused()
-	keepsUp, moved := g.duties.Observe(now, share)
+	keepsUp, moved := g.duties.Observe(now, share, use)
 	g.mu.Unlock()
 	if moved {
 		g.log.Info("Scheduling for others changed.", "keeps_up", keepsUp, "late", lateness, "link", float64(int(100*use))/100, "share", share)
