entry: A strained gateway refuses where a scheduler is silent

Change: a gateway that cannot keep up gives schedulers three times as long, suspects none and refuses what is not answered, to come back at another gateway.

--- a/core/entry/event.go
+++ b/core/entry/event.go
@@ -67,6 +67,10 @@
 // PeerRestarted tells that a gateway has ended or begun a new life.
 type PeerRestarted struct{ ID string }
 
+// StrainSeen tells whether this gateway cannot keep up with its callers: its processor
+// or its link is short, so that what schedulers answer is late here.
+type StrainSeen struct{ Strained bool }
+
 // Tick lets time pass. Lag is how late it comes: in that time the gateway did
 // not hear what it was sent.
 type Tick struct{ Lag time.Duration }
@@ -81,6 +85,7 @@
 func (LayoutSeen) isEvent()    {}
 func (PeerHeard) isEvent()     {}
 func (PeerRestarted) isEvent() {}
+func (StrainSeen) isEvent()    {}
 func (Tick) isEvent()          {}
 
 // Action is something that the owner of a Machine must do.
--- a/core/entry/machine.go
+++ b/core/entry/machine.go
@@ -18,6 +18,9 @@
 	// moveShare is the part of the objective that a second cell may take.
 	moveShare     = 0.15
 	noTargetRetry = 500 * time.Millisecond
+	// strainedRetry is when a caller may come back whom a strained gateway cannot
+	// place: at once, since that takes it to another gateway.
+	strainedRetry = 50 * time.Millisecond
 )
 
 type pending struct {
@@ -54,6 +57,7 @@
 	seats    map[cell.Key]*seat
 	suspects map[string]*suspicion
 	lag      time.Duration // lag is how late all ticks came, together.
+	strained bool          // strained tells that this gateway cannot keep up with its callers.
 	out      []Action
 }
 
@@ -91,6 +95,8 @@
 		delete(m.suspects, e.ID)
 	case PeerRestarted:
 		m.forget(e.ID)
+	case StrainSeen:
+		m.strained = e.Strained
 	case Tick:
 		m.lag += e.Lag
 		m.tick(now)
@@ -140,6 +146,14 @@
 	m.emit(AskOut{p.to, p.cell, ask})
 }
 
+// giveUp refuses a request whose scheduler is silent at a strained gateway. The cause
+// is probably here, and to place it without knowing the engines' load would cost the
+// requests of all other gateways.
+func (m *Machine) giveUp(p *pending) {
+	m.withdraw(p.ask.ID)
+	m.emit(Refuse{p.ask.ID, m.self, strainedRetry})
+}
+
 // sit makes a gateway the scheduler in use for a cell; a new one is told all
 // that runs here.
 func (m *Machine) sit(now time.Time, key cell.Key, scheduler string) {
@@ -251,7 +265,11 @@
 func (m *Machine) tick(now time.Time) {
 	patience := m.patience(now)
 	for _, p := range m.pending {
-		if m.silent(now, p, patience) {
+		switch {
+		case !m.silent(now, p, patience):
+		case m.strained:
+			m.giveUp(p)
+		default:
 			m.suspect(now, p)
 			m.askNext(now, p)
 		}
--- a/core/entry/machine_test.go
+++ b/core/entry/machine_test.go
@@ -290,6 +290,33 @@
 	}
 }
 
+// A gateway whose own link or processor is short takes no scheduler for silent and
+// places nothing by itself: one on a full link placed a hundred requests a second on
+// engines whose load it did not know.
+func TestStrainedGatewayPlacesNothingItself(t *testing.T) {
+	f := setUp(t)
+	f.after(0, StrainSeen{true})
+	f.after(0, submit(1))
+	if actions := f.after(2*silentAfter, Tick{}); asked(actions) != "" {
+		t.Fatalf("asked another scheduler: %+v", actions)
+	}
+	actions := f.after(2*silentAfter, Tick{})
+	if _, ok := find[Suspect](actions); ok || asked(actions) != "" {
+		t.Errorf("took the scheduler for silent: %+v", actions)
+	}
+	if r, ok := find[Refuse](actions); !ok || r.RetryAfter != strainedRetry || f.Pending() != 0 {
+		t.Errorf("%+v: want a refusal", actions)
+	}
+	if p, ok := find[ProgressOut](actions); !ok || p.Step != StepWithdrawn {
+		t.Errorf("%+v: the scheduler is not told", actions)
+	}
+	f.after(0, StrainSeen{false})
+	f.after(0, submit(2))
+	if to := asked(f.after(2*silentAfter, Tick{})); to != f.second {
+		t.Errorf("asked %q when it keeps up again", to)
+	}
+}
+
 func TestWithdrawnAskIsTakenBack(t *testing.T) {
 	f := setUp(t)
 	f.after(0, submit(1))
--- a/core/entry/silence.go
+++ b/core/entry/silence.go
@@ -28,6 +28,9 @@
 
 // patience returns how long a scheduler may say nothing.
 func (m *Machine) patience(now time.Time) time.Duration {
+	if m.strained {
+		return ownDelayFactor * silentAfter
+	}
 	waiting, overdue := map[string]bool{}, map[string]bool{}
 	for _, p := range m.pending {
 		if p.to == m.self || p.waits {
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -148,7 +148,7 @@
 		Empty: s.FirstStart,
 	})
 	guard := forward.NewGuard(log.New("guard").With(s.ID), g.clock, g.crossed, s.LinkMbps, func(keepsUp bool) {
-		g.loop.SetStrength(strengthOf(s, keepsUp))
+		g.loop.SetStrength(strengthOf(s, keepsUp), !keepsUp)
 	})
 	g.forward = forward.New(log.New("forward").With(s.ID), forward.Options{
 		DataHall: s.DataHall, Clock: g.clock, Follow: g.follow, Mesh: g.loop, Client: client,
--- a/services/mesh/api.go
+++ b/services/mesh/api.go
@@ -80,8 +80,11 @@
 func (l *Loop) Leave() { l.put(memberIn{member.Leave{}}) }
 
 // SetStrength tells the other gateways what this one has to give to scheduling, in
-// percent of a core.
-func (l *Loop) SetStrength(percent uint32) { l.put(memberIn{member.StrengthSeen{Percent: percent}}) }
+// percent of a core; strained tells that it cannot keep up with its own callers.
+func (l *Loop) SetStrength(percent uint32, strained bool) {
+	l.put(memberIn{member.StrengthSeen{Percent: percent}})
+	l.put(entryIn{entry.StrainSeen{Strained: strained}})
+}
 
 // NextID returns an ID for a request to submit.
 func (l *Loop) NextID() cell.RequestID { return cell.RequestID(l.requests.Add(1)) }
