watch: Those that do not ask all the time pause long after a failure

Change: these pause 50 ms to 1 s in any fleet; the others of a fleet over 30 begin with a pause that grows with the square of its size, 4.8 s at 295.

--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -29,8 +29,11 @@
 	stalePerStep  = 150 * time.Millisecond
 	staleSpread   = 500 * time.Millisecond
 	spreadMembers = 60
-	// retryMost is the longest pause after a call that failed, longer in proportion in
-	// a fleet of more than retryMembers: all of them together try as often.
+	// retryFirst and retryMost are the first and the longest pause after calls that
+	// failed. In a fleet of more than retryMembers they are longer for those that do not
+	// ask all the time, the first one by the square: they all fail together, and hear
+	// of the store's return from those that do.
+	retryFirst   = 50 * time.Millisecond
 	retryMost    = time.Second
 	retryMembers = 30
 	// firstWait is how long a gateway leaves it to its peers to tell what there is when
@@ -70,9 +73,14 @@
 	return time.Duration(w.draw * float64(spread))
 }
 
-// RetryMost returns the longest pause after a call of the store that failed.
-func RetryMost(members int) time.Duration {
-	return retryMost * time.Duration(max(members, retryMembers)) / retryMembers
+// Pauses returns the first and the longest pause after calls of the store that failed.
+func Pauses(preferred bool, members int) (first, most time.Duration) {
+	if preferred || members <= retryMembers {
+		return retryFirst, retryMost
+	}
+	times := float64(members) / retryMembers
+	most = time.Duration(times * float64(retryMost))
+	return min(time.Duration(times*times*float64(retryFirst)), most), most
 }
 
 // Start tells how a gateway starts.
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -198,6 +198,25 @@
 	}
 }
 
+// Those that ask all the time notice the store's return within a second whatever the
+// fleet's size; the others of a large fleet fail seldom together.
+func TestPausesAfterFailures(t *testing.T) {
+	for _, members := range []int{1, 9, 59, 295, 1049} {
+		if first, most := Pauses(true, members); first != retryFirst || most != retryMost {
+			t.Errorf("%d members: those that ask pause %v to %v", members, first, most)
+		}
+	}
+	calls := 0
+	for pause, at := time.Duration(0), time.Duration(0); at < 8*time.Second; calls++ {
+		first, most := Pauses(false, 295)
+		pause = min(max(2*pause, first), most)
+		at += pause
+	}
+	if calls > 2 {
+		t.Errorf("each of 295 gateways calls %d times in an outage of 8 s", calls)
+	}
+}
+
 // A long silence leaves the knowledge unsettled until a while after its end; short
 // ones, and the very first word, do not.
 func TestLongSilenceUnsettles(t *testing.T) {
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -22,7 +22,6 @@
 )
 
 const (
-	retryFirst = 50 * time.Millisecond
 	// lookLeast and lookMost bound how long it is waited before it is decided again
 	// whether to ask the store: what peers tell only puts that off, but who asks all
 	// the time changes with the members.
@@ -136,7 +135,7 @@
 // comes after a revision. The revision of an empty store is 0.
 func (s *Service) follow(what string, w *watch.Watch, step func(ctx context.Context, all bool, since uint64) (uint64, error)) {
 	ctx := s.t.Context(context.Background())
-	all, since, pause, lost := true, uint64(0), retryFirst, false
+	all, since, pause, lost := true, uint64(0), time.Duration(0), false
 	for {
 		why, alive := s.awaitDue(w)
 		if !alive {
@@ -148,7 +147,7 @@
 		switch {
 		case err == nil:
 			s.answered(w, later(began, s.opts.Clock.Now().Add(-answerTime)))
-			all, since, pause = false, revision, retryFirst
+			all, since, pause = false, revision, 0
 			if lost {
 				lost = false
 				s.log.Info("Store regained.", "what", what, "revision", revision)
@@ -166,11 +165,11 @@
 			lost = true
 			s.log.Warn("Store lost.", "what", what, "reason", err)
 		}
+		first, most := watch.Pauses(s.opts.Fleet())
+		pause = min(max(2*pause, first), most)
 		if !s.sleep(pause/2 + rand.N(pause)) {
 			return
 		}
-		_, members := s.opts.Fleet()
-		pause = min(2*pause, watch.RetryMost(members))
 	}
 }
 
