--- a/core/cell/layout_test.go
+++ b/core/cell/layout_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"madderway/core/place"
@@ -89,3 +90,36 @@
 		t.Error("an empty layout has a cell")
 	}
 }
+
+// Gateways of a large fleet come and go often; a change of them divides no targets, and
+// draws the schedulers of a cell only when that is asked.
+func TestMembersChangeWithoutDividing(t *testing.T) {
+	x, set := world(320)
+	few, many := NewLayout(x, set, nodes(20)), NewLayout(x, set, nodes(1000))
+	allocations := func(l *Layout, n []place.Node) float64 {
+		return testing.AllocsPerRun(20, func() { l = l.WithNodes(n) })
+	}
+	if a, b := allocations(few, nodes(20)), allocations(many, nodes(1000)); a != b || b > 200 {
+		t.Errorf("%.0f allocations with 20 gateways, %.0f with 1,000", a, b)
+	}
+	moved := few.WithNodes(nodes(50))
+	fresh := NewLayout(x, set, nodes(50))
+	for key, g := range fresh.Groups() {
+		other := moved.Group(key)
+		if len(other.Targets) != len(g.Targets) || !slices.Equal(other.Schedulers(), g.Schedulers()) {
+			t.Errorf("%s: %d targets and %v, want %d and %v", key, len(other.Targets), other.Schedulers(), len(g.Targets), g.Schedulers())
+		}
+	}
+}
+
+func BenchmarkMembersChange(b *testing.B) {
+	x, set := world(320)
+	for _, n := range []int{20, 100, 300, 1000} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			l, fleet := NewLayout(x, set, nodes(n)), nodes(n)
+			for b.Loop() {
+				l = l.WithNodes(fleet)
+			}
+		})
+	}
+}
