--- a/core/member/member.go
+++ b/core/member/member.go
@@ -14,135 +14,6 @@
 	"madderway/core/place"
 )
 
-// State is what is believed of a member.
-type State uint8
-
-// The states, in the order in which they override each other.
-const (
-	StateAlive State = iota + 1
-	StateSuspect
-	StateLeaving
-	StateDead
-)
-
-// String returns the name of the state.
-func (s State) String() string {
-	return [...]string{"unknown", "alive", "suspect", "leaving", "dead"}[s]
-}
-
-// Record is what is said of a member. Incarnation is the member's start, Epoch
-// counts its refutations of suspicion.
-type Record struct {
-	ID          string
-	Incarnation uint64
-	Epoch       uint32
-	State       State
-	Address     string
-	DataHall    string
-	Region      string
-	Strength    uint32 // Strength is what the member has to give to scheduling, in percent of a core; 0 is not said.
-}
-
-// newer tells whether r overrides old.
-func (r Record) newer(old Record) bool {
-	if r.Incarnation != old.Incarnation {
-		return r.Incarnation > old.Incarnation
-	}
-	if r.Epoch != old.Epoch {
-		return r.Epoch > old.Epoch
-	}
-	return r.State > old.State
-}
-
-// Listed is one line of the platform's list.
-type Listed struct {
-	ID       string
-	Address  string
-	DataHall string
-	Region   string
-	Leaving  bool
-}
-
-// Event is something that a List reacts to.
-type Event interface{ isEvent() }
-
-// ListSeen is the platform's list.
-type ListSeen struct{ VMs []Listed }
-
-// HeartbeatSeen is a heartbeat with the sender's own record and rumors.
-type HeartbeatSeen struct {
-	From   Record
-	Rumors []Record
-	View   View // View is whom the sender knows, empty where it does not say.
-	Ask    bool // Ask tells that the sender wants to be told of all members.
-	Probe  bool // Probe tells that the sender wants a heartbeat back at once.
-}
-
-// Leave makes this member tell the others that it is leaving.
-type Leave struct{}
-
-// StrengthSeen tells what this member has to give to scheduling from now on.
-type StrengthSeen struct{ Percent uint32 }
-
-// Tick lets time pass.
-type Tick struct{}
-
-func (ListSeen) isEvent()      {}
-func (HeartbeatSeen) isEvent() {}
-func (Leave) isEvent()         {}
-func (StrengthSeen) isEvent()  {}
-func (Tick) isEvent()          {}
-
-// Action is something that the owner of a List must do.
-type Action interface{ isAction() }
-
-// HeartbeatOut sends a heartbeat.
-type HeartbeatOut struct {
-	To     string
-	From   Record
-	Rumors []Record
-	View   View
-	Ask    bool
-	Probe  bool
-}
-
-// Changed tells that the live members have changed.
-type Changed struct{}
-
-// Gone tells that a member is dead or has restarted.
-type Gone struct {
-	ID          string
-	Incarnation uint64
-}
-
-func (HeartbeatOut) isAction() {}
-func (Changed) isAction()      {}
-func (Gone) isAction()         {}
-
-// Config holds the times of a List.
-type Config struct {
-	Interval     time.Duration // Interval is the time between heartbeats to one monitor.
-	SuspectAfter time.Duration // SuspectAfter is how long a monitor waits for a heartbeat.
-	DeadAfter    time.Duration // DeadAfter is how long a suspect may refute.
-	Monitors     int           // Monitors is how many members watch each member.
-	// ContactEvery is the time between heartbeats to members other than the monitors,
-	// one at a time in rotation, the suspects and dead included.
-	ContactEvery time.Duration
-	MaxRumors    int // MaxRumors bounds the rumors in a heartbeat.
-	// Greet makes a member that is heard for the first time be told all that is
-	// known, so that a list grows from a few seeds, and makes members whose views
-	// differ for long tell each other all.
-	Greet bool
-}
-
-// DefaultConfig returns the times in use.
-func DefaultConfig() Config {
-	return Config{
-		Interval: time.Second, SuspectAfter: 2500 * time.Millisecond, DeadAfter: 4 * time.Second,
-		Monitors: 3, ContactEvery: time.Second, MaxRumors: 16,
-	}
-}
-
 type entry struct {
 	Record
 	listed    bool
@@ -205,12 +76,7 @@
 		l.changed = true
 		l.beatAll()
 	case StrengthSeen:
-		if l.self.Strength != e.Percent {
-			l.self.Strength = e.Percent
-			l.self.Epoch++
-			l.nextBeat = now
-			l.changed = true
-		}
+		l.setStrength(now, e.Percent)
 	case Tick:
 		l.tick(now)
 	}
@@ -222,6 +88,17 @@
 	return l.out
 }
 
+// setStrength changes this member's own record; the next tick tells it.
+func (l *List) setStrength(now time.Time, percent uint32) {
+	if l.self.Strength == percent {
+		return
+	}
+	l.self.Strength = percent
+	l.self.Epoch++
+	l.nextBeat = now
+	l.changed = true
+}
+
 func (l *List) listSeen(now time.Time, vms []Listed) {
 	seen := map[string]bool{}
 	for _, v := range vms {
@@ -390,66 +267,6 @@
 	}
 }
 
-func (l *List) tick(now time.Time) {
-	l.assign(now)
-	for id := range l.watched {
-		if m := l.members[id]; m != nil {
-			l.watch(now, id, m)
-		}
-	}
-	for id, m := range l.doubted {
-		l.watch(now, id, m)
-	}
-	if now.Before(l.nextBeat) {
-		return
-	}
-	l.nextBeat = now.Add(l.cfg.Interval)
-	l.beat(now)
-}
-
-func (l *List) watch(now time.Time, id string, m *entry) {
-	switch m.State {
-	case StateAlive, StateLeaving:
-		since, watched := l.watched[id]
-		if !watched {
-			return
-		}
-		silence := min(now.Sub(m.heardAt), now.Sub(since))
-		if silence <= l.cfg.SuspectAfter {
-			l.probe(now, m, silence)
-			return
-		}
-		if m.State == StateLeaving {
-			l.kill(m)
-			return
-		}
-		m.suspectAt = now
-		l.setState(m, StateSuspect)
-	case StateSuspect:
-		if now.Sub(m.suspectAt) > l.cfg.DeadAfter {
-			l.kill(m)
-		}
-	case StateDead:
-		if !m.listed && now.Sub(m.heardAt) > 10*l.cfg.DeadAfter {
-			l.drop(id)
-		}
-	}
-}
-
-// probe asks a member that should have been heard for a heartbeat. As long as views
-// differ, it may not know that this member watches it.
-func (l *List) probe(now time.Time, m *entry, silence time.Duration) {
-	if pause := l.cfg.SuspectAfter / 3; silence >= 2*pause && now.Sub(m.probedAt) >= pause {
-		m.probedAt = now
-		l.out = append(l.out, HeartbeatOut{To: m.ID, From: l.self, View: l.view(), Probe: true})
-	}
-}
-
-func (l *List) kill(m *entry) {
-	l.setState(m, StateDead)
-	l.out = append(l.out, Gone{m.ID, m.Incarnation})
-}
-
 // Self returns this member's own record.
 func (l *List) Self() Record { return l.self }
 
--- /dev/null
+++ b/core/member/monitor.go
@@ -0,0 +1,138 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package member
+
+import (
+	"slices"
+	"time"
+)
+
+// assign computes, after a change, whom this member watches and who watches
+// it. A member that is newly watched gets the full time to be heard.
+func (l *List) assign(now time.Time) {
+	if !l.stale {
+		return
+	}
+	l.stale = false
+	l.guards = l.monitorsOf(l.self.ID)
+	watched := map[string]time.Time{}
+	for _, id := range l.neighbours() {
+		if !slices.Contains(l.monitorsOf(id), l.self.ID) {
+			continue
+		}
+		since, ok := l.watched[id]
+		if !ok {
+			since = now
+		}
+		watched[id] = since
+	}
+	l.watched = watched
+}
+
+// monitorsOf returns the members that watch a member: on each circle the next one
+// that is not chosen yet. Circles mix the data halls, so that the loss of one hall
+// leaves somebody to notice.
+func (l *List) monitorsOf(id string) []string {
+	monitors := make([]string, 0, len(l.circles))
+	for i := range l.circles {
+		l.circles[i].forward(id, func(next string) bool {
+			if !l.mayWatch(next) || slices.Contains(monitors, next) {
+				return true
+			}
+			monitors = append(monitors, next)
+			return false
+		})
+	}
+	return monitors
+}
+
+// neighbours returns the members that this one may have to watch: on each circle
+// those before it, as far as another member could not have been chosen for all.
+func (l *List) neighbours() []string {
+	var ids []string
+	for i := range l.circles {
+		between := 0
+		l.circles[i].backward(l.self.ID, func(id string) bool {
+			if !slices.Contains(ids, id) {
+				ids = append(ids, id)
+			}
+			if l.mayWatch(id) {
+				between++
+			}
+			return between < len(l.circles)
+		})
+	}
+	return ids
+}
+
+// mayWatch tells whether a member watches others. A suspect does: views differ on
+// who is suspect, and must not differ on who watches whom. A leaving member does
+// not, since the others no longer tell it that they live.
+func (l *List) mayWatch(id string) bool {
+	if id == l.self.ID {
+		return l.self.State == StateAlive
+	}
+	m := l.members[id]
+	return m.State == StateAlive || m.State == StateSuspect
+}
+
+func (l *List) tick(now time.Time) {
+	l.assign(now)
+	for id := range l.watched {
+		if m := l.members[id]; m != nil {
+			l.watch(now, id, m)
+		}
+	}
+	for id, m := range l.doubted {
+		l.watch(now, id, m)
+	}
+	if now.Before(l.nextBeat) {
+		return
+	}
+	l.nextBeat = now.Add(l.cfg.Interval)
+	l.beat(now)
+}
+
+func (l *List) watch(now time.Time, id string, m *entry) {
+	switch m.State {
+	case StateAlive, StateLeaving:
+		since, watched := l.watched[id]
+		if !watched {
+			return
+		}
+		silence := min(now.Sub(m.heardAt), now.Sub(since))
+		if silence <= l.cfg.SuspectAfter {
+			l.probe(now, m, silence)
+			return
+		}
+		if m.State == StateLeaving {
+			l.kill(m)
+			return
+		}
+		m.suspectAt = now
+		l.setState(m, StateSuspect)
+	case StateSuspect:
+		if now.Sub(m.suspectAt) > l.cfg.DeadAfter {
+			l.kill(m)
+		}
+	case StateDead:
+		if !m.listed && now.Sub(m.heardAt) > 10*l.cfg.DeadAfter {
+			l.drop(id)
+		}
+	}
+}
+
+// probe asks a member that should have been heard for a heartbeat. As long as views
+// differ, it may not know that this member watches it.
+func (l *List) probe(now time.Time, m *entry, silence time.Duration) {
+	if pause := l.cfg.SuspectAfter / 3; silence >= 2*pause && now.Sub(m.probedAt) >= pause {
+		m.probedAt = now
+		l.out = append(l.out, HeartbeatOut{To: m.ID, From: l.self, View: l.view(), Probe: true})
+	}
+}
+
+func (l *List) kill(m *entry) {
+	l.setState(m, StateDead)
+	l.out = append(l.out, Gone{m.ID, m.Incarnation})
+}
--- /dev/null
+++ b/services/mesh/layout.go
@@ -0,0 +1,85 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package mesh
+
+import (
+	"slices"
+	"time"
+
+	"madderway/core/cell"
+	"madderway/core/entry"
+	"madderway/core/place"
+	"madderway/core/watch"
+	"madderway/modules/ident"
+	"madderway/services/discover"
+)
+
+// relayout divides the targets into cells anew.
+func (l *Loop) relayout(now time.Time) {
+	l.layout = cell.NewLayout(l.index, l.targets, l.members.Nodes())
+	for key, s := range l.cells {
+		l.setTargets(now, key, s)
+	}
+	l.enter(now, entry.LayoutSeen{Layout: l.layout})
+}
+
+// takeMembers puts changes of the members in force, once for all of a batch.
+func (l *Loop) takeMembers(now time.Time) {
+	if !l.membersChanged {
+		return
+	}
+	l.membersChanged = false
+	nodes := l.members.Nodes()
+	l.log.Info("Members changed.", "alive", len(nodes))
+	l.size.Store(int64(max(len(nodes), 1)))
+	l.watches.Store(slices.Contains(place.Top(nodes, watchKey, watch.Watchers), l.opts.Self.ID))
+	l.register.Store(slices.Contains(place.Top(nodes, registerKey, discover.Registrars), l.opts.Self.ID))
+	l.layout = l.layout.WithNodes(nodes)
+	l.enter(now, entry.LayoutSeen{Layout: l.layout})
+}
+
+// announce tells its neighbours at once that this gateway knows something newer;
+// each tells its own, so that the fleet hears within a few steps.
+func (l *Loop) announce(now time.Time) {
+	v := l.opts.Follow.Versions()
+	if v.Configuration == l.told.Configuration && v.Targets == l.told.Targets {
+		return
+	}
+	l.told = v
+	for _, id := range l.members.Near(now) {
+		l.out.Frame(now, id, true).Versions = versionsToWire(v)
+	}
+}
+
+func (l *Loop) setTargets(now time.Time, key cell.Key, s *scheduled) {
+	g := l.layout.Group(key)
+	if g == nil {
+		l.schedule(now, key, s, cell.TargetsSeen{})
+		return
+	}
+	service := l.index.Service(g.Service)
+	ev := cell.TargetsSeen{Siblings: len(l.layout.Siblings(g)), FairWindow: l.opts.FairWindow, Transfer: service.Engine.Transfer}
+	for _, t := range g.Targets {
+		ev.Targets = append(ev.Targets, cell.TargetInfo{
+			ID: t.ID, Slots: service.Engine.Slots, CacheTokens: service.Engine.CacheTokens, DataHall: t.DataHall, Leaving: t.Leaving,
+		})
+	}
+	if n := len(l.targets.Of(g.Service)); n > 0 {
+		ev.TokensPerSecond = l.index.Configuration.Limits.TokensPerSecond / float64(n)
+	}
+	l.schedule(now, key, s, ev)
+}
+
+// cellOf returns the scheduler of a cell, which begins when it is first asked.
+func (l *Loop) cellOf(now time.Time, key cell.Key) *scheduled {
+	s := l.cells[key]
+	if s == nil {
+		s = &scheduled{cell: cell.New(), life: ident.Incarnation(now.Unix())}
+		l.cells[key] = s
+		l.log.Info("Scheduler taken over.", "cell", key)
+		l.setTargets(now, key, s)
+	}
+	s.askedAt = now
+	return s
+}
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -18,16 +17,12 @@
 	"madderway/core/cell"
 	"madderway/core/entry"
 	"madderway/core/member"
-	"madderway/core/place"
-	"madderway/core/watch"
 	"madderway/models/routing"
 	"madderway/modules/clock"
-	"madderway/modules/ident"
 	"madderway/modules/log"
 	"madderway/modules/peernet"
 	"madderway/modules/ring"
 	"madderway/modules/wire"
-	"madderway/services/discover"
 	"madderway/services/follow"
 	"madderway/services/peerwire"
 )
@@ -144,17 +139,6 @@
 	return incarnation * 0x9E3779B97F4A7C15 >> 40 % lives << room
 }
 
-// setSeeds adds links to seeds that are new; links to old ones stay, idle.
-func (l *Loop) setSeeds(addresses []string) {
-	for _, address := range addresses {
-		if address == l.opts.Self.Address || slices.Contains(l.seedsAt, address) {
-			continue
-		}
-		l.seedsAt = append(l.seedsAt, address)
-		l.seeds = append(l.seeds, l.newLink("", address))
-	}
-}
-
 func (l *Loop) newLink(id, address string) *peernet.Link {
 	return peernet.NewLink(l.t, peernet.LinkOptions{
 		Auth: l.opts.Auth, Meter: l.opts.Meter, PeerID: id, Address: address, DialTimeout: dialTime, Ring: linkRing, Idle: linkIdle,
@@ -265,104 +249,6 @@
 	l.tickDue = now.Add(l.tickAfter())
 }
 
-// callSeeds makes this gateway known to the seeds, often until any member is
-// known. Later it only says that it is there: a seed that does not know it answers
-// with all that it knows.
-func (l *Loop) callSeeds(now time.Time) {
-	if now.Before(l.nextSeed) {
-		return
-	}
-	alone := l.members.Count() == 0
-	l.nextSeed = now.Add(seedPause(l.members.Count()))
-	call := l.seeds
-	if alone {
-		call = slices.Concat(l.seeds, l.learned)
-	}
-	hello := &wire.Frame{}
-	l.addHeartbeat(hello, member.HeartbeatOut{From: l.members.Self()})
-	for _, link := range call {
-		link.Send(hello)
-	}
-}
-
-// seedPause returns how long after a call to the seeds the next one follows. All
-// gateways together call as often as a small fleet does.
-func seedPause(others int) time.Duration {
-	if others == 0 {
-		return seedEvery
-	}
-	return max(seedCalm, time.Duration(others)*seedShare)
-}
-
-// relayout divides the targets into cells anew.
-func (l *Loop) relayout(now time.Time) {
-	l.layout = cell.NewLayout(l.index, l.targets, l.members.Nodes())
-	for key, s := range l.cells {
-		l.setTargets(now, key, s)
-	}
-	l.enter(now, entry.LayoutSeen{Layout: l.layout})
-}
-
-// takeMembers puts changes of the members in force, once for all of a batch.
-func (l *Loop) takeMembers(now time.Time) {
-	if !l.membersChanged {
-		return
-	}
-	l.membersChanged = false
-	nodes := l.members.Nodes()
-	l.log.Info("Members changed.", "alive", len(nodes))
-	l.size.Store(int64(max(len(nodes), 1)))
-	l.watches.Store(slices.Contains(place.Top(nodes, watchKey, watch.Watchers), l.opts.Self.ID))
-	l.register.Store(slices.Contains(place.Top(nodes, registerKey, discover.Registrars), l.opts.Self.ID))
-	l.layout = l.layout.WithNodes(nodes)
-	l.enter(now, entry.LayoutSeen{Layout: l.layout})
-}
-
-// announce tells its neighbours at once that this gateway knows something newer;
-// each tells its own, so that the fleet hears within a few steps.
-func (l *Loop) announce(now time.Time) {
-	v := l.opts.Follow.Versions()
-	if v.Configuration == l.told.Configuration && v.Targets == l.told.Targets {
-		return
-	}
-	l.told = v
-	for _, id := range l.members.Near(now) {
-		l.out.Frame(now, id, true).Versions = versionsToWire(v)
-	}
-}
-
-func (l *Loop) setTargets(now time.Time, key cell.Key, s *scheduled) {
-	g := l.layout.Group(key)
-	if g == nil {
-		l.schedule(now, key, s, cell.TargetsSeen{})
-		return
-	}
-	service := l.index.Service(g.Service)
-	ev := cell.TargetsSeen{Siblings: len(l.layout.Siblings(g)), FairWindow: l.opts.FairWindow, Transfer: service.Engine.Transfer}
-	for _, t := range g.Targets {
-		ev.Targets = append(ev.Targets, cell.TargetInfo{
-			ID: t.ID, Slots: service.Engine.Slots, CacheTokens: service.Engine.CacheTokens, DataHall: t.DataHall, Leaving: t.Leaving,
-		})
-	}
-	if n := len(l.targets.Of(g.Service)); n > 0 {
-		ev.TokensPerSecond = l.index.Configuration.Limits.TokensPerSecond / float64(n)
-	}
-	l.schedule(now, key, s, ev)
-}
-
-// cellOf returns the scheduler of a cell, which begins when it is first asked.
-func (l *Loop) cellOf(now time.Time, key cell.Key) *scheduled {
-	s := l.cells[key]
-	if s == nil {
-		s = &scheduled{cell: cell.New(), life: ident.Incarnation(now.Unix())}
-		l.cells[key] = s
-		l.log.Info("Scheduler taken over.", "cell", key)
-		l.setTargets(now, key, s)
-	}
-	s.askedAt = now
-	return s
-}
-
 // Members returns how many gateways are thought to be there, this one included.
 func (l *Loop) Members() int { return int(l.size.Load()) }
 
