--- a/core/cell/layout.go
+++ b/core/cell/layout.go
@@ -51,6 +51,11 @@
 
 // NewLayout divides the targets of the services that have engines into cells.
 func NewLayout(x *routing.Index, targets *routing.TargetSet, nodes []place.Node) *Layout {
+	return newLayout(x, targets, nodes, maxTargets)
+}
+
+// newLayout makes cells of at most so many targets on average.
+func newLayout(x *routing.Index, targets *routing.TargetSet, nodes []place.Node, most int) *Layout {
 	l := &Layout{cells: map[string][]*Group{}, byKey: map[Key]*Group{}, nodes: nodes}
 	if x == nil || targets == nil {
 		return l
@@ -60,7 +65,7 @@
 		if s.Engine == nil {
 			continue
 		}
-		l.divide(s.Name, targets.Of(s.Name))
+		l.divide(s.Name, targets.Of(s.Name), most)
 	}
 	return l
 }
@@ -80,8 +85,8 @@
 	return out
 }
 
-func (l *Layout) divide(service string, targets []*routing.Target) {
-	groups := make([]*Group, cellCount(len(targets)))
+func (l *Layout) divide(service string, targets []*routing.Target, most int) {
+	groups := make([]*Group, cellCount(len(targets), most))
 	for i := range groups {
 		key := Key(fmt.Sprintf("%s/%d", service, i))
 		groups[i] = &Group{Key: key, Service: service, layout: l}
@@ -101,9 +106,9 @@
 
 // cellCount is a power of two, so that a growing service splits cells in halves
 // and seldom.
-func cellCount(targets int) int {
+func cellCount(targets, most int) int {
 	n := 1
-	for targets > n*maxTargets {
+	for targets > n*most {
 		n *= 2
 	}
 	return n
--- a/core/cell/sim_test.go
+++ b/core/cell/sim_test.go
@@ -131,6 +131,8 @@
 	asks      map[RequestID]simAsk
 	results   map[string]*simResult
 	objective time.Duration
+	slots     int                                    // slots of an engine
+	stream    time.Duration                          // stream is how long a request runs after its first event.
 	onPlace   func(id RequestID, target string) bool // reports whether the target takes it
 }
 
@@ -145,7 +147,7 @@
 func newSim(engines int, speed float64, memory int) *sim {
 	s := &sim{
 		now: epoch, cell: New(), engines: map[string]*simEngine{}, rng: rand.New(rand.NewPCG(1, 2)),
-		asks: map[RequestID]simAsk{}, results: map[string]*simResult{}, objective: 800 * time.Millisecond,
+		asks: map[RequestID]simAsk{}, results: map[string]*simResult{}, objective: 800 * time.Millisecond, slots: 64, stream: time.Second,
 	}
 	for i := range engines {
 		id := fmt.Sprintf("t%02d", i)
@@ -160,7 +162,7 @@
 	ev := TargetsSeen{Transfer: s.links}
 	for id, e := range s.engines {
 		ev.TokensPerSecond = e.speed
-		ev.Targets = append(ev.Targets, TargetInfo{ID: id, Slots: 64, CacheTokens: e.size})
+		ev.Targets = append(ev.Targets, TargetInfo{ID: id, Slots: s.slots, CacheTokens: e.size})
 	}
 	s.step(ev)
 }
@@ -208,7 +210,7 @@
 		r.late++
 	}
 	s.at(first.Sub(s.now), func() { s.step(BeganSeen{"entry", a.ID}) })
-	s.at(first.Sub(s.now)+time.Second, func() { s.step(EndedSeen{"entry", a.ID, batch.OutcomeDone}) })
+	s.at(first.Sub(s.now)+s.stream, func() { s.step(EndedSeen{"entry", a.ID, batch.OutcomeDone}) })
 }
 
 func (s *sim) ask(a *simAccount) {
