cell: Send work elsewhere where others get more in other cells

Whether an account is underserved was judged against those that wait in the same cell; who gets all that it asks in other cells does not wait here. And the share of one half, at which work is moved, is the one at which the platform compares accounts.

Change: where there are other cells, an account is compared with the best served one of all, by the tallies, and its work moves below 0.65 of that. With a single cell nothing changes.

--- a/core/cell/account.go
+++ b/core/cell/account.go
@@ -20,6 +20,12 @@
 	// before its work goes to any target.
 	starvedShare = 0.35
 	waitOnLevel  = 0.5
+	// elsewhereLevel is the share of another account's service below which work goes to
+	// other cells. It is more than the half at which the platform compares accounts:
+	// what is moved is served a second later at best.
+	elsewhereLevel = 0.65
+	// bestEvery is how often it is looked who has had the most in all cells.
+	bestEvery = 100 * time.Millisecond
 	// waitOnStep is how long a request waits on before that is thought over.
 	waitOnStep  = 40 * time.Millisecond
 	forgetEvery = 10 * time.Second
@@ -153,7 +159,7 @@
 	if w.ask.Objective <= 0 || now.Sub(w.arrived) >= time.Duration(waitOnShare*float64(w.ask.Objective)) {
 		return false
 	}
-	if c.siblings > 0 && a.starved(c.most) {
+	if c.siblings > 0 && c.starved(now, a) {
 		return false // another cell may have what this one has not
 	}
 	if a.underserved(c.most) {
@@ -192,10 +198,31 @@
 	return most > a.level && most*waitOnLevel >= a.level
 }
 
-// starved tells whether the account has had far less than another that waits,
-// and is refused so often that it gets less than it may claim.
-func (a *account) starved(most float64) bool {
-	return a.refused > starvedShare*(a.refused+a.placed) && a.refused > 1 && a.underserved(most)
+// starved tells whether the account has had far less than another one, and is refused
+// so often that it gets less than it may claim. Where there are other cells, the other
+// account need not wait here: it may get all that it asks there.
+func (c *Cell) starved(now time.Time, a *account) bool {
+	if a.refused <= starvedShare*(a.refused+a.placed) || a.refused <= 1 {
+		return false
+	}
+	if c.siblings == 0 {
+		return a.underserved(c.most)
+	}
+	best := c.bestLevel(now)
+	return best > a.level && best*elsewhereLevel >= a.level
+}
+
+// bestLevel returns the highest level of all accounts, in all cells.
+func (c *Cell) bestLevel(now time.Time) float64 {
+	if now.Sub(c.bestAt) < bestEvery {
+		return max(c.best, c.most)
+	}
+	c.best, c.bestAt = 0, now
+	for _, a := range c.accounts {
+		a.fade(now)
+		c.best = max(c.best, a.level)
+	}
+	return c.best
 }
 
 // retryAfter tells a refused caller when its account's queue will have moved
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -57,8 +57,10 @@
 	fairWindow time.Duration
 	inHall     map[string]keeper // inHall is what keepers returns, kept for its memory.
 	counts     Counts
-	layout     uint64     // layout counts the changes of the list of targets.
-	most       float64    // most is the highest level of an account that waits.
+	layout     uint64  // layout counts the changes of the list of targets.
+	most       float64 // most is the highest level of an account that waits.
+	best       float64 // best is the highest level of any account, as of bestAt.
+	bestAt     time.Time
 	views      []view     // views are the targets as one decision sees them, in the order of sorted.
 	unheard    []*waiter  // unheard are waiters that arrived since the last decision.
 	queued     []*account // queued is what order returns, kept for its memory.
--- a/core/cell/choose.go
+++ b/core/cell/choose.go
@@ -69,7 +69,7 @@
 	// that of the other, wherever that is: what it costs to read is the price of
 	// fairness.
 	limit, why := spillBacklog, ReasonSpilled
-	if c.account(w.ask.Account).starved(c.most) {
+	if c.starved(now, c.account(w.ask.Account)) {
 		limit, why = backlogLimit, ReasonStarved
 	}
 	open := options[:0]
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -102,7 +102,7 @@
 	}
 	for _, a := range accounts {
 		for _, w := range c.lateOf(now, a) {
-			elsewhere := c.siblings > 0 && a.starved(c.most)
+			elsewhere := c.siblings > 0 && c.starved(now, a)
 			c.drop(w)
 			c.counts.Refused++
 			if c.anyOpen() {
--- a/core/cell/tally_test.go
+++ b/core/cell/tally_test.go
@@ -97,3 +97,41 @@
 		t.Errorf("%+v", rows)
 	}
 }
+
+// An account that gets far less than another one gets in other cells is sent to another
+// cell, though all that wait here get as little: at 32 cells an account got 14.6 million
+// tokens in six seconds in which another one, whose prompts are kept elsewhere, got 31.2.
+func TestLessThanElsewhereIsSentElsewhere(t *testing.T) {
+	c := New()
+	c.Step(epoch, TargetsSeen{Siblings: 1, TokensPerSecond: 10_000, Targets: []TargetInfo{{ID: "t", Slots: 1000, CacheTokens: 10_000_000}}})
+	id, rival, refused, elsewhere := RequestID(0), 0.0, 0, 0
+	for at := time.Duration(0); at < 6*time.Second; at += 20 * time.Millisecond {
+		now := epoch.Add(at)
+		if at%(500*time.Millisecond) == 0 {
+			rival += 20_000
+			c.Step(now, TallySeen{Source: "1", Incarnation: 1, Rows: []TallyRow{{"rival", rival}}})
+		}
+		for _, account := range []string{"a", "b"} {
+			id++
+			p := &routing.Prompt{Tokens: 800, MaxOutput: 1, Parts: []routing.PromptPart{{ID: uint64(id), Tokens: 800}}}
+			for _, action := range c.Step(now, AskSeen{"e", Ask{ID: id, Account: account, Prompt: p, Hold: 200 * time.Millisecond, Objective: 800 * time.Millisecond}}) {
+				switch action := action.(type) {
+				case Place:
+					c.Step(now, BeganSeen{"e", action.ID})
+					c.Step(now, EndedSeen{"e", action.ID, 1})
+				case Refuse:
+					if at < 2*time.Second {
+						continue
+					}
+					refused++
+					if action.Elsewhere {
+						elsewhere++
+					}
+				}
+			}
+		}
+	}
+	if refused == 0 || elsewhere < refused*9/10 {
+		t.Errorf("%d of %d refused requests are sent to another cell", elsewhere, refused)
+	}
+}
