--- a/services/mesh/tally.go
+++ b/services/mesh/tally.go
@@ -11,8 +11,17 @@
 )
 
 // tallyEvery is how often the cells of a service tell each other what they gave
-// to whom.
-const tallyEvery = 500 * time.Millisecond
+// to whom, tallyCells the number of cells up to which they do so that often: each tells
+// each other one, so that beyond it what a cell sends would grow with their number.
+const (
+	tallyEvery = 500 * time.Millisecond
+	tallyCells = 32
+)
+
+// tallyPause returns how long cells wait between tallies where a service has so many.
+func tallyPause(cells int) time.Duration {
+	return tallyEvery * time.Duration(max(cells, tallyCells)) / tallyCells
+}
 
 // tellTallies tells the schedulers of a service's other cells what the cells
 // here have given.
@@ -20,7 +29,7 @@
 	if now.Before(l.nextTally) {
 		return
 	}
-	l.nextTally = now.Add(tallyEvery)
+	l.nextTally = now.Add(tallyPause(len(l.layout.Groups())))
 	for key, s := range l.cells {
 		g := l.layout.Group(key)
 		if g == nil {
