entry: Only a full link makes a gateway wait longer for schedulers

Change: only a full link, for which it was measured, has that effect. A gateway that is late still leaves scheduling to others.

--- a/core/entry/event.go
+++ b/core/entry/event.go
@@ -67,8 +67,8 @@
 // PeerRestarted tells that a gateway has ended or begun a new life.
 type PeerRestarted struct{ ID string }
 
-// StrainSeen tells whether this gateway cannot keep up with its callers: its processor
-// or its link is short, so that what schedulers answer is late here.
+// StrainSeen tells whether this gateway's link is full, so that what schedulers answer
+// is late here. A short processor is told by the lag of ticks.
 type StrainSeen struct{ Strained bool }
 
 // Tick lets time pass. Lag is how late it comes: in that time the gateway did
--- a/core/overload/duties.go
+++ b/core/overload/duties.go
@@ -23,7 +23,7 @@
 // Observe takes the share of requests that is admitted and how much of the link is in
 // use. It reports whether the gateway keeps its duties, and whether that has changed.
 func (d *Duties) Observe(now time.Time, share, link float64) (keeps, changed bool) {
-	if (share < 1 || link >= linkHigh) == d.dropped {
+	if (share < 1 || Full(link)) == d.dropped {
 		d.since = time.Time{}
 		return !d.dropped, false
 	}
--- a/core/overload/link.go
+++ b/core/overload/link.go
@@ -26,6 +26,9 @@
 // NewLink returns a link of so many megabits a second, 0 where that is not known.
 func NewLink(mbps float64) *Link { return &Link{perSecond: mbps * 1e6 / 8} }
 
+// Full tells whether so much use of a link makes what crosses it late.
+func Full(use float64) bool { return use >= linkHigh }
+
 // Observe takes the bytes sent and received since the start and returns the use of
 // the busier direction, 1 where it is full.
 func (l *Link) Observe(now time.Time, sent, received uint64) float64 {
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -147,8 +147,8 @@
 		Self: discover.Entry{ID: s.ID, Address: s.Peers}, Register: platform.NewGateways(store), Peers: g.loop, Clock: g.clock,
 		Empty: s.FirstStart,
 	})
-	guard := forward.NewGuard(log.New("guard").With(s.ID), g.clock, g.crossed, s.LinkMbps, func(keepsUp bool) {
-		g.loop.SetStrength(strengthOf(s, keepsUp), !keepsUp)
+	guard := forward.NewGuard(log.New("guard").With(s.ID), g.clock, g.crossed, s.LinkMbps, func(keepsUp, linkFull bool) {
+		g.loop.SetStrength(strengthOf(s, keepsUp), !keepsUp && linkFull)
 	})
 	g.forward = forward.New(log.New("forward").With(s.ID), forward.Options{
 		DataHall: s.DataHall, Clock: g.clock, Follow: g.follow, Mesh: g.loop, Client: client,
--- a/services/forward/guard.go
+++ b/services/forward/guard.go
@@ -29,14 +29,14 @@
 	governor *overload.Governor
 	link     *overload.Link
 	duties   overload.Duties
-	onDuties func(keepsUp bool)
+	onDuties func(keepsUp, linkFull bool)
 }
 
 // NewGuard returns a guard that admits everything, on a machine with a link of so many
 // megabits a second, 0 where that is not known; bytes tells what has crossed it so far.
-// onDuties is called when the gateway can no longer schedule for others, and when it
-// can again.
-func NewGuard(logger log.Logger, c clock.Clock, bytes func() (sent, received uint64), linkMbps float64, onDuties func(keepsUp bool)) *Guard {
+// onDuties is called when the gateway can no longer schedule for others, with whether
+// that is for its link, and when it can again.
+func NewGuard(logger log.Logger, c clock.Clock, bytes func() (sent, received uint64), linkMbps float64, onDuties func(keepsUp, linkFull bool)) *Guard {
 	return &Guard{log: logger, clock: c, bytes: bytes, governor: overload.New(), link: overload.NewLink(linkMbps), onDuties: onDuties}
 }
 
@@ -52,7 +52,7 @@
 	g.mu.Unlock()
 	if moved {
 		g.log.Info("Scheduling for others changed.", "keeps_up", keepsUp, "late", lateness, "link", float64(int(100*use))/100, "share", share)
-		g.onDuties(keepsUp)
+		g.onDuties(keepsUp, overload.Full(use))
 	}
 	switch {
 	case !changed:
--- a/services/mesh/api.go
+++ b/services/mesh/api.go
@@ -80,7 +80,7 @@
 func (l *Loop) Leave() { l.put(memberIn{member.Leave{}}) }
 
 // SetStrength tells the other gateways what this one has to give to scheduling, in
-// percent of a core; strained tells that it cannot keep up with its own callers.
+// percent of a core; strained tells that its link is full, so that answers come late here.
 func (l *Loop) SetStrength(percent uint32, strained bool) {
 	l.put(memberIn{member.StrengthSeen{Percent: percent}})
 	l.put(entryIn{entry.StrainSeen{Strained: strained}})
