--- a/core/entry/machine.go
+++ b/core/entry/machine.go
@@ -57,7 +57,7 @@
 	seats    map[cell.Key]*seat
 	suspects map[string]*suspicion
 	lag      time.Duration // lag is how late all ticks came, together.
-	strained bool          // strained tells that this gateway cannot keep up with its callers.
+	strained bool          // strained tells that this gateway's link is full.
 	out      []Action
 }
 
--- a/core/entry/silence.go
+++ b/core/entry/silence.go
@@ -12,7 +12,7 @@
 	// seem silent at once: the cause is likely in this process, which has not read
 	// what they sent.
 	ownDelayFactor = 3
-	// strainedFactor is the same at a gateway that cannot keep up with its callers. On
+	// strainedFactor is the same at a gateway whose link is full. On
 	// small twins of the large days 1 was worse by 0.1 to 0.5 than 3, 5 or 8.
 	strainedFactor = 5
 	// overHold is how long after the end of the wait a scheduler's word may come.
