lateness: Measure seldom only after half a second of calm

Cause: the governor of overload judges by the least of the samples of 150 ms. Since the probe was made to measure four times as seldom while the process is in time, a window has two samples instead of six where lateness comes and goes, and counts as overloaded more easily.

Change: the pace drops after 20 samples in time in a row. TestSeldomOnlyAfterLongCalm.

--- a/modules/lateness/lateness.go
+++ b/modules/lateness/lateness.go
@@ -15,11 +15,13 @@
 	"gopkg.in/tomb.v2"
 )
 
-// calm is the lateness up to which a process is in time; calmFactor is how much more
-// seldom it is measured then: each measurement wakes the process twice.
+// calm is the lateness up to which a process is in time. After calmSamples of those in a
+// row it is measured calmFactor times as seldom: each measurement wakes the process
+// twice. Whoever judges by the least of a few samples needs them all while any is late.
 const (
-	calm       = 3 * time.Millisecond
-	calmFactor = 4
+	calm        = 3 * time.Millisecond
+	calmSamples = 20
+	calmFactor  = 4
 )
 
 // Probe sends itself bytes until its tomb dies.
@@ -30,7 +32,7 @@
 	reader *os.File
 	writer *os.File
 	due    chan time.Time // due holds the time of the byte that is under way.
-	last   atomic.Int64   // last is the latest lateness in ns.
+	inTime atomic.Int64   // inTime counts the latest samples in a row that were in time.
 }
 
 // Start runs a probe that reports a lateness for each span of time, more seldom while
@@ -70,9 +72,17 @@
 	}
 }
 
+func (p *Probe) note(lateness time.Duration) {
+	if lateness <= calm {
+		p.inTime.Add(1)
+	} else {
+		p.inTime.Store(0)
+	}
+}
+
 // pause returns how long to wait before the next byte.
 func (p *Probe) pause() time.Duration {
-	if time.Duration(p.last.Load()) <= calm {
+	if p.inTime.Load() >= calmSamples {
 		return calmFactor * p.every
 	}
 	return p.every
@@ -86,7 +96,7 @@
 			return nil // the sender has ended
 		}
 		lateness := max(time.Since(<-p.due), 0)
-		p.last.Store(int64(lateness))
+		p.note(lateness)
 		p.report(lateness)
 	}
 }
--- a/modules/lateness/lateness_test.go
+++ b/modules/lateness/lateness_test.go
@@ -60,3 +60,22 @@
 	owner.Kill(nil)
 	_ = owner.Wait()
 }
+
+// A process that is late now and then is measured as often as one that always is.
+func TestSeldomOnlyAfterLongCalm(t *testing.T) {
+	p := &Probe{every: time.Millisecond}
+	for i := range 2 * calmSamples {
+		want := p.every
+		if i >= calmSamples {
+			want = calmFactor * p.every
+		}
+		if got := p.pause(); got != want {
+			t.Fatalf("after %d samples in time it waits %v, want %v", i, got, want)
+		}
+		p.note(0)
+	}
+	p.note(calm + 1)
+	if got := p.pause(); got != p.every {
+		t.Errorf("after a late sample it waits %v", got)
+	}
+}
