peernet: A session's end ends all reads of its streams

HashiCorp's Stream.Read selects on the session's shutdown channel, which is closed first, and looks again until the streams are closed, which comes last: after the connection's close (which waits for the receive loop's reference) and the receive loop. With one core the spinning reader kept both from running. A call without a deadline gets one. The wrapper that joined headers to bodies goes.

--- a/modules/peernet/link.go
+++ b/modules/peernet/link.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
+	"github.com/libp2p/go-yamux/v5"
 	"gopkg.in/tomb.v2"
 
 	"madderway/modules/netopt"
@@ -28,13 +28,20 @@
 const (
 	redialFirst = 100 * time.Millisecond
 	redialMax   = 2 * time.Second
+	// writeTimeout is how long a peer may not read before its connection is given up;
+	// its heartbeats have been missed for twice as long by then.
+	writeTimeout = 5 * time.Second
+	// measureRTTEvery is how often yamux measures a round trip after its first one. It
+	// wants the figure for windows that grow; frames here need no more than the first.
+	measureRTTEvery = time.Hour
 )
 
 func yamuxConfig() *yamux.Config {
 	cfg := yamux.DefaultConfig()
 	cfg.EnableKeepAlive = false // the fleet's own heartbeats tell who lives
+	cfg.MeasureRTTInterval = measureRTTEvery
 	cfg.LogOutput = io.Discard
-	cfg.ConnectionWriteTimeout = 5 * time.Second
+	cfg.ConnectionWriteTimeout = writeTimeout
 	return cfg
 }
 
@@ -162,7 +169,9 @@
 	if err != nil {
 		return nil, err
 	}
-	stream, err := session.OpenStream()
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	stream, err := session.OpenStream(ctx)
 	if err != nil {
 		l.drop()
 		return nil, err
@@ -225,7 +234,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return yamux.Client(newCoalescingConn(conn), yamuxConfig())
+	return yamux.Client(conn, yamuxConfig(), nil)
 }
 
 func (l *Link) drop() {
@@ -246,10 +255,12 @@
 		return nil, err
 	}
 	defer stream.Close()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = stream.SetDeadline(deadline)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(past) })
 	defer stop()
 	if err := writeMessage(stream, call); err != nil {
 		return nil, err
--- a/modules/peernet/peernet_test.go
+++ b/modules/peernet/peernet_test.go
@@ -26,6 +26,8 @@
 	"madderway/modules/wire"
 )
 
+var testLog = log.New("peer")
+
 func TestMain(m *testing.M) {
 	log.Setup(io.Discard, 0)
 	os.Exit(m.Run())
