mesh, cell: A gateway tells what its cells gave in one tally

Change: a gateway sums what it gave to each account over all cells that it schedules, and tells each other scheduler those sums once; cells of one gateway hear of each other there. A row says what was told last, so that a cell that has just begun is not charged for all that an account ever got: before, the first row of an account that the first tally did not name was charged whole.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -111,6 +111,8 @@
 		c.coldShare = e.Share
 	case TallySeen:
 		c.takeTally(now, e)
+	case GivenSeen:
+		c.takeGiven(now, e.Rows)
 	case KeptSeen:
 		if t := c.targets[e.Target]; t != nil {
 			t.engine.Learn(e.At, e.Parts)
--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -110,18 +110,23 @@
 // place there.
 type ColdShareSeen struct{ Share float64 }
 
-// TallySeen tells what each account has been given in another cell of the
-// service, as sums since that scheduler took the cell over.
+// TallySeen tells what each account has been given in the cells of the service that
+// another gateway schedules, as sums since its start.
 type TallySeen struct {
-	Source      string // Source names the cell and its scheduler.
-	Incarnation uint64 // Incarnation is the scheduler's life, and its hold of the cell.
+	Source      string // Source is the gateway.
+	Incarnation uint64 // Incarnation is the gateway's life.
 	Rows        []TallyRow
 }
 
+// GivenSeen tells what each account has just been given in another cell of the service
+// that this gateway schedules.
+type GivenSeen struct{ Rows []TallyRow }
+
 // TallyRow is the service of one account.
 type TallyRow struct {
 	Account string
 	Service float64
+	Before  float64 // Before is the sum as it was told last, where Service is a sum.
 }
 
 // KeptSeen tells which parts of prompts a target says it keeps.
@@ -143,6 +148,7 @@
 func (TargetsSeen) isEvent()   {}
 func (ColdShareSeen) isEvent() {}
 func (TallySeen) isEvent()     {}
+func (GivenSeen) isEvent()     {}
 func (KeptSeen) isEvent()      {}
 func (Tick) isEvent()          {}
 
--- a/core/cell/layout.go
+++ b/core/cell/layout.go
@@ -149,6 +149,9 @@
 // Groups returns all cells.
 func (l *Layout) Groups() map[Key]*Group { return l.byKey }
 
+// Cells returns all cells of a service.
+func (l *Layout) Cells(service string) []*Group { return l.cells[service] }
+
 // Siblings returns the other cells of a cell's service.
 func (l *Layout) Siblings(g *Group) []*Group {
 	var out []*Group
--- a/core/cell/tally.go
+++ b/core/cell/tally.go
@@ -10,12 +10,13 @@
 
 // Fairness holds over all cells of a service: each scheduler tells the others
 // what it has given to whom, and what an account gets elsewhere counts here as
-// well. Tallies are sums, so that a lost, repeated or late one does no harm.
+// well. Between gateways tallies are sums, so that a lost, repeated or late one does no
+// harm.
 
-// maxForeign bounds how many other cells are remembered.
+// maxForeign bounds how many other gateways are remembered.
 const maxForeign = 1024
 
-// foreign is what another cell has told so far.
+// foreign is what another gateway has told so far.
 type foreign struct {
 	incarnation uint64
 	sums        map[string]float64
@@ -23,7 +24,9 @@
 }
 
 // takeTally charges accounts for what they were given elsewhere since the last
-// tally. The first one of a scheduler only says where its sums begin.
+// tally. The first one of a gateway's life only says where its sums begin. Of an account
+// that is not in it the next one says what was told before: a cell that has just begun
+// must not be charged for all that the account ever got.
 func (c *Cell) takeTally(now time.Time, e TallySeen) {
 	f := c.foreign[e.Source]
 	if f == nil || f.incarnation != e.Incarnation {
@@ -40,7 +43,11 @@
 	}
 	f.at = now
 	for _, row := range e.Rows {
-		more := row.Service - f.sums[row.Account]
+		before, told := f.sums[row.Account]
+		if !told {
+			before = row.Before
+		}
+		more := row.Service - before
 		if more <= 0 {
 			continue
 		}
@@ -49,6 +56,13 @@
 	}
 }
 
+// takeGiven charges accounts for what another cell of this gateway has given them.
+func (c *Cell) takeGiven(now time.Time, rows []TallyRow) {
+	for _, row := range rows {
+		c.account(row.Account).charge(now, row.Service)
+	}
+}
+
 func (c *Cell) dropOldestForeign() {
 	oldest := ""
 	for source, f := range c.foreign {
@@ -59,14 +73,13 @@
 	delete(c.foreign, oldest)
 }
 
-// Tally returns the sums of the accounts that were given anything since the
-// last call.
+// Tally returns what each account was given since the last call.
 func (c *Cell) Tally() []TallyRow {
 	var rows []TallyRow
 	for _, a := range c.accounts {
-		if a.served != a.told {
+		if more := a.served - a.told; more > 0 {
 			a.told = a.served
-			rows = append(rows, TallyRow{a.name, a.served})
+			rows = append(rows, TallyRow{Account: a.name, Service: more})
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Account < rows[j].Account })
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -94,6 +94,7 @@
 	cells   map[cell.Key]*scheduled
 	// undecided are the cells that have taken events since they decided last.
 	undecided map[cell.Key]*scheduled
+	given     map[string]given // given is what the cells here gave, by service.
 	layout    *cell.Layout
 	index     *routing.Index
 	targets   *routing.TargetSet
@@ -112,19 +113,22 @@
 	// membersChanged tells that changes of the members are not in force yet.
 	membersChanged bool
 
-	size     atomic.Int64
-	known    atomic.Int64 // known counts the gateways that were ever heard of, the dead included.
-	watches  atomic.Bool
-	register atomic.Bool // register tells that this gateway keeps its address in the register.
-	busy     atomic.Int64
-	requests atomic.Uint64
+	size    atomic.Int64
+	known   atomic.Int64 // known counts the gateways that were ever heard of, the dead included.
+	watches atomic.Bool
+	// othersCalm tells that most other gateways of this data hall keep up with their
+	// callers.
+	othersCalm atomic.Bool
+	register   atomic.Bool // register tells that this gateway keeps its address in the register.
+	busy       atomic.Int64
+	requests   atomic.Uint64
 }
 
 // NewLoop starts the loop; it ends with the tomb.
 func NewLoop(t *tomb.Tomb, logger log.Logger, o Options) *Loop {
 	l := &Loop{
 		t: t, log: logger, opts: o, inputs: ring.New[input]("mesh", inputRing), members: member.New(o.Member, o.Self),
-		entry: entry.New(o.Self.ID), cells: map[cell.Key]*scheduled{}, undecided: map[cell.Key]*scheduled{}, layout: &cell.Layout{},
+		entry: entry.New(o.Self.ID), cells: map[cell.Key]*scheduled{}, undecided: map[cell.Key]*scheduled{}, given: map[string]given{}, layout: &cell.Layout{},
 		answers: map[cell.RequestID]chan Decision{}, links: map[string]*peernet.Link{}, out: peerwire.NewOutbox(lazyDelay), traffic: newTraffic(),
 	}
 	l.requests.Store(firstID(o.Self.Incarnation))
@@ -260,6 +264,10 @@
 // may only be cut off.
 func (l *Loop) Known() int { return int(l.known.Load()) }
 
+// OthersCalm tells whether most other gateways of this data hall keep up with their
+// callers.
+func (l *Loop) OthersCalm() bool { return l.othersCalm.Load() }
+
 // Watches tells whether this gateway is one of those that ask the store for all.
 func (l *Loop) Watches() bool { return l.watches.Load() }
 
--- a/services/mesh/tally.go
+++ b/services/mesh/tally.go
@@ -4,27 +4,60 @@
 package mesh
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"madderway/core/cell"
 	"madderway/modules/wire"
 )
 
-// tallyEvery is how often the cells of a service tell each other what they gave
-// to whom, tallyCells the number of cells up to which they do so that often: each tells
-// each other one, so that beyond it what a cell sends would grow with their number.
+// tallyEvery is how often the schedulers of a service tell each other what they gave to
+// whom, tallyCells the number of cells up to which they do so that often: each tells
+// each other one, so that beyond it what one sends would grow with their number.
 const (
 	tallyEvery = 500 * time.Millisecond
 	tallyCells = 32
 )
 
-// tallyPause returns how long cells wait between tallies where a service has so many.
+// tallyPause returns how long schedulers wait between tallies where a service has so
+// many cells.
 func tallyPause(cells int) time.Duration {
 	return tallyEvery * time.Duration(max(cells, tallyCells)) / tallyCells
 }
 
-// tellTallies tells the schedulers of a service's other cells what the cells
-// here have given.
+// given sums what this gateway gave to each account of a service, in all cells that it
+// has scheduled in its life.
+type given map[string]*sum
+
+// sum is what one account was given, and how much of that other gateways were told.
+type sum struct{ service, told float64 }
+
+// add takes what one cell gave since it was last asked.
+func (g given) add(rows []cell.TallyRow) {
+	for _, row := range rows {
+		if g[row.Account] == nil {
+			g[row.Account] = &sum{}
+		}
+		g[row.Account].service += row.Service
+	}
+}
+
+// rows returns the sums that have grown since they were told, sorted by account.
+func (g given) rows() []*wire.EngineTallyRow {
+	var out []*wire.EngineTallyRow
+	for account, s := range g {
+		if s.service > s.told {
+			out = append(out, &wire.EngineTallyRow{Account: account, Service: s.service, Before: s.told})
+			s.told = s.service
+		}
+	}
+	slices.SortFunc(out, func(a, b *wire.EngineTallyRow) int { return strings.Compare(a.Account, b.Account) })
+	return out
+}
+
+// tellTallies tells the schedulers of a service's other cells what the cells here have
+// given, all of them together: cells that one gateway schedules hear of each other here.
 func (l *Loop) tellTallies(now time.Time) {
 	if now.Before(l.nextTally) {
 		return
@@ -35,54 +68,50 @@
 		if g == nil {
 			continue
 		}
-		others := l.layout.Siblings(g)
-		if len(others) == 0 {
-			continue
-		}
 		rows := s.cell.Tally()
 		if len(rows) == 0 {
 			continue
 		}
-		t := &wire.EngineTally{Cell: string(key), Incarnation: s.life}
-		for _, row := range rows {
-			t.Rows = append(t.Rows, &wire.EngineTallyRow{Account: row.Account, Service: row.Service})
+		if l.given[g.Service] == nil {
+			l.given[g.Service] = given{}
+		}
+		l.given[g.Service].add(rows)
+		for _, other := range l.layout.Siblings(g) {
+			if sibling := l.cells[other.Key]; sibling != nil {
+				l.schedule(now, other.Key, sibling, cell.GivenSeen{Rows: rows})
+			}
+		}
+	}
+	for service, sums := range l.given {
+		if rows := sums.rows(); len(rows) > 0 {
+			l.spread(now, service, &wire.EngineTally{Service: service, Incarnation: l.opts.Self.Incarnation, Rows: rows})
 		}
-		l.spread(now, t, others)
 	}
 }
 
-// spread sends a tally once to each gateway that schedules one of the cells.
-func (l *Loop) spread(now time.Time, t *wire.EngineTally, cells []*cell.Group) {
-	told := map[string]bool{}
-	for _, g := range cells {
+// spread sends a tally once to each other gateway that schedules a cell of the service.
+func (l *Loop) spread(now time.Time, service string, t *wire.EngineTally) {
+	told := map[string]bool{l.opts.Self.ID: true}
+	for _, g := range l.layout.Cells(service) {
 		if len(g.Schedulers()) == 0 || told[g.Schedulers()[0]] {
 			continue
 		}
 		to := g.Schedulers()[0]
 		told[to] = true
-		if to == l.opts.Self.ID {
-			l.takeTally(now, to, t)
-			continue
-		}
 		f := l.out.Frame(now, to, true)
 		f.EngineTallies = append(f.EngineTallies, t)
 	}
 }
 
-// takeTally gives a tally to all other cells of its service that are scheduled
-// here.
+// takeTally gives a tally to all cells of its service that are scheduled here.
 func (l *Loop) takeTally(now time.Time, from string, t *wire.EngineTally) {
-	g := l.layout.Group(cell.Key(t.Cell))
-	if g == nil {
-		return
-	}
-	ev := cell.TallySeen{Source: t.Cell + "@" + from, Incarnation: t.Incarnation}
+	ev := cell.TallySeen{Source: from, Incarnation: t.Incarnation}
 	for _, row := range t.Rows {
-		ev.Rows = append(ev.Rows, cell.TallyRow{Account: row.Account, Service: row.Service})
+		ev.Rows = append(ev.Rows, cell.TallyRow{Account: row.Account, Service: row.Service, Before: row.Before})
 	}
-	for _, other := range l.layout.Siblings(g) {
-		if s := l.cells[other.Key]; s != nil {
-			l.schedule(now, other.Key, s, ev)
+	for _, g := range l.layout.Cells(t.Service) {
+		if s := l.cells[g.Key]; s != nil {
+			l.schedule(now, g.Key, s, ev)
 		}
 	}
 }
