batch, cell: An engine that nobody queues at shows its speed, too

Cause: on a deployment of 100 gateways and 1,000 engines one request in six was refused beside idle engines (booked 0). What an engine reads in a second was learned from prompts that follow each other only; where it was guessed too low and no prompt waited for another one, the guess stood for ever, and by it nothing that had to be read was in time anywhere. Change: a prompt that is there sooner than its reading should take shows the engine to be faster, at most twice as fast as thought; nothing is learned from one that comes before any engine can have read it. An engine that has shown nothing is expected to be as fast as others of its cell. Tests: TestIdleEngineShowsItsSpeed stayed at the first guess before; TestOneKeptPromptProvesLittle bounds it.

--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -53,8 +53,13 @@
 // NewEngine returns the model of an idle engine that is thought to read this
 // many tokens a second.
 func NewEngine(slots, cacheTokens int, tokensPerSecond float64) *Engine {
+	return NewEngineLike(slots, cacheTokens, NewPrior(tokensPerSecond))
+}
+
+// NewEngineLike returns an engine that is expected to be as fast as others of its kind.
+func NewEngineLike(slots, cacheTokens int, p *Prior) *Engine {
 	return &Engine{
-		slots: max(slots, 1), cache: newCache(cacheTokens), runs: map[*Run]struct{}{}, pace: pace{prior: tokensPerSecond},
+		slots: max(slots, 1), cache: newCache(cacheTokens), runs: map[*Run]struct{}{}, pace: pace{prior: p},
 	}
 }
 
--- a/core/batch/pace.go
+++ b/core/batch/pace.go
@@ -13,6 +13,12 @@
 	speedDecay   = 0.97 // of the weight of older measurements, for each new one
 	minRead      = 256  // tokens below which a request says nothing of the speed
 	firstGain    = 0.1
+	// mostFaster is how many times faster than the estimate one prompt may show an
+	// engine to be that reads nothing else.
+	mostFaster = 2
+	// leastFirst is the time before which no engine gives a first event of a prompt that
+	// it has to read: a step of a batch and the way there and back take longer.
+	leastFirst = 10 * time.Millisecond
 	// leastSlotWait is what a full engine is waited for at least.
 	leastSlotWait = 30 * time.Millisecond
 	// readShare is the part of an engine's time that is given to reading where
@@ -34,13 +40,28 @@
 	busy      float64       // the seconds that this took
 	done      time.Duration // done is how long the engine has been reading until countedAt.
 	countedAt time.Time
-	prior     float64 // tokens a second, before anything was measured
+	prior     *Prior
 	first     time.Duration
 	stream    time.Duration // stream is how long a request usually keeps its slot.
 	lastBegan time.Time
 }
 
-func (p *pace) speed() float64 { return (p.prior*priorSeconds + p.read) / (priorSeconds + p.busy) }
+func (p *pace) speed() float64 {
+	return (p.prior.speed()*priorSeconds + p.read) / (priorSeconds + p.busy)
+}
+
+// Prior is how fast engines of one kind read, as far as any of them has shown: what is
+// expected of one that has shown nothing yet.
+type Prior struct {
+	guess float64 // tokens a second, before anything was measured
+	read  float64 // tokens read while busy, older ones weigh less
+	busy  float64 // the seconds that this took
+}
+
+// NewPrior returns a prior of engines that are guessed to read so many tokens a second.
+func NewPrior(tokensPerSecond float64) *Prior { return &Prior{guess: tokensPerSecond} }
+
+func (p *Prior) speed() float64 { return (p.guess*priorSeconds + p.read) / (priorSeconds + p.busy) }
 
 func (p *pace) readTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / p.speed() * float64(time.Second))
@@ -102,6 +123,12 @@
 	}
 	took := now.Sub(r.granted)
 	spent := p.readTime(r.Read)
+	if took < spent && took >= leastFirst {
+		// Faster than it reads by the estimate, whatever else the time went into. What
+		// it was thought not to keep it may have kept, so one prompt proves little.
+		p.measure(r.Read, max(took, spent/mostFaster))
+		return
+	}
 	if p.first > 0 && took > 2*(spent+p.first) {
 		p.measure(r.Read, took-p.first)
 		return
@@ -129,6 +156,8 @@
 	}
 	p.read = p.read*decay + float64(tokens)
 	p.busy = p.busy*decay + took.Seconds()
+	p.prior.read = p.prior.read*decay + float64(tokens)
+	p.prior.busy = p.prior.busy*decay + took.Seconds()
 }
 
 func later(a, b time.Time) time.Time {
--- /dev/null
+++ b/core/batch/pace_test.go
@@ -0,0 +1,43 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package batch
+
+import (
+	"testing"
+	"time"
+)
+
+// An engine that is never asked for two prompts at a time shows its speed, too: where the
+// first guess is far too low, requests would be refused beside idle engines for ever.
+func TestIdleEngineShowsItsSpeed(t *testing.T) {
+	const first = 47 * time.Millisecond
+	speed := 51_000.0
+	e := NewEngine(32, 500_000, 3_700)
+	now := start
+	for i := range 20 {
+		r := e.Start(now, prompt(uint64(i+1), 6000), 10)
+		e.Begin(now.Add(first+time.Duration(6000/speed*float64(time.Second))), r)
+		now = now.Add(time.Second)
+		e.End(now, r, OutcomeDone)
+	}
+	if s := e.Speed(); s < speed/2 || s > speed {
+		t.Errorf("speed %.0f after twenty prompts, want between half of %.0f and that", s, speed)
+	}
+}
+
+// One prompt that was kept, though it was thought not to be, does not make an engine fast.
+func TestOneKeptPromptProvesLittle(t *testing.T) {
+	e := NewEngine(32, 500_000, 40_000)
+	r := e.Start(start, prompt(1, 30_000), 10)
+	e.Begin(start.Add(20*time.Millisecond), r)
+	if s := e.Speed(); s > 1.8*40_000 {
+		t.Errorf("speed %.0f after one prompt", s)
+	}
+	before := e.Speed()
+	r = e.Start(start.Add(time.Second), prompt(2, 30_000), 10)
+	e.Begin(start.Add(time.Second+time.Millisecond), r)
+	if s := e.Speed(); s != before {
+		t.Errorf("speed %.0f after a prompt that nobody can have read, %.0f before", s, before)
+	}
+}
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -54,6 +54,7 @@
 	foreign    map[string]*foreign
 	swept      time.Time
 	speed      float64
+	prior      *batch.Prior // prior is how fast the engines here read, as far as any has shown.
 	siblings   int
 	transfer   *routing.Transfer
 	fairWindow time.Duration
@@ -227,12 +228,15 @@
 	}
 	c.speed, c.siblings, c.transfer = e.TokensPerSecond, e.Siblings, e.Transfer
 	c.coldRate, c.coldShare = e.ColdRate, e.ColdShare
+	if c.prior == nil {
+		c.prior = batch.NewPrior(e.TokensPerSecond)
+	}
 	seen := map[string]bool{}
 	for _, info := range e.Targets {
 		seen[info.ID] = true
 		t := c.targets[info.ID]
 		if t == nil {
-			t = &target{engine: batch.NewEngine(info.Slots, info.CacheTokens, e.TokensPerSecond)}
+			t = &target{engine: batch.NewEngineLike(info.Slots, info.CacheTokens, c.prior)}
 			c.targets[info.ID] = t
 		}
 		t.info = info
