cell: What an account is ahead of others is bounded

Cells refused 1,460 requests of wude920, which was 10 million tokens ahead: it had used engines that were idle from 8 to 13 s, and that faded to a half in two seconds only. Change: of the accounts that wait none counts as further ahead of the least served one than half a second of the service's capacity.

--- a/core/cell/account.go
+++ b/core/cell/account.go
@@ -24,6 +24,11 @@
 	// other cells. It is more than the half at which the platform compares accounts:
 	// what is moved is served a second later at best.
 	elsewhereLevel = 0.65
+	// mostAhead bounds how far an account that waits is ahead of another one, in time of
+	// the capacity of all targets: one that had used idle targets waited for seconds
+	// once others came, and got less than half of what they got. With 1.5 s an earlier
+	// trial lost worth and gained nothing.
+	mostAhead = 500 * time.Millisecond
 	// bestEvery is how often it is looked who has had the most in all cells.
 	bestEvery = 100 * time.Millisecond
 	// waitOnStep is how long a request waits on before that is thought over.
@@ -146,11 +151,28 @@
 			waiting = append(waiting, a)
 		}
 	}
+	c.boundLeads(waiting)
 	sort.Slice(waiting, func(i, j int) bool { return waiting[i].before(waiting[j]) })
 	c.queued = waiting
 	return waiting
 }
 
+// boundLeads forgets what accounts that wait are ahead of the least served one beyond
+// mostAhead of the service's capacity: they got it while others did not want it.
+func (c *Cell) boundLeads(waiting []*account) {
+	capacity := c.speed * float64(len(c.targets)*(c.siblings+1))
+	if capacity <= 0 || len(waiting) == 0 {
+		return
+	}
+	least := math.Inf(1)
+	for _, a := range waiting {
+		least = min(least, a.level)
+	}
+	for _, a := range waiting {
+		a.level = min(a.level, least+capacity*mostAhead.Seconds())
+	}
+}
+
 // mayWaitOn tells whether a request waits on beyond its time. One of an account
 // that has had far less than another that waits is next in line, and would only
 // come back to the same line. Any other one, but for those of the account that
--- a/core/cell/tally_test.go
+++ b/core/cell/tally_test.go
@@ -151,3 +151,39 @@
 		t.Errorf("%d of %d refused requests are sent to another cell", elsewhere, refused)
 	}
 }
+
+// What an account got while nobody else wanted it is forgotten soon once others do, also
+// where the capacity is less by then.
+func TestUseOfIdleTargetsIsForgottenSoon(t *testing.T) {
+	c := New()
+	ev := TargetsSeen{TokensPerSecond: 10_000}
+	for _, id := range []string{"a", "b", "c", "d"} {
+		ev.Targets = append(ev.Targets, TargetInfo{ID: id, Slots: 1000, CacheTokens: 10_000_000})
+	}
+	c.Step(epoch, ev)
+	id, got := RequestID(0), map[string]float64{}
+	play := func(from, to time.Duration, accounts ...string) {
+		clear(got)
+		for at := from; at < to; at += 10 * time.Millisecond {
+			now := epoch.Add(at)
+			for _, account := range accounts {
+				id++
+				p := &routing.Prompt{Tokens: 800, MaxOutput: 1, Parts: []routing.PromptPart{{ID: uint64(id), Tokens: 800}}}
+				for _, a := range c.Step(now, AskSeen{"e", Ask{ID: id, Account: account, Prompt: p, Hold: 200 * time.Millisecond}}) {
+					if place, ok := a.(Place); ok {
+						got[accountOf(c, place.ID)] += 800
+						c.Step(now, BeganSeen{"e", place.ID})
+						c.Step(now, EndedSeen{"e", place.ID, 1})
+					}
+				}
+			}
+		}
+	}
+	play(0, 10*time.Second, "early")
+	ev.Targets = ev.Targets[:1] // three of four engines are gone
+	c.Step(epoch.Add(10*time.Second), ev)
+	play(10*time.Second, 16*time.Second, "early", "late")
+	if got["early"] < 0.6*got["late"] {
+		t.Errorf("the one that was alone before got %.0f, the other one %.0f", got["early"], got["late"])
+	}
+}
