--- a/core/cell/account.go
+++ b/core/cell/account.go
@@ -26,8 +26,8 @@
 	elsewhereLevel = 0.65
 	// mostAhead bounds how far an account that waits is ahead of another one, in time of
 	// the capacity of all targets: one that had used idle targets waited for seconds
-	// once others came, and got less than half of what they got. With 1.5 s an earlier
-	// trial lost worth and gained nothing.
+	// once others came, and got less than half of what they got. Half a second is what
+	// one decision of fairness can be late by, the pause between tallies.
 	mostAhead = 500 * time.Millisecond
 	// bestEvery is how often it is looked who has had the most in all cells.
 	bestEvery = 100 * time.Millisecond
