--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -114,7 +114,7 @@
 }
 
 // cold tells whether a target gets no more than a cold one bears. Each gateway begins a
-// cold spell with a part of a request that is drawn, so that they do not all send their
+// cold period with a part of a request that is drawn, so that they do not all send their
 // first one at once.
 func (l Limits) cold(now time.Time, t *routing.Target) bool { return l.ColdRate > 0 && t.Cold(now) }
 
--- a/core/cell/cold_test.go
+++ b/core/cell/cold_test.go
@@ -63,7 +63,7 @@
 		t.Errorf("the cold engine got %d requests in three seconds", n)
 	}
 	if n := len(flood(c, epoch.Add(3*time.Second), time.Second)["cold"]); n < 50 {
-		t.Errorf("the engine got %d of 500 requests in the second after its cold spell", n)
+		t.Errorf("the engine got %d of 500 requests in the second after its cold period", n)
 	}
 	// A scheduler that is none of the cell's sends nothing to a cold engine.
 	ev.ColdShare, ev.Targets[0].ColdUntil = 0, epoch.Add(20*time.Second)
--- a/core/cold/cold.go
+++ b/core/cold/cold.go
@@ -45,14 +45,14 @@
 // Pacer paces the requests to one target. It saves up one request at most, so that no
 // second sees more than the rate and one.
 type Pacer struct {
-	until time.Time // until is the end of the spell that it was made for.
+	until time.Time // until is the end of the cold period that it was made for.
 	at    time.Time
 	level float64 // level is what was saved up at that time, in requests.
 }
 
 // Wait returns how long it takes until the target may get a request, 0 where it may
 // now: it is warm, or bears one more. It is cold until a time, and the rate is in
-// requests a second. A new spell begins with first, a part of a request, saved up.
+// requests a second. A new cold period begins with first, a part of a request, saved up.
 func (p *Pacer) Wait(now, until time.Time, rate, first float64) time.Duration {
 	left := until.Sub(now)
 	if left <= 0 {
--- a/services/follow/cold.go
+++ b/services/follow/cold.go
@@ -9,11 +9,11 @@
 	"madderway/models/routing"
 )
 
-// sameSpell is how far apart two tellings of one cold spell may be: the target's
+// samePeriod is how far apart two tellings of one cold period may be: the target's
 // writes, the store's feed and messages between gateways come with some delay.
-const sameSpell = 500 * time.Millisecond
+const samePeriod = 500 * time.Millisecond
 
-// stampCold puts the end of a target's cold spell on this process's clock. One that is
+// stampCold puts the end of a target's cold period on this process's clock. One that is
 // known already, or over, stays as it is, so that counting down is no change. The end
 // is never early: the time that the news was under way is added to it.
 func stampCold(now time.Time, known, told routing.Target) routing.Target {
@@ -26,7 +26,7 @@
 		return told
 	}
 	told.ColdUntil = now.Add(left)
-	if known.Cold(now) && told.ColdUntil.Sub(known.ColdUntil).Abs() < sameSpell {
+	if known.Cold(now) && told.ColdUntil.Sub(known.ColdUntil).Abs() < samePeriod {
 		told.ColdUntil = known.ColdUntil
 	}
 	return told
@@ -48,8 +48,8 @@
 	return changes
 }
 
-// tell returns changes as a peer is told them: with the time that is left of a cold
-// spell, since clocks differ.
+// tell returns changes as a peer is told them: with the time that is left of a
+// cold period, since clocks differ.
 func tell(now time.Time, news targetNews) targetNews {
 	for i := range news.Changes {
 		t := &news.Changes[i].Target
@@ -58,9 +58,9 @@
 	return news
 }
 
-// chill makes the targets of a data hall cold for as long as one that has just
+// markCold makes the targets of a data hall cold for as long as one that has just
 // started, where what is known of them is old: they may have turned cold unseen.
-func (t *targetTable) chill(now time.Time, hall string, start func(service string) time.Duration) {
+func (t *targetTable) markCold(now time.Time, hall string, start func(service string) time.Duration) {
 	for id, ch := range t.known {
 		if ch.Target.DataHall != hall {
 			continue
--- a/services/follow/cold_test.go
+++ b/services/follow/cold_test.go
@@ -18,7 +18,7 @@
 	return t.apply(t.stampChanges(now, changes))
 }
 
-// A target that counts its cold spell down changes nothing; one that turns cold again,
+// A target that counts its cold period down changes nothing; one that turns cold again,
 // or is warm before its time, does.
 func TestCountingDownIsNoChange(t *testing.T) {
 	table, now := newTargetTable(), coldStartAt
@@ -32,7 +32,7 @@
 		t.Error("counting down is a change")
 	}
 	if tellCold(table, now.Add(3200*time.Millisecond), 3, 0) {
-		t.Error("the end of a spell that is over is a change")
+		t.Error("the end of a cold period that is over is a change")
 	}
 	if !tellCold(table, now.Add(9*time.Second), 4, 3*time.Second) {
 		t.Error("turning cold again is no change")
@@ -44,7 +44,7 @@
 	}
 }
 
-// A peer is told how much is left of a spell, since its clock may show another time.
+// A peer is told how much is left of a cold period, since its clock may show another time.
 func TestPeersAreToldWhatIsLeft(t *testing.T) {
 	mine, theirs, now := newTargetTable(), newTargetTable(), coldStartAt
 	tellCold(mine, now, 1, 3*time.Second)
--- a/services/follow/evacuate.go
+++ b/services/follow/evacuate.go
@@ -24,7 +24,7 @@
 		s.log.Info("Evacuation changed.", "hall", ch.DataHall, "evacuated", ch.Evacuated, "revision", ch.Revision, "from", from,
 			"targets_age", s.watchTargets.Age(now), "cold", !ch.Evacuated && unsure)
 		if !ch.Evacuated && unsure {
-			s.table.chill(now, ch.DataHall, s.coldStart)
+			s.table.markCold(now, ch.DataHall, s.coldStart)
 		}
 	}
 	s.publish(from)
--- a/services/follow/halls_test.go
+++ b/services/follow/halls_test.go
@@ -149,17 +149,17 @@
 
 // While the store answers, targets of a hall that comes back are as cold as they say.
 func TestHallComesBackAsItsTargetsSay(t *testing.T) {
-	const spell = time.Hour // long, since the harness lets time run on its own
+	const period = time.Hour // long, since the harness lets time run on its own
 	source := twoHalls()
 	source.halls = []HallChange{{DataHall: "h1", Revision: 4, Evacuated: true}}
 	h := start(t, source, nil)
 	h.awaitEvacuated("a")
 	h.watched()
-	source.changes <- watchAnswer{revision: 8, changes: []TargetChange{{ID: "a", Revision: 8, Target: routing.Target{ID: "a", Service: "s", DataHall: "h1", ColdFor: spell}}}}
+	source.changes <- watchAnswer{revision: 8, changes: []TargetChange{{ID: "a", Revision: 8, Target: routing.Target{ID: "a", Service: "s", DataHall: "h1", ColdFor: period}}}}
 	for !h.Targets().Find("a").Cold(h.clock.Now()) {
 		h.await()
 	}
-	if a, now := h.Targets().Find("a"), h.clock.Now(); a.Cold(now.Add(spell)) {
+	if a, now := h.Targets().Find("a"), h.clock.Now(); a.Cold(now.Add(period)) {
 		t.Errorf("cold until %v at %v", a.ColdUntil, now)
 	}
 	h.operator(OperatorNews{Revision: 9, Halls: []HallChange{{DataHall: "h1", Revision: 9}}})
