peernet: What was written before an idle connection ends arrives; a close never waits

And where the peer ended the session, yamux closes the connection before it tells anybody. Change: an idle connection is closed after the peer has read its last frame, or a second; the connection under a session closes in the background, so that a session's end is told at once. What concerns sessions has a file of its own.

--- a/modules/peernet/link.go
+++ b/modules/peernet/link.go
@@ -6,8 +6,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
-	"net"
 	"sync"
 	"time"
 
@@ -28,23 +26,8 @@
 const (
 	redialFirst = 100 * time.Millisecond
 	redialMax   = 2 * time.Second
-	// writeTimeout is how long a peer may not read before its connection is given up;
-	// its heartbeats have been missed for twice as long by then.
-	writeTimeout = 5 * time.Second
-	// measureRTTEvery is how often yamux measures a round trip after its first one. It
-	// wants the figure for windows that grow; frames here need no more than the first.
-	measureRTTEvery = time.Hour
 )
 
-func yamuxConfig() *yamux.Config {
-	cfg := yamux.DefaultConfig()
-	cfg.EnableKeepAlive = false // the fleet's own heartbeats tell who lives
-	cfg.MeasureRTTInterval = measureRTTEvery
-	cfg.LogOutput = io.Discard
-	cfg.ConnectionWriteTimeout = writeTimeout
-	return cfg
-}
-
 // Link sends to one peer. It dials when there is something to send.
 type Link struct {
 	t       *tomb.Tomb
@@ -116,7 +99,7 @@
 }
 
 func (l *Link) run() error {
-	var stream net.Conn
+	var stream *yamux.Stream
 	var used time.Time // used is when the connection last carried a frame.
 	var unused <-chan time.Time
 	for {
@@ -136,6 +119,9 @@
 				unused = time.After(left)
 				continue
 			}
+			if stream != nil {
+				closeAfterLast(stream)
+			}
 			l.drop()
 			stream = nil
 		}
@@ -144,7 +130,7 @@
 
 // deliver writes a frame and returns the stream for the next one. A frame that
 // cannot be written is lost: all of it is state that will be sent again.
-func (l *Link) deliver(stream net.Conn, f *wire.Frame) net.Conn {
+func (l *Link) deliver(stream *yamux.Stream, f *wire.Frame) *yamux.Stream {
 	if l.renewal.session.Load() {
 		stream = nil
 	}
@@ -164,7 +150,7 @@
 	return nil
 }
 
-func (l *Link) open(kind byte) (net.Conn, error) {
+func (l *Link) open(kind byte) (*yamux.Stream, error) {
 	session, err := l.connect()
 	if err != nil {
 		return nil, err
@@ -234,7 +220,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return yamux.Client(conn, yamuxConfig(), nil)
+	return clientSession(conn)
 }
 
 func (l *Link) drop() {
--- a/modules/peernet/server.go
+++ b/modules/peernet/server.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/libp2p/go-yamux/v5"
 	"gopkg.in/tomb.v2"
 
 	"madderway/modules/log"
@@ -155,7 +154,7 @@
 		return
 	}
 	s.track(raw, peer)
-	session, err := yamux.Server(conn, yamuxConfig(), nil)
+	session, err := serverSession(conn)
 	if err != nil {
 		return
 	}
@@ -169,56 +168,6 @@
 	serveSession(session, spawn, func(stream net.Conn) { s.serveStream(peer, stream) })
 }
 
-// past is a deadline that is over.
-var past = time.Unix(1, 0)
-
-// serveSession passes the streams of a session on until it ends, and then ends all
-// reads that still wait. The library ends them once the connection is closed and its
-// own goroutines are done; a reader must not depend on that. With another library, whose
-// readers looked again and again until then, a process with one core read for ever.
-func serveSession(session *yamux.Session, spawn func(func()), serve func(net.Conn)) {
-	open := streamSet{streams: map[*yamux.Stream]bool{}}
-	for {
-		stream, err := session.AcceptStream()
-		if err != nil {
-			open.endReads()
-			return
-		}
-		open.add(stream)
-		spawn(func() {
-			defer open.close(stream)
-			serve(stream)
-		})
-	}
-}
-
-// streamSet holds the open streams of a session.
-type streamSet struct {
-	mu      sync.Mutex
-	streams map[*yamux.Stream]bool
-}
-
-func (s *streamSet) add(stream *yamux.Stream) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.streams[stream] = true
-}
-
-func (s *streamSet) close(stream *yamux.Stream) {
-	_ = stream.Close()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.streams, stream)
-}
-
-func (s *streamSet) endReads() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for stream := range s.streams {
-		_ = stream.SetReadDeadline(past)
-	}
-}
-
 func (s *Server) serveStream(peer string, stream net.Conn) {
 	r := bufio.NewReader(stream)
 	kind, err := r.ReadByte()
--- a/modules/peernet/session_test.go
+++ b/modules/peernet/session_test.go
@@ -47,11 +47,11 @@
 	t.Helper()
 	near, far := net.Pipe()
 	held.Conn, held.release = far, make(chan struct{})
-	client, err := yamux.Client(near, yamuxConfig(), nil)
+	client, err := clientSession(near)
 	if err != nil {
 		t.Fatal(err)
 	}
-	server, err = yamux.Server(held, yamuxConfig(), nil)
+	server, err = serverSession(held)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/services/follow/follow_test.go
+++ b/services/follow/follow_test.go
@@ -45,6 +45,8 @@
 }
 
 func (f *fakeSource) Operator(context.Context) (OperatorNews, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return OperatorNews{Configuration: f.config, Halls: f.halls, Revision: f.version}, nil
 }
 
