forward, log: Tell how late, how full and whom a gateway refuses in each second

Change: the line of a second has the admitted share, the lateness, streams and connections; a second line names who was refused the most and why. Lines about single requests take three quarters of the log's bound. Of refusals at the entry the first ten of a second and one in 32 are told one by one.

--- a/modules/log/async.go
+++ b/modules/log/async.go
@@ -25,6 +25,18 @@
 // DefaultBudget keeps a log readable and its cost small.
 func DefaultBudget() Budget { return Budget{Lines: 200, Bytes: 64 << 10, Ring: 1024} }
 
+// requestShare is the part of the budget that lines about single requests may take, so
+// that a flood of requests does not leave out what tells of the flood.
+const requestShare = 0.75
+
+// lineKind is what a line is about.
+type lineKind int
+
+const (
+	general lineKind = iota
+	aboutRequest
+)
+
 // flushEvery is how often lines that were left out are told, and flushTime how
 // long the end of the program waits for the output.
 const (
@@ -64,10 +76,14 @@
 	return len(line), nil
 }
 
-// spent tells whether the budget of this second is spent; the line that asks is
-// counted as left out then.
-func (w *AsyncWriter) spent() bool {
-	if w.second.Load() != w.clock.Now().Unix() || w.lines.Load() < int64(w.budget.Lines) && w.bytes.Load() < int64(w.budget.Bytes) {
+// spent tells whether the budget that a kind of line has in this second is spent; the
+// line that asks is counted as left out then.
+func (w *AsyncWriter) spent(kind lineKind) bool {
+	lines, bytes := int64(w.budget.Lines), int64(w.budget.Bytes)
+	if kind == aboutRequest {
+		lines, bytes = int64(requestShare*float64(lines)), int64(requestShare*float64(bytes))
+	}
+	if w.second.Load() != w.clock.Now().Unix() || w.lines.Load() < lines && w.bytes.Load() < bytes {
 		return false
 	}
 	w.leftOut.Add(1)
--- a/modules/log/async_test.go
+++ b/modules/log/async_test.go
@@ -4,6 +4,7 @@
 package log
 
 import (
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -69,3 +70,28 @@
 		t.Errorf("the output holds %q", text)
 	}
 }
+
+// A flood of lines about single requests leaves room for the lines that tell of it.
+func TestFloodOfRequestsLeavesRoomForOtherLines(t *testing.T) {
+	out := &gate{open: make(chan struct{})}
+	close(out.open)
+	w := NewAsync(out, clock.NewFake(), Budget{Lines: 100, Bytes: 1 << 20, Ring: 200})
+	Setup(w, 0)
+	defer Setup(io.Discard, 0)
+	l := New("test")
+	for range 1000 {
+		l.Request("Flood.")
+	}
+	for range 20 {
+		l.Info("View.")
+	}
+	l.Warn("Overloaded.")
+	w.Close()
+	text := out.String()
+	if n := strings.Count(text, "View."); n != 20 || !strings.Contains(text, "Overloaded.") {
+		t.Errorf("%d of 20 lines came beside a flood, a warning %v", n, strings.Contains(text, "Overloaded."))
+	}
+	if n := strings.Count(text, "Flood."); n < 50 || n > 75 {
+		t.Errorf("%d lines of the flood, 75 are its part", n)
+	}
+}
--- a/modules/log/log.go
+++ b/modules/log/log.go
@@ -30,14 +30,22 @@
 // over tells whether the budget of this second is spent, and counts the line
 // that is left out for it. It is asked before a line is put together, since that
 // is most of its cost.
-func over() bool {
+func over(kind lineKind) bool {
 	w := output.Load()
-	return w != nil && w.spent()
+	return w != nil && w.spent(kind)
 }
 
 // Info writes a line with key-value pairs.
 func (l Logger) Info(msg string, kv ...any) {
-	if !over() {
+	if !over(general) {
+		klog.InfoSDepth(1, l.prefix+msg, kv...)
+	}
+}
+
+// Request writes a line about a single request. A flood of these leaves a part of the
+// budget to all other lines.
+func (l Logger) Request(msg string, kv ...any) {
+	if !over(aboutRequest) {
 		klog.InfoSDepth(1, l.prefix+msg, kv...)
 	}
 }
@@ -51,7 +59,7 @@
 
 // Warn writes a warning with key-value pairs.
 func (l Logger) Warn(msg string, kv ...any) {
-	if over() {
+	if over(general) {
 		return
 	}
 	klog.WarningDepth(1, l.prefix+msg+pairs(kv))
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -159,6 +159,7 @@
 	g.forward = forward.New(log.New("forward").With(s.ID), forward.Options{
 		DataHall: s.DataHall, Clock: g.clock, Follow: g.follow, Mesh: g.loop, Client: client,
 		Guard: guard, Retry: retryBudget(s),
+		Connections: func() (int, uint64) { return g.callers.Open(), g.callers.TurnedAway() },
 	})
 	g.handler = gateway.New(gateway.Options{
 		Clock: g.clock, Dialect: platform.Dialect{}, Follow: g.follow, Forward: g.forward,
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"madderway/core/attempt"
@@ -49,6 +50,9 @@
 	Client   *upstream.Client
 	Guard    *Guard
 	Retry    RetryBudget
+	// Connections tells how many connections of callers are open, and how many were
+	// turned away since the start.
+	Connections func() (open int, turnedAway uint64)
 }
 
 // Service forwards requests.
@@ -63,6 +67,7 @@
 
 	counters counters
 	outcomes outcomes
+	running  atomic.Int64 // running is how many requests of engines are under way.
 }
 
 // New returns a service.
@@ -94,6 +99,10 @@
 	defer cancel()
 	j := &job{s: s, ctx: ctx, w: w, r: r, lastEvent: r.Call.LastEvent, history: attempt.History{Route: r.Route}}
 	j.repeat = func() bool { return s.repeat(r.Service.Name) }
+	if scheduled(r.Service, &r.Call) {
+		s.running.Add(1)
+		defer s.running.Add(-1)
+	}
 	err := j.run()
 	s.counters.note(r.Service, err, s.opts.Clock.Now().Sub(r.Received))
 	s.logEnd(j, err)
@@ -135,6 +144,9 @@
 	overloadedAfter = 50 * time.Millisecond
 )
 
+// refusalLines is how many refusals at the entry are told one by one in a second.
+const refusalLines = 10
+
 // Admit counts a request and refuses it where this gateway is overloaded, or its
 // account asks for far more than it is given. It is asked before the body is
 // read, so that a flood costs little.
@@ -152,8 +164,11 @@
 		return nil
 	}
 	s.counters.note(service, err, 0)
-	s.outcomes.note(outcomeAtEntry)
-	s.log.Info("Request refused at the entry.", "id", call.ID, "account", account.NameOf(), "service", service.Name, "error", err)
+	// A flood is told in full at the beginning of each second, then by a sample and by
+	// the counts in the lines of a second: the budget of the log is for what tells more.
+	if n := s.outcomes.noteRefused(account.NameOf(), result.Of(err).Code); n <= refusalLines || sampled(call.ID) {
+		s.log.Request("Request refused at the entry.", "id", call.ID, "account", account.NameOf(), "service", service.Name, "error", err)
+	}
 	return err
 }
 
--- a/services/forward/guard.go
+++ b/services/forward/guard.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,27 @@
 	governor *overload.Governor
 	link     *overload.Link
 	duties   overload.Duties
+	second   latenessSecond
+}
+
+// latenessSecond is how late the process came to its work since the last line.
+type latenessSecond struct {
+	samples int
+	sum     time.Duration
+	worst   time.Duration
+}
+
+func (l *latenessSecond) note(lateness time.Duration) {
+	l.samples++
+	l.sum += lateness
+	l.worst = max(l.worst, lateness)
+}
+
+func (l *latenessSecond) mean() time.Duration {
+	if l.samples == 0 {
+		return 0
+	}
+	return l.sum / time.Duration(l.samples)
 }
 
 // GuardOptions are what a Guard sees of the gateway, and tells it.
@@ -54,6 +76,7 @@
 	now := g.clock.Now()
 	sent, received := g.opts.Bytes()
 	g.mu.Lock()
+	g.second.note(lateness)
 	use := g.link.Observe(now, sent, received)
 	changed := g.governor.Observe(now, lateness)
 	share, refused := g.governor.Share(), g.governor.Refused()
@@ -61,13 +84,13 @@
 	keepsUp, moved := g.duties.Observe(now, share, use)
 	g.mu.Unlock()
 	if moved {
-		g.log.Info("Scheduling for others changed.", "keeps_up", keepsUp, "late", lateness, "link", float64(int(100*use))/100, "share", share)
+		g.log.Info("Scheduling for others changed.", "keeps_up", keepsUp, "late", lateness, "link", percent(use), "share", share)
 		g.opts.OnDuties(keepsUp, overload.Full(use))
 	}
 	switch {
 	case !changed:
 	case share < 1:
-		g.log.Warn("Overloaded, refusing some requests.", "late", lateness, "link", float64(int(100*use))/100, "share", share)
+		g.log.Warn("Overloaded, refusing some requests.", "late", lateness, "link", percent(use), "share", share)
 	default:
 		g.log.Info("No longer overloaded.", "refused since the start", refused)
 	}
@@ -80,6 +103,19 @@
 	return g.governor.Admit(g.clock.Now(), account, rand.Float64())
 }
 
+// takeSecond returns the share that is admitted now and how late the process has come to
+// its work since the last call, for the line of a second.
+func (g *Guard) takeSecond() []any {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.second
+	g.second = latenessSecond{}
+	return []any{"share", percent(g.governor.Share()), "late_mean", l.mean().Round(time.Millisecond), "late_worst", l.worst.Round(time.Millisecond)}
+}
+
+// percent rounds a share to hundredths, for log lines.
+func percent(share float64) float64 { return math.Round(100*share) / 100 }
+
 // Strained tells whether the gateway is short of processor time.
 func (g *Guard) Strained() bool { return g.strained.Load() }
 
--- a/services/forward/second.go
+++ b/services/forward/second.go
@@ -8,12 +8,29 @@
 	"slices"
 	"sync"
 	"time"
+
+	"madderway/models/result"
 )
 
 // outcomes counts how the requests of engines ended since the last line.
 type outcomes struct {
-	mu     sync.Mutex
-	counts map[string]int
+	mu      sync.Mutex
+	counts  map[string]int
+	refused map[refusal]int // refused counts those that were refused at the entry.
+}
+
+// refusal is an account and why its requests are refused at the entry.
+type refusal struct {
+	account string
+	reason  result.Code
+}
+
+// refusals sum up who was refused at the entry: the account and reason with the most
+// requests, their number, and how many accounts were refused.
+type refusals struct {
+	refusal
+	most     int
+	accounts int
 }
 
 // Names of the outcomes of a line; failures go by the name of their code.
@@ -37,13 +54,33 @@
 	o.counts[name]++
 }
 
+// noteRefused counts a request that was refused at the entry, and returns how many were
+// since the last line.
+func (o *outcomes) noteRefused(account string, reason result.Code) int {
+	o.note(outcomeAtEntry)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.refused == nil {
+		o.refused = map[refusal]int{}
+	}
+	o.refused[refusal{account, reason}]++
+	return o.counts[outcomeAtEntry]
+}
+
 // take returns what was counted and begins anew.
-func (o *outcomes) take() map[string]int {
+func (o *outcomes) take() (map[string]int, refusals) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	counts := o.counts
-	o.counts = nil
-	return counts
+	counts, sum, accounts := o.counts, refusals{}, map[string]bool{}
+	for r, n := range o.refused {
+		accounts[r.account] = true
+		if n > sum.most || n == sum.most && r.account < sum.account {
+			sum.refusal, sum.most = r, n
+		}
+	}
+	sum.accounts = len(accounts)
+	o.counts, o.refused = nil, nil
+	return counts, sum
 }
 
 // TellSeconds writes, each second until stop is closed, how the requests of engines
@@ -55,14 +92,19 @@
 			return
 		case <-s.opts.Clock.After(secondEvery):
 		}
-		counts := s.outcomes.take()
+		counts, refused := s.outcomes.take()
+		strain := s.opts.Guard.takeSecond()
 		if len(counts) == 0 {
 			continue
 		}
-		var values []any
+		open, turnedAway := s.opts.Connections()
+		values := append(strain, "streams", s.running.Load(), "connections", open, "turned_away_total", turnedAway)
 		for _, name := range slices.Sorted(maps.Keys(counts)) {
 			values = append(values, name, counts[name])
 		}
 		s.log.Info("Second of a gateway.", values...)
+		if refused.most > 0 {
+			s.log.Info("Refused at the entry.", "account", refused.account, "reason", refused.reason, "requests", refused.most, "accounts", refused.accounts)
+		}
 	}
 }
--- /dev/null
+++ b/services/forward/second_test.go
@@ -0,0 +1,50 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"madderway/models/result"
+	"madderway/modules/clock"
+)
+
+// The line of a second names the account that was refused the most, and why.
+func TestSecondNamesWhoWasRefused(t *testing.T) {
+	var o outcomes
+	o.note(outcomeInTime)
+	for i := range 3 {
+		if n := o.noteRefused("flood", result.Overloaded); n != i+1 {
+			t.Errorf("refusal %d was counted as %d", i+1, n)
+		}
+	}
+	o.noteRefused("flood", result.QueueFull)
+	o.noteRefused("quiet", result.Overloaded)
+	counts, refused := o.take()
+	if counts[outcomeInTime] != 1 || counts[outcomeAtEntry] != 5 {
+		t.Errorf("counted %v", counts)
+	}
+	want := refusals{refusal: refusal{"flood", result.Overloaded}, most: 3, accounts: 2}
+	if refused != want {
+		t.Errorf("summed up as %+v, want %+v", refused, want)
+	}
+	if counts, refused = o.take(); len(counts) != 0 || refused.most != 0 {
+		t.Errorf("the next second begins with %v, %+v", counts, refused)
+	}
+}
+
+// The line of a second tells how late the process came to its work in that second only.
+func TestSecondTellsLateness(t *testing.T) {
+	g := testGuard(clock.NewFake())
+	g.Late(10 * time.Millisecond)
+	g.Late(50 * time.Millisecond)
+	if got := g.second; got.mean() != 30*time.Millisecond || got.worst != 50*time.Millisecond {
+		t.Errorf("mean %v, worst %v", got.mean(), got.worst)
+	}
+	_ = g.takeSecond()
+	if got := g.second; got.samples != 0 || got.mean() != 0 {
+		t.Errorf("the next second begins with %+v", got)
+	}
+}
--- a/services/forward/story.go
+++ b/services/forward/story.go
@@ -29,18 +29,18 @@
 	switch {
 	case errors.Is(err, context.Canceled):
 		if sampled(j.r.Call.ID) {
-			s.log.Info("Caller has gone.", j.story()...)
+			s.log.Request("Caller has gone.", j.story()...)
 		}
 	case err != nil:
 		code, after := "aborted", time.Duration(0)
 		if e, ok := result.From(err); ok {
 			code, after = e.Code.String(), e.RetryAfter
 		}
-		s.log.Info("Request failed.", append(j.story(), "code", code, "retry_after", after, "reason", j.reason, "detail", err)...)
+		s.log.Request("Request failed.", append(j.story(), "code", code, "retry_after", after, "reason", j.reason, "detail", err)...)
 	case j.r.Route.Stream && j.pace.late(j.r.Route):
-		s.log.Info("Answer late.", append(j.story(), "objective", j.r.Route.Objective, "longest_pause", j.r.Route.Pause)...)
+		s.log.Request("Answer late.", append(j.story(), "objective", j.r.Route.Objective, "longest_pause", j.r.Route.Pause)...)
 	case j.history.Sent > 1 || j.history.Unsent > 0 || sampled(j.r.Call.ID):
-		s.log.Info("Request served.", j.story()...)
+		s.log.Request("Request served.", j.story()...)
 	}
 }
 
@@ -63,7 +63,7 @@
 
 // logNext writes what follows an attempt that came to nothing.
 func (s *Service) logNext(j *job, o attempt.Outcome, next attempt.Next) {
-	s.log.Info("Attempt failed.", "id", j.r.Call.ID, "number", j.number, "target", j.target, "outcome", o, "next", next,
+	s.log.Request("Attempt failed.", "id", j.r.Call.ID, "number", j.number, "target", j.target, "outcome", o, "next", next,
 		"sent", j.history.Sent, "unsent", j.history.Unsent, "may_have_run", j.history.MayHave, "reason", j.reason)
 }
 
--- a/services/mesh/step.go
+++ b/services/mesh/step.go
@@ -169,7 +169,7 @@
 	switch a := a.(type) {
 	case cell.Place:
 		if a.Anew > 0 {
-			l.log.Info("Shared part read again.", "cell", key, "entry", a.Entry, "number", a.ID, "account", a.Account,
+			l.log.Request("Shared part read again.", "cell", key, "entry", a.Entry, "number", a.ID, "account", a.Account,
 				"subject", a.Subject, "target", a.Target, "tokens", a.Anew, "why", a.Why, "waited", a.Waited)
 		}
 		if a.Entry == self {
@@ -186,7 +186,7 @@
 		f := l.out.Frame(now, a.Entry, true)
 		f.EngineWaits = append(f.EngineWaits, &wire.EngineWait{Id: uint64(a.ID)})
 	case cell.Refuse:
-		l.log.Info("Request refused.", "cell", key, "entry", a.Entry, "number", a.ID, "account", a.Account, "waited", a.Waited,
+		l.log.Request("Request refused.", "cell", key, "entry", a.Entry, "number", a.ID, "account", a.Account, "waited", a.Waited,
 			"ahead", int64(a.Ahead), "booked", a.Booked, "waiting", a.Waiting, "retry_after", a.RetryAfter, "elsewhere", a.Elsewhere)
 		if a.Entry == self {
 			l.enter(now, entry.RefusalSeen{From: self, ID: a.ID, RetryAfter: a.RetryAfter, Elsewhere: a.Elsewhere})
