--- /dev/null
+++ b/core/overload/collapse_test.go
@@ -0,0 +1,202 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package overload
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// The work of the model below, as shares of a core: what was estimated from the seconds
+// of a gateway of 0.19 core under a flood. A stream costs half when it is admitted, half
+// until its end; a refusal costs a third of a stream.
+const (
+	streamWork  = 250 * time.Microsecond
+	refusalWork = 85 * time.Microsecond
+	streamTime  = 1500 * time.Millisecond
+	streamParts = 15
+	coreShare   = 0.19
+	returnAfter = 50 * time.Millisecond // returnAfter is when a refused caller comes back, once.
+	firstAim    = time.Second           // firstAim is within what time a stream must have its first part.
+)
+
+// piece is some work of the model's process.
+type piece struct {
+	due    time.Time
+	work   time.Duration
+	stream *stream // stream is nil for refusals and probes.
+	parts  int     // parts is how many parts of the stream follow.
+	probe  bool
+	caller *visit
+}
+
+// visit is a caller's request, first or come back.
+type visit struct {
+	account string
+	asked   time.Time
+	again   bool
+}
+
+type stream struct {
+	account string
+	asked   time.Time
+	first   time.Duration
+}
+
+// flooded is a process that works off what comes in order, and probes its own lateness by
+// a piece of work that is sent again only after it was read.
+type flooded struct {
+	*Governor
+	t     *testing.T
+	now   time.Time
+	rng   *rand.Rand
+	later []piece // later are pieces that are due in the future, in no order.
+	queue []piece // queue is what is due, in order.
+	done  time.Duration
+	// served counts, for each second, the streams whose first part was in time, late those
+	// that were admitted and late, asked the first requests.
+	served, late, asked map[int]map[string]int
+}
+
+func newFlooded(t *testing.T) *flooded {
+	f := &flooded{
+		Governor: New(), t: t, now: epoch, rng: rand.New(rand.NewPCG(3, 4)),
+		served: map[int]map[string]int{}, late: map[int]map[string]int{}, asked: map[int]map[string]int{},
+	}
+	f.later = append(f.later, piece{due: epoch, probe: true})
+	return f
+}
+
+func add(m map[int]map[string]int, second int, account string) {
+	if m[second] == nil {
+		m[second] = map[string]int{}
+	}
+	m[second][account]++
+}
+
+func (f *flooded) second(at time.Time) int { return int(at.Sub(epoch) / time.Second) }
+
+// step plays a millisecond in which these accounts ask at these rates a second.
+func (f *flooded) step(rates []rate) {
+	f.now = f.now.Add(time.Millisecond)
+	for _, r := range rates {
+		for n := 2 * f.rng.Float64() * r.perSecond / 1000; n > 0; n-- {
+			if n < 1 && f.rng.Float64() > n {
+				break
+			}
+			add(f.asked, f.second(f.now), r.account)
+			f.queue = append(f.queue, piece{due: f.now, caller: &visit{r.account, f.now, false}})
+		}
+	}
+	f.arrive()
+	for f.done -= time.Duration(coreShare * float64(time.Millisecond)); f.done < 0 && len(f.queue) > 0; {
+		next := f.queue[0]
+		f.queue = f.queue[1:]
+		f.work(next)
+	}
+	f.done = max(f.done, -time.Duration(coreShare*float64(time.Millisecond)))
+}
+
+func (f *flooded) arrive() {
+	rest := f.later[:0]
+	for _, p := range f.later {
+		if p.due.After(f.now) {
+			rest = append(rest, p)
+		} else {
+			f.queue = append(f.queue, p)
+		}
+	}
+	f.later = rest
+}
+
+func (f *flooded) work(p piece) {
+	switch {
+	case p.probe:
+		f.Observe(f.now, f.now.Sub(p.due))
+		f.later = append(f.later, piece{due: f.now.Add(25 * time.Millisecond), probe: true})
+	case p.caller != nil:
+		f.take(p.caller)
+	default:
+		f.part(p)
+	}
+}
+
+func (f *flooded) take(v *visit) {
+	if !f.Admit(f.now, v.account, f.rng.Float64()) {
+		f.done += refusalWork
+		if !v.again {
+			f.later = append(f.later, piece{due: f.now.Add(returnAfter), caller: &visit{v.account, v.asked, true}})
+		}
+		return
+	}
+	f.done += streamWork / 2
+	s := &stream{account: v.account, asked: v.asked}
+	f.later = append(f.later, piece{due: f.now.Add(100 * time.Millisecond), stream: s, parts: streamParts})
+}
+
+func (f *flooded) part(p piece) {
+	f.done += streamWork / 2 / streamParts
+	if p.stream.first == 0 {
+		p.stream.first = f.now.Sub(p.stream.asked)
+		if p.stream.first <= firstAim {
+			add(f.served, f.second(f.now), p.stream.account)
+		} else {
+			add(f.late, f.second(f.now), p.stream.account)
+		}
+	}
+	if p.parts > 1 {
+		f.later = append(f.later, piece{due: f.now.Add(streamTime / streamParts), stream: p.stream, parts: p.parts - 1})
+	}
+}
+
+// rate is how often an account asks in a second.
+type rate struct {
+	account   string
+	perSecond float64
+}
+
+func (f *flooded) play(seconds int, rates ...rate) {
+	for range seconds * 1000 {
+		f.step(rates)
+	}
+}
+
+// sustainable is how many streams a second the model's process can serve while it refuses
+// the rest of a flood twice.
+func sustainable(perSecond float64) float64 {
+	served := 0.0
+	for p := 0.0; p < 1; p += 0.001 {
+		visits := perSecond * (2 - p)
+		busy := visits * (p*streamWork.Seconds() + (1-p)*refusalWork.Seconds())
+		if busy > coreShare {
+			break
+		}
+		served = math.Max(served, visits*p)
+	}
+	return served
+}
+
+// Under a flood for many seconds, whose refused requests come back and cost time, a process
+// goes on serving in each second most of what it can, nearly all of that in time.
+func TestFloodDoesNotCollapseService(t *testing.T) {
+	for _, perSecond := range []float64{600, 800, 1000} {
+		f := newFlooded(t)
+		const before, flood, settled = 5, 15, 3
+		f.play(before, rate{"flood", 30}, rate{"a", 10})
+		f.play(flood, rate{"flood", perSecond - 10}, rate{"a", 10})
+		can := sustainable(perSecond)
+		for s := before + settled; s < before+flood; s++ {
+			served, late := f.served[s]["flood"]+f.served[s]["a"], f.late[s]["flood"]+f.late[s]["a"]
+			t.Logf("%.0f a second, second %d: served %d of %.0f, late %d, share %.2f", perSecond, s, served, can, late, f.Share())
+			if float64(served) < 0.6*can {
+				t.Errorf("%.0f a second: %d served in second %d of the flood, it can serve %.0f", perSecond, served, s-before, can)
+			}
+			if late > served/5 {
+				t.Errorf("%.0f a second: %d of %d late in second %d of the flood", perSecond, late, served+late, s-before)
+			}
+		}
+	}
+}
