--- a/services/forward/guard.go
+++ b/services/forward/guard.go
@@ -117,12 +117,13 @@
 // half to either side. The balancer brings it to this gateway again. Where worthShare or
 // more is admitted it comes after returnBase over the share, and may still be served within
 // its objective. Where less is, most would be refused again, and a refusal takes a quarter
-// of the processor time of a stream: all returns together would take more than they bring,
-// so they come when the flood may be over.
+// of the processor time of a stream: all returns together would take more than they bring.
+// They come after the time in which as much is admitted as was refused in workSpan, 4 to 11
+// seconds, when the flood may be over.
 const (
 	worthShare = 0.2
 	returnBase = 50 * time.Millisecond
-	returnLate = 6 * time.Second
+	workSpan   = time.Second
 )
 
 // returnAfter returns when a request that was refused may come back.
