overload: The least that is admitted falls where refusals alone fill the time

Cause: at least 0.085 of what is asked was admitted. A flood whose refusals take nearly all of the processor leaves less than that: everything admitted was late, for seconds.

Change: that part holds for 1.5 s of lateness, then falls with it, and rises again in time.

--- a/core/overload/collapse_test.go
+++ b/core/overload/collapse_test.go
@@ -50,12 +50,13 @@
 // a piece of work that is sent again only after it was read.
 type flooded struct {
 	*Governor
-	t     *testing.T
-	now   time.Time
-	rng   *rand.Rand
-	later []piece // later are pieces that are due in the future, in no order.
-	queue []piece // queue is what is due, in order.
-	done  time.Duration
+	refusal time.Duration // refusal is the work of a refusal.
+	t       *testing.T
+	now     time.Time
+	rng     *rand.Rand
+	later   []piece // later are pieces that are due in the future, in no order.
+	queue   []piece // queue is what is due, in order.
+	done    time.Duration
 	// served counts, for each second, the streams whose first part was in time, late those
 	// that were admitted and late, asked the first requests.
 	served, late, asked map[int]map[string]int
@@ -63,7 +64,7 @@
 
 func newFlooded(t *testing.T) *flooded {
 	f := &flooded{
-		Governor: New(), t: t, now: epoch, rng: rand.New(rand.NewPCG(3, 4)),
+		Governor: New(), refusal: refusalWork, t: t, now: epoch, rng: rand.New(rand.NewPCG(3, 4)),
 		served: map[int]map[string]int{}, late: map[int]map[string]int{}, asked: map[int]map[string]int{},
 	}
 	f.later = append(f.later, piece{due: epoch, probe: true})
@@ -126,7 +127,7 @@
 
 func (f *flooded) take(v *visit) {
 	if !f.Admit(f.now, v.account, f.rng.Float64()) {
-		f.done += refusalWork
+		f.done += f.refusal
 		if !v.again {
 			f.later = append(f.later, piece{due: f.now.Add(returnAfter), caller: &visit{v.account, v.asked, true}})
 		}
@@ -166,11 +167,11 @@
 
 // sustainable is how many streams a second the model's process can serve while it refuses
 // the rest of a flood twice.
-func sustainable(perSecond float64) float64 {
+func sustainable(perSecond float64, refusal time.Duration) float64 {
 	served := 0.0
 	for p := 0.0; p < 1; p += 0.001 {
 		visits := perSecond * (2 - p)
-		busy := visits * (p*streamWork.Seconds() + (1-p)*refusalWork.Seconds())
+		busy := visits * (p*streamWork.Seconds() + (1-p)*refusal.Seconds())
 		if busy > coreShare {
 			break
 		}
@@ -187,7 +188,7 @@
 		const before, flood, settled = 5, 15, 3
 		f.play(before, rate{"flood", 30}, rate{"a", 10})
 		f.play(flood, rate{"flood", perSecond - 10}, rate{"a", 10})
-		can := sustainable(perSecond)
+		can := sustainable(perSecond, refusalWork)
 		for s := before + settled; s < before+flood; s++ {
 			served, late := f.served[s]["flood"]+f.served[s]["a"], f.late[s]["flood"]+f.late[s]["a"]
 			t.Logf("%.0f a second, second %d: served %d of %.0f, late %d, share %.2f", perSecond, s, served, can, late, f.Share())
@@ -200,3 +201,25 @@
 		}
 	}
 }
+
+// The same holds where refusals alone take nearly all of the processor: what is left of it
+// is for service in time, not for more service that is late.
+func TestHeavyFloodLeavesTimeForService(t *testing.T) {
+	const perSecond, refusal = 1450, 58 * time.Microsecond
+	f := newFlooded(t)
+	f.refusal = refusal
+	const before, flood, settled = 5, 15, 5
+	f.play(before, rate{"flood", 30}, rate{"a", 10})
+	f.play(flood, rate{"flood", perSecond - 10}, rate{"a", 10})
+	can := sustainable(perSecond, refusal)
+	for s := before + settled; s < before+flood; s++ {
+		served, late := f.served[s]["flood"]+f.served[s]["a"], f.late[s]["flood"]+f.late[s]["a"]
+		t.Logf("second %d: served %d of %.0f, late %d, share %.2f", s, served, can, late, f.Share())
+		if float64(served) < 0.6*can {
+			t.Errorf("%d served in second %d of the flood, it can serve %.0f", served, s-before, can)
+		}
+		if late > served/5 {
+			t.Errorf("%d of %d late in second %d of the flood", late, served+late, s-before)
+		}
+	}
+}
--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -42,8 +42,16 @@
 	// slack is how much more than what was admitted of late the bound may be where it
 	// falls: callers ask for less than it allows at times.
 	slack = 1.1
-	// leastShare is the part of what is asked that is always admitted.
-	leastShare = 0.085
+	// At least fewShare of what is asked is admitted: a flood that begins makes the process
+	// late for a second whatever is admitted, and what was cut too far is missing for
+	// seconds. Where it stays late for floorTime all the same, refusals alone fill its time:
+	// then that part falls by gain for each target of lateness, mostOff of them at most, down
+	// to leastShare, and rises by floorRise in each window in time.
+	fewShare   = 0.085
+	floorTime  = 1500 * time.Millisecond
+	mostOff    = 5.0
+	floorRise  = 1.05
+	leastShare = 0.01
 	// lift is how much more than what is asked the bound must allow before it goes.
 	lift = 1.3
 	// half is the time in which counted requests fade to a half.
@@ -59,6 +67,8 @@
 type Governor struct {
 	bound    float64 // bound is how many requests a second are admitted; 0 for any number.
 	window   samples
+	floor    float64       // floor is the part of what is asked that is admitted at least.
+	floored  time.Time     // floored is since when the process is late with the bound at the floor; zero where it is not.
 	judged   time.Time     // judged is when the window before ended.
 	lateness time.Duration // lateness is that of the window before.
 	asked    map[string]*count
@@ -108,7 +118,7 @@
 }
 
 // New returns a governor that admits everything.
-func New() *Governor { return &Governor{asked: map[string]*count{}} }
+func New() *Governor { return &Governor{asked: map[string]*count{}, floor: fewShare} }
 
 // Observe takes how late the process has come to its work, or how long it has not come to
 // it yet. It reports whether what is admitted has changed between all and less than all.
@@ -140,11 +150,26 @@
 		}
 	}
 	g.bound *= math.Exp(-max(min(step, maxStep), -maxStep))
+	g.setFloor(now, off)
 	if off < 0 && g.bound > 0 {
 		g.bound -= moreShare * off * g.total
 	}
 }
 
+// setFloor moves the part of what is asked that is admitted at least.
+func (g *Governor) setFloor(now time.Time, off float64) {
+	switch {
+	case off < 0:
+		g.floored = time.Time{}
+		g.floor = min(g.floor*floorRise, fewShare)
+	case g.bound > g.floor*g.total:
+	case g.floored.IsZero():
+		g.floored = now
+	case now.Sub(g.floored) >= floorTime:
+		g.floor = max(g.floor*math.Exp(-gain*min(off, mostOff)), leastShare)
+	}
+}
+
 // Admit counts a request of an account and tells whether it is served; draw is a
 // random number between 0 and 1.
 func (g *Governor) Admit(now time.Time, account string, draw float64) bool {
@@ -186,7 +211,7 @@
 	if g.bound <= 0 {
 		return
 	}
-	g.bound = max(g.bound, leastShare*g.total)
+	g.bound = max(g.bound, g.floor*g.total)
 	sort.Float64s(asked)
 	left := g.bound / perSecond
 	for i, requests := range asked {
