gateway: Put the bodies of early answers together from their constant part

Cause: encoding the JSON of an early refusal took 3 % of the process that refuses a flood. Change: the part up to the time of return is encoded once for each error. A test holds that answer and body are those of the HTTP server's refusal. Not measured apart.

--- a/handlers/gateway/early.go
+++ b/handlers/gateway/early.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -90,8 +91,10 @@
 
 // earlyAnswer writes the same answer as refuse does.
 func (h *Handler) earlyAnswer(err error, id string, closes bool) []byte {
-	info, e := api.NewError(err, id)
-	body, _ := json.Marshal(info) // numbers and strings only: no error
+	e := result.Of(err)
+	body := append([]byte(nil), earlyBodyOf(e)...)
+	body = strconv.AppendInt(body, e.RetryAfter.Milliseconds(), 10)
+	body = append(append(append(body, `,"request_id":"`...), id...), "\"}}\n"...)
 	status := result.Lookup(e.Code).Status
 	b := make([]byte, 0, 256+len(body))
 	b = append(b, "HTTP/1.1 "...)
@@ -112,6 +115,30 @@
 	return append(b, body...)
 }
 
+// earlyBodies holds the beginnings of the bodies of early answers by code and detail, of which
+// there are a few.
+var earlyBodies sync.Map
+
+// earlyKey tells the errors apart whose bodies differ in more than time and ID.
+type earlyKey struct {
+	code   result.Code
+	detail string
+}
+
+// earlyBodyOf returns the body of an error up to the time after which the caller may return.
+func earlyBodyOf(e *result.ErrResult) []byte {
+	key := earlyKey{e.Code, e.Detail}
+	if body, ok := earlyBodies.Load(key); ok {
+		return body.([]byte)
+	}
+	info, _ := api.NewError(result.New(e.Code, "%s", e.Detail), "")
+	whole, _ := json.Marshal(info) // numbers and strings only: no error
+	const last = `"retry_after_ms":`
+	body := whole[:bytes.LastIndex(whole, []byte(last))+len(last)]
+	earlyBodies.Store(key, body)
+	return body
+}
+
 // callerConn is a connection of a caller. As long as all its requests were refused early it
 // looks at the next one itself; from the first other one on all bytes are the HTTP server's.
 type callerConn struct {
--- a/handlers/gateway/early_test.go
+++ b/handlers/gateway/early_test.go
@@ -5,10 +5,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -128,6 +130,28 @@
 	}
 }
 
+// An early answer says the same as that of the HTTP server.
+func TestEarlyAnswerIsTheOrdinaryOne(t *testing.T) {
+	h := &Handler{opts: Options{Dialect: platform.Dialect{}}}
+	err := result.New(result.Overloaded, "asked for more than it can serve").After(notReadyAfter)
+	want := httptest.NewRecorder()
+	h.refuse(want, "id-1", err)
+	resp, readErr := http.ReadResponse(bufio.NewReader(bytes.NewReader(h.earlyAnswer(err, "id-1", false))), nil)
+	if readErr != nil {
+		t.Fatal(readErr)
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != want.Code || string(body) != want.Body.String() {
+		t.Errorf("status %d, %s; the HTTP server's is %d, %s", resp.StatusCode, body, want.Code, want.Body)
+	}
+	for _, name := range []string{"Content-Type", "Retry-After"} {
+		if got := resp.Header.Get(name); got == "" || got != want.Header().Get(name) {
+			t.Errorf("%s is %q, the HTTP server's %q", name, got, want.Header().Get(name))
+		}
+	}
+}
+
 // A request inside the body of another, or behind another in the same bytes, is never taken
 // for a request of its own before the HTTP server has parsed what comes first.
 func TestEarlyRefusalSeesNoSmuggledRequest(t *testing.T) {
