--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 	spec/check.sh
 
 bench: ## Run the benchmarks of the hot paths.
-	$(GO) test -run '^$$' -bench . -benchmem ./core/...
+	$(GO) test -run '^$$' -bench . -benchmem ./core/... ./handlers/gateway
 
 fuzz: ## Fuzz what comes from outside, a minute each.
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 60s ./modules/setting
@@ -52,6 +52,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzGateway -fuzztime 60s ./modules/setting
 	$(GO) test -run '^$$' -fuzz FuzzMesh -fuzztime 60s ./services/mesh
 	$(GO) test -run '^$$' -fuzz FuzzAnswer -fuzztime 60s ./services/upstream
+	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 60s ./modules/httphead
 
 clean:
 	rm -rf $(BIN)
