--- a/core/overload/collapse_test.go
+++ b/core/overload/collapse_test.go
@@ -26,7 +26,6 @@
 // piece is some work of the model's process.
 type piece struct {
 	due    time.Time
-	work   time.Duration
 	stream *stream // stream is nil for refusals and probes.
 	parts  int     // parts is how many parts of the stream follow.
 	probe  bool
