forward: Bound when refused requests may come back

Cause: the least admitted share can fall to 0.01 now, and Retry-After rose with it to 100 seconds and more.

--- a/services/forward/guard.go
+++ b/services/forward/guard.go
@@ -118,12 +118,13 @@
 // more is admitted it comes after returnBase over the share, and may still be served within
 // its objective. Where less is, most would be refused again, and a refusal takes a quarter
 // of the processor time of a stream: all returns together would take more than they bring.
-// They come after the time in which as much is admitted as was refused in workSpan, 4 to 11
-// seconds, when the flood may be over.
+// They come after the time in which as much is admitted as was refused in workSpan, four
+// seconds and more, returnMost at most: as long as the most patient callers wait.
 const (
 	worthShare = 0.2
 	returnBase = 50 * time.Millisecond
 	workSpan   = time.Second
+	returnMost = 10 * time.Second
 )
 
 // returnAfter returns when a request that was refused may come back.
@@ -131,7 +132,7 @@
 	g.mu.Lock()
 	share := g.governor.Share()
 	g.mu.Unlock()
-	after := time.Duration(float64(workSpan) * (1 - share) / share)
+	after := min(time.Duration(float64(workSpan)*(1-share)/share), returnMost)
 	if share >= worthShare {
 		after = time.Duration(float64(returnBase) / share)
 	}
--- a/services/forward/guard_test.go
+++ b/services/forward/guard_test.go
@@ -119,7 +119,7 @@
 		sum := time.Duration(0)
 		for range 1000 {
 			after := g.returnAfter()
-			if after > 20*time.Second {
+			if after > returnMost*3/2 {
 				t.Fatalf("may come back after %v", after)
 			}
 			sum += after
