--- a/services/forward/counters.go
+++ b/services/forward/counters.go
@@ -23,6 +23,7 @@
 	repeats     *metrics.Counter
 	budgetSpent *metrics.Counter
 	throttled   *metrics.Counter
+	beforeAsk   *metrics.Histogram
 	waited      *metrics.Histogram
 	byOutcome   *sync.Map // byOutcome holds figures by service and outcome: to name them anew took 4 % of a refusal.
 }
@@ -39,6 +40,7 @@
 		set: set, repeats: set.NewCounter("madderway_gateway_repeats_total"),
 		budgetSpent: set.NewCounter("madderway_gateway_repeat_budget_spent_total"),
 		throttled:   set.NewCounter("madderway_gateway_throttled_total"),
+		beforeAsk:   set.NewHistogram("madderway_gateway_before_ask_seconds"),
 		waited:      set.NewHistogram("madderway_gateway_placement_seconds"), byOutcome: &sync.Map{},
 	}
 }
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -157,12 +157,13 @@
 	case !s.underThrottle(name):
 		err = result.New(result.QueueFull, "the account asks for far more than it is given").After(throttledAfter)
 	default:
+		s.outcomes.noteTaken(name, call.Prompt.Tokens)
 		return nil
 	}
 	s.counters.note(service, err, 0)
 	// A flood is told in full at the beginning of each second, then by a sample and by
 	// the counts in the lines of a second: the budget of the log is for what tells more.
-	if n := s.outcomes.noteRefused(account.NameOf(), result.Of(err).Code); n <= refusalLines || sampled(call.ID) {
+	if n := s.outcomes.noteRefused(account.NameOf(), result.Of(err).Code, call.Prompt.Tokens); n <= refusalLines || sampled(call.ID) {
 		s.log.Request("Request refused at the entry.", "id", call.ID, "account", account.NameOf(), "service", service.Name, "error", err)
 	}
 	return err
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -46,6 +46,7 @@
 	headOut   bool
 	repeat    func() bool   // repeat takes one repeat from the retry budget.
 	reserved  atomic.Bool   // reserved tells that a repeat was taken ahead.
+	beforeAsk time.Duration // beforeAsk is how long after its head was read a scheduler was first asked.
 	waited    time.Duration // waited is how long the scheduler took to place it.
 	pace      pace
 }
--- a/services/forward/place.go
+++ b/services/forward/place.go
@@ -38,6 +38,10 @@
 
 func (j *job) placeEngine() (place, error) {
 	id := j.s.opts.Mesh.NextID()
+	if j.beforeAsk == 0 {
+		j.beforeAsk = j.s.opts.Clock.Now().Sub(j.r.Received)
+		j.s.counters.beforeAsk.Update(j.beforeAsk.Seconds())
+	}
 	hold := time.Duration(holdShare*float64(j.r.Route.Objective)) - holdSlack - j.s.opts.Clock.Now().Sub(j.r.Received)
 	if j.history.Sent > 0 || j.history.Unsent > 0 {
 		hold = max(hold, j.r.Route.Objective/8)
--- a/services/forward/second.go
+++ b/services/forward/second.go
@@ -16,9 +16,15 @@
 type outcomes struct {
 	mu      sync.Mutex
 	counts  map[string]int
-	refused map[refusal]int // refused counts those that were refused at the entry.
+	refused map[refusal]volume // refused are those that were refused at the entry.
+	taken   map[string]volume  // taken are those of each account that were not.
 }
 
+// volume is a number of requests and the tokens of their prompts.
+type volume struct{ requests, tokens int }
+
+func (v volume) plus(tokens int) volume { return volume{v.requests + 1, v.tokens + tokens} }
+
 // refusal is an account and why its requests are refused at the entry.
 type refusal struct {
 	account string
@@ -26,10 +32,11 @@
 }
 
 // refusals sum up who was refused at the entry: the account and reason with the most
-// requests, their number, and how many accounts were refused.
+// requests, their volume, what was taken of that account, and how many accounts were refused.
 type refusals struct {
 	refusal
-	most     int
+	most     volume
+	taken    volume
 	accounts int
 }
 
@@ -56,30 +63,41 @@
 
 // noteRefused counts a request that was refused at the entry, and returns how many were
 // since the last line.
-func (o *outcomes) noteRefused(account string, reason result.Code) int {
+func (o *outcomes) noteRefused(account string, reason result.Code, tokens int) int {
 	o.note(outcomeAtEntry)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.refused == nil {
-		o.refused = map[refusal]int{}
+		o.refused = map[refusal]volume{}
 	}
-	o.refused[refusal{account, reason}]++
+	key := refusal{account, reason}
+	o.refused[key] = o.refused[key].plus(tokens)
 	return o.counts[outcomeAtEntry]
 }
 
+// noteTaken counts a request that was not refused at the entry.
+func (o *outcomes) noteTaken(account string, tokens int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.taken == nil {
+		o.taken = map[string]volume{}
+	}
+	o.taken[account] = o.taken[account].plus(tokens)
+}
+
 // take returns what was counted and begins anew.
 func (o *outcomes) take() (map[string]int, refusals) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	counts, sum, accounts := o.counts, refusals{}, map[string]bool{}
-	for r, n := range o.refused {
+	for r, v := range o.refused {
 		accounts[r.account] = true
-		if n > sum.most || n == sum.most && r.account < sum.account {
-			sum.refusal, sum.most = r, n
+		if v.requests > sum.most.requests || v.requests == sum.most.requests && r.account < sum.account {
+			sum.refusal, sum.most = r, v
 		}
 	}
-	sum.accounts = len(accounts)
-	o.counts, o.refused = nil, nil
+	sum.accounts, sum.taken = len(accounts), o.taken[sum.account]
+	o.counts, o.refused, o.taken = nil, nil, nil
 	return counts, sum
 }
 
@@ -103,8 +121,9 @@
 			values = append(values, name, counts[name])
 		}
 		s.log.Info("Second of a gateway.", values...)
-		if refused.most > 0 {
-			s.log.Info("Refused at the entry.", "account", refused.account, "reason", refused.reason, "requests", refused.most, "accounts", refused.accounts)
+		if refused.most.requests > 0 {
+			s.log.Info("Refused at the entry.", "account", refused.account, "reason", refused.reason, "requests", refused.most.requests, "tokens", refused.most.tokens,
+				"taken", refused.taken.requests, "taken_tokens", refused.taken.tokens, "accounts", refused.accounts)
 		}
 	}
 }
--- a/services/forward/second_test.go
+++ b/services/forward/second_test.go
@@ -16,21 +16,23 @@
 	var o outcomes
 	o.note(outcomeInTime)
 	for i := range 3 {
-		if n := o.noteRefused("flood", result.Overloaded); n != i+1 {
+		if n := o.noteRefused("flood", result.Overloaded, 100); n != i+1 {
 			t.Errorf("refusal %d was counted as %d", i+1, n)
 		}
 	}
-	o.noteRefused("flood", result.QueueFull)
-	o.noteRefused("quiet", result.Overloaded)
+	o.noteRefused("flood", result.QueueFull, 100)
+	o.noteRefused("quiet", result.Overloaded, 100)
+	o.noteTaken("flood", 70)
+	o.noteTaken("quiet", 30)
 	counts, refused := o.take()
 	if counts[outcomeInTime] != 1 || counts[outcomeAtEntry] != 5 {
 		t.Errorf("counted %v", counts)
 	}
-	want := refusals{refusal: refusal{"flood", result.Overloaded}, most: 3, accounts: 2}
+	want := refusals{refusal: refusal{"flood", result.Overloaded}, most: volume{3, 300}, taken: volume{1, 70}, accounts: 2}
 	if refused != want {
 		t.Errorf("summed up as %+v, want %+v", refused, want)
 	}
-	if counts, refused = o.take(); len(counts) != 0 || refused.most != 0 {
+	if counts, refused = o.take(); len(counts) != 0 || refused != (refusals{}) {
 		t.Errorf("the next second begins with %v, %+v", counts, refused)
 	}
 }
--- a/services/upstream/dialect.go
+++ b/services/upstream/dialect.go
@@ -45,8 +45,8 @@
 type Dialect interface {
 	ReadCall(h http.Header) Call
 	// PeekCall reads what decides whether a request is refused, from a head that was not
-	// parsed: the ID, the key and whether there is a prompt, whose parts are not read. It
-	// reports false where a field is there twice.
+	// parsed: the ID, the key and whether there is a prompt and of how many tokens; its parts
+	// are not read. It reports false where a field is there twice.
 	PeekCall(get func(values []string, names ...string) (once bool)) (Call, bool)
 	// WriteCall sets what the fleet tells a target, and takes out of the header
 	// what a caller may not set.
