--- a/lab/platform/client.go
+++ b/lab/platform/client.go
@@ -38,6 +38,8 @@
 // client sends requests of one kind and account, and checks the answers.
 type client struct {
 	site    *Site
+	address func() string // address is that of the gateway that takes the next request.
+	uri     func() string
 	kind    Kind
 	account string
 	key     string
@@ -48,10 +50,13 @@
 
 func newClient(s *Site, k Kind, account, key string, seed uint64) *client {
 	dialer := &net.Dialer{Timeout: time.Second}
-	return &client{
+	c := &client{
 		site: s, kind: k, account: account, key: key, rng: rand.New(rand.NewPCG(seed, 2)),
 		http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}},
 	}
+	c.address = func() string { return s.gateway(c.rng) }
+	c.uri = func() string { return fmt.Sprintf("%sitem/%%2F%d?q=%d", k.Path, c.next, c.rng.IntN(100)) }
+	return c
 }
 
 // ask sends a request and, where it was told to come back, sends it once more.
@@ -100,9 +105,9 @@
 	if c.kind.Method == http.MethodPost {
 		body = strings.Repeat("x", 50+c.rng.IntN(200))
 	}
-	uri := fmt.Sprintf("%sitem/%%2F%d?q=%d", c.kind.Path, c.next, c.rng.IntN(100))
+	uri := c.uri()
 	c.next++
-	req, err := http.NewRequestWithContext(ctx, c.kind.Method, "http://"+c.site.gateway(c.rng)+uri, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, c.kind.Method, "http://"+c.address()+uri, strings.NewReader(body))
 	if err != nil {
 		c.site.ledger.Wrong("client: %v", err)
 		return outcomeFailed, 0
--- /dev/null
+++ b/router/export_test.go
@@ -0,0 +1,9 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package router
+
+import "time"
+
+// ReportLateness has the gateway believe that its process comes to its work so late.
+func (g *Gateway) ReportLateness(d time.Duration) { g.guard.Late(d) }
