--- a/lab/platform/client.go
+++ b/lab/platform/client.go
@@ -38,8 +38,8 @@
 // client sends requests of one kind and account, and checks the answers.
 type client struct {
 	site    *Site
-	address func() string // address is that of the gateway that takes the next request.
-	uri     func() string
+	address func(c *client) string // address is that of the gateway that takes the next request.
+	uri     func(c *client) string
 	kind    Kind
 	account string
 	key     string
@@ -50,13 +50,16 @@
 
 func newClient(s *Site, k Kind, account, key string, seed uint64) *client {
 	dialer := &net.Dialer{Timeout: time.Second}
-	c := &client{
-		site: s, kind: k, account: account, key: key, rng: rand.New(rand.NewPCG(seed, 2)),
+	return &client{
+		address: anyGateway, uri: itemURI, site: s, kind: k, account: account, key: key, rng: rand.New(rand.NewPCG(seed, 2)),
 		http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}},
 	}
-	c.address = func() string { return s.gateway(c.rng) }
-	c.uri = func() string { return fmt.Sprintf("%sitem/%%2F%d?q=%d", k.Path, c.next, c.rng.IntN(100)) }
-	return c
+}
+
+func anyGateway(c *client) string { return c.site.gateway(c.rng) }
+
+func itemURI(c *client) string {
+	return fmt.Sprintf("%sitem/%%2F%d?q=%d", c.kind.Path, c.next, c.rng.IntN(100))
 }
 
 // ask sends a request and, where it was told to come back, sends it once more.
@@ -105,9 +108,9 @@
 	if c.kind.Method == http.MethodPost {
 		body = strings.Repeat("x", 50+c.rng.IntN(200))
 	}
-	uri := c.uri()
+	uri := c.uri(c)
 	c.next++
-	req, err := http.NewRequestWithContext(ctx, c.kind.Method, "http://"+c.address()+uri, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, c.kind.Method, "http://"+c.address(c)+uri, strings.NewReader(body))
 	if err != nil {
 		c.site.ledger.Wrong("client: %v", err)
 		return outcomeFailed, 0
--- a/lab/platform/single.go
+++ b/lab/platform/single.go
@@ -22,8 +22,8 @@
 func (s *Site) AskAt(ctx context.Context, gateway int, account string, seed uint64) bool {
 	kind := Kinds()[0]
 	c := newClient(s, kind, account, s.keys[account][0], seed)
-	c.address = func() string { return s.gateways[gateway].setting.Callers }
-	c.uri = func() string { return kind.Path + "item" }
+	c.address = func(*client) string { return s.gateways[gateway].setting.Callers }
+	c.uri = func(*client) string { return kind.Path + "item" }
 	defer c.http.CloseIdleConnections()
 	ctx, cancel := context.WithTimeout(ctx, kind.Deadline)
 	defer cancel()
