--- a/core/overload/collapse_test.go
+++ b/core/overload/collapse_test.go
@@ -16,6 +16,7 @@
 const (
 	streamWork  = 250 * time.Microsecond
 	refusalWork = 85 * time.Microsecond
+	passWork    = 90 * time.Microsecond // passWork is that of passing a stream on to another gateway.
 	streamTime  = 1500 * time.Millisecond
 	streamParts = 15
 	coreShare   = 0.19
@@ -43,6 +44,7 @@
 	account string
 	asked   time.Time
 	first   time.Duration
+	work    time.Duration // work is that of all of it.
 }
 
 // flooded is a process that works off what comes in order, and probes its own lateness by
@@ -125,20 +127,23 @@
 }
 
 func (f *flooded) take(v *visit) {
-	if !f.Admit(f.now, v.account, f.rng.Float64()) {
+	s := &stream{account: v.account, asked: v.asked, work: streamWork}
+	switch f.Admit(f.now, v.account, f.rng.Float64(), true) {
+	case Refuse:
 		f.done += f.refusal
 		if !v.again {
 			f.later = append(f.later, piece{due: f.now.Add(returnAfter), caller: &visit{v.account, v.asked, true}})
 		}
 		return
+	case HandOver:
+		s.work = passWork
 	}
-	f.done += streamWork / 2
-	s := &stream{account: v.account, asked: v.asked}
+	f.done += s.work / 2
 	f.later = append(f.later, piece{due: f.now.Add(100 * time.Millisecond), stream: s, parts: streamParts})
 }
 
 func (f *flooded) part(p piece) {
-	f.done += streamWork / 2 / streamParts
+	f.done += p.stream.work / 2 / streamParts
 	if p.stream.first == 0 {
 		p.stream.first = f.now.Sub(p.stream.asked)
 		if p.stream.first <= firstAim {
@@ -222,3 +227,55 @@
 		}
 	}
 }
+
+// Where other gateways of the data hall have time, a flood that is three times what a process
+// can serve is handed over: after a few seconds next to nothing is refused or late, while it
+// lasts and after it; then the process serves all by itself again.
+func TestFloodIsHandedOver(t *testing.T) {
+	for _, perSecond := range []float64{800, 1200, 1600} {
+		f := newFlooded(t)
+		f.SetRelief(true)
+		const before, flood, after, settled = 5, 15, 10, 3
+		f.play(before, rate{"flood", 30}, rate{"a", 10})
+		f.play(flood, rate{"flood", perSecond - 10}, rate{"a", 10})
+		f.play(after, rate{"flood", 30}, rate{"a", 10})
+		for s := before + settled; s < before+flood; s++ {
+			served, late := f.served[s]["flood"]+f.served[s]["a"], f.late[s]["flood"]+f.late[s]["a"]
+			t.Logf("%.0f a second, second %d: served %d of %.0f, late %d", perSecond, s, served, perSecond, late)
+			if float64(served) < 0.9*perSecond || late > served/10 {
+				t.Errorf("%.0f a second: %d served in second %d of the flood, %d late", perSecond, served, s-before, late)
+			}
+		}
+		if f.Own() < 1 {
+			t.Errorf("%.0f a second: still hands over ten seconds after the flood", perSecond)
+		}
+	}
+}
+
+// What cannot be handed over is served while the rest is, and where the other gateways have no
+// time any more the governor refuses again.
+func TestWhatCannotBeMovedIsServed(t *testing.T) {
+	g := New()
+	g.SetRelief(true)
+	now, counts := epoch, map[Verdict]int{}
+	flood := func(seconds int, movable bool) {
+		clear(counts)
+		for range seconds * 1000 {
+			now = now.Add(time.Millisecond)
+			counts[g.Admit(now, "flood", 0.99, movable)]++
+			g.Observe(now, 30*time.Millisecond)
+		}
+	}
+	flood(1, true)
+	if counts[Refuse] > 0 || counts[HandOver] < 500 {
+		t.Errorf("in the first second of a flood %v", counts)
+	}
+	if v := g.Admit(now, "flood", 0.99, false); v != Serve {
+		t.Errorf("what cannot be moved ends as %d", v)
+	}
+	g.SetRelief(false)
+	flood(1, true)
+	if counts[HandOver] > 150 || counts[Refuse] < 700 {
+		t.Errorf("without another gateway %v", counts)
+	}
+}
--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -5,10 +5,13 @@
 // its callers ask of it. Callers land unevenly: one gateway may be asked for ten
 // times what others are, and where it serves all of that late, nobody is served
 // in time. A Governor watches how late the process comes to its work; while that
-// stays high, it bounds how many requests a second are admitted and refuses the
-// others at once. Accounts that ask for the most are refused first: what is
-// admitted is shared max-min between accounts. A Governor is a pure state
-// machine; it is not safe for concurrent use.
+// stays high, it bounds how much work a second is admitted. The unit of work is
+// a request that is served here; one that is handed over to another gateway of
+// the data hall is a part of that. What the bound leaves no room for is handed
+// over where there is such a gateway, and only what cannot be passed on in time
+// either is refused, at once. Accounts that ask for the most are handed over and
+// refused first: both bounds are shared max-min between accounts. A Governor is
+// a pure state machine; it is not safe for concurrent use.
 package overload
 
 import (
@@ -43,16 +46,22 @@
 	// slack is how much more than what was admitted of late the bound may be where it
 	// falls: callers ask for less than it allows at times.
 	slack = 1.1
-	// At least fewShare of what is asked is admitted: a flood that begins makes the process
-	// late for a second whatever is admitted, and what was cut too far is missing for
-	// seconds. Where it stays late for floorTime all the same, refusals alone fill its time:
-	// then that part falls by gain for each target of lateness, mostOff of them at most, down
-	// to leastShare, and rises by floorRise in each window in time.
+	// At least fewShare of what is asked is admitted, or all of it handed over where there is
+	// a gateway to do that: a flood that begins makes the process late for a second whatever
+	// is admitted, and what was cut too far is missing for seconds. Where it stays late for
+	// floorTime all the same, refusals alone fill its time: then that part falls by gain for
+	// each target of lateness, mostOff of them at most, down to leastShare, and rises by
+	// floorRise in each window in time.
 	fewShare   = 0.085
 	floorTime  = 1500 * time.Millisecond
 	mostOff    = 5.0
 	floorRise  = 1.05
 	leastShare = 0.01
+	// handOverWork is the work of passing a request and its answer on, as a part of that of
+	// serving it. What is wrong with it the bound makes up for.
+	handOverWork = 0.35
+	// rounding is by what part sums of work may differ that are the same.
+	rounding = 1e-9
 	// lift is how much more than what is asked the bound must allow before it goes.
 	lift = 1.3
 	// half is the time in which counted requests fade to a half.
@@ -64,18 +73,30 @@
 // perSecond is the rate that a count of requests which fade by half stands for.
 const perSecond = math.Ln2 / float64(half) * float64(time.Second)
 
+// Verdict is what becomes of a request.
+type Verdict int
+
+// The verdicts.
+const (
+	Serve    Verdict = iota + 1 // this gateway serves it
+	HandOver                    // another gateway of the data hall serves it
+	Refuse
+)
+
 // Governor decides which requests a gateway admits.
 type Governor struct {
-	bound    float64 // bound is how many requests a second are admitted; 0 for any number.
+	bound    float64 // bound is how much work a second is admitted; 0 for any amount.
+	relief   bool    // relief tells that there is a gateway to hand requests over to.
 	window   samples
-	floor    float64       // floor is the part of what is asked that is admitted at least.
+	floor    float64       // floor is the part of the least work that is admitted all the same.
 	floored  time.Time     // floored is since when the process is late with the bound at the floor; zero where it is not.
 	judged   time.Time     // judged is when the window before ended.
 	lateness time.Duration // lateness is that of the window before.
 	asked    map[string]*count
-	admitted count
+	admitted count   // admitted counts work.
 	total    float64 // total is how many requests a second were asked for at the last window.
-	level    float64 // level is the most that an account is admitted for; 0 for any number.
+	level    float64 // level is the most that is served here of an account.
+	most     float64 // most is the most that is served here or handed over of an account.
 	refused  uint64
 }
 
@@ -119,7 +140,12 @@
 }
 
 // New returns a governor that admits everything.
-func New() *Governor { return &Governor{asked: map[string]*count{}, floor: fewShare} }
+func New() *Governor {
+	return &Governor{asked: map[string]*count{}, floor: 1, level: math.Inf(1), most: math.Inf(1)}
+}
+
+// SetRelief tells whether there is another gateway to hand requests over to.
+func (g *Governor) SetRelief(there bool) { g.relief = there }
 
 // Observe takes how late the process has come to its work, or how long it has not come to
 // it yet. It reports whether what is admitted has changed between all and less than all.
@@ -162,18 +188,26 @@
 	switch {
 	case off < 0:
 		g.floored = time.Time{}
-		g.floor = min(g.floor*floorRise, fewShare)
-	case g.bound > g.floor*g.total:
+		g.floor = min(g.floor*floorRise, 1)
+	case g.bound > g.least():
 	case g.floored.IsZero():
 		g.floored = now
 	case now.Sub(g.floored) >= floorTime:
-		g.floor = max(g.floor*math.Exp(-gain*min(off, mostOff)), leastShare)
+		g.floor = max(g.floor*math.Exp(-gain*min(off, mostOff)), leastShare/fewShare)
 	}
 }
 
-// Admit counts a request of an account and tells whether it is served; draw is a
-// random number between 0 and 1.
-func (g *Governor) Admit(now time.Time, account string, draw float64) bool {
+// least returns the least work a second that is admitted.
+func (g *Governor) least() float64 {
+	if g.relief {
+		return handOverWork * g.floor * g.total
+	}
+	return fewShare * g.floor * g.total
+}
+
+// Admit counts a request of an account and tells what becomes of it. Draw is a random
+// number between 0 and 1; movable tells whether the request can be handed over.
+func (g *Governor) Admit(now time.Time, account string, draw float64, movable bool) Verdict {
 	c := g.asked[account]
 	if c == nil {
 		c = &count{at: now}
@@ -181,19 +215,29 @@
 	}
 	c.fade(now)
 	c.requests++
-	if g.level <= 0 || draw*c.requests <= g.level {
-		g.admitted.fade(now)
-		g.admitted.requests++
-		return true
+	place := draw * c.requests
+	switch {
+	case place <= g.level, place <= g.most && !movable:
+		g.admit(now, 1)
+		return Serve
+	case place <= g.most:
+		g.admit(now, handOverWork)
+		return HandOver
+	default:
+		g.refused++
+		return Refuse
 	}
-	g.refused++
-	return false
 }
 
-// setLevel finds the most that an account is admitted for, so that all accounts
-// together are admitted for what is within the bound.
+func (g *Governor) admit(now time.Time, work float64) {
+	g.admitted.fade(now)
+	g.admitted.requests += work
+}
+
+// setLevel finds the most that is served of an account, so that the work of all accounts
+// together is within the bound.
 func (g *Governor) setLevel(now time.Time) {
-	g.level = 0
+	g.level, g.most = math.Inf(1), math.Inf(1)
 	var asked []float64
 	total := 0.0
 	for name, c := range g.asked {
@@ -212,21 +256,45 @@
 	if g.bound <= 0 {
 		return
 	}
-	g.bound = max(g.bound, g.floor*g.total)
+	g.bound = max(g.bound, g.least())
 	sort.Float64s(asked)
-	left := g.bound / perSecond
+	work := g.bound / perSecond
+	if !g.relief {
+		g.level = maxMin(asked, work)
+		g.most = g.level
+		return
+	}
+	// Where all of it can be handed over, the work that is left serves requests here.
+	if left := work - handOverWork*total; left > -rounding*work {
+		g.level = maxMin(asked, max(left, 0)/(1-handOverWork))
+		return
+	}
+	g.level, g.most = 0, maxMin(asked, work/handOverWork)
+}
+
+// maxMin returns the most that each may have so that all together have so much, infinite
+// where that is enough for all; asked is in rising order.
+func maxMin(asked []float64, left float64) float64 {
 	for i, requests := range asked {
 		even := left / float64(len(asked)-i)
 		if requests > even {
-			g.level = even
-			return
+			return even
 		}
 		left -= requests
 	}
+	return math.Inf(1)
 }
 
-// Share returns the part of what is asked that is admitted now.
+// Share returns the part of what is asked that is not refused.
 func (g *Governor) Share() float64 {
+	if !g.relief {
+		return g.Own()
+	}
+	return min(g.Own()/handOverWork, 1)
+}
+
+// Own returns the part of what is asked that there is time to serve here.
+func (g *Governor) Own() float64 {
 	if g.bound <= 0 || g.bound >= g.total {
 		return 1
 	}
--- a/core/overload/overload_test.go
+++ b/core/overload/overload_test.go
@@ -53,7 +53,7 @@
 				}
 				m.asked[name]++
 				m.backlog += m.refusal
-				if m.Admit(m.now, name, m.rng.Float64()) {
+				if m.Admit(m.now, name, m.rng.Float64(), true) == Serve {
 					m.admitted[name]++
 					m.backlog++
 				}
@@ -138,10 +138,7 @@
 		g.setLevel(epoch)
 		admitted := 0.0
 		for _, n := range asks {
-			if g.level > 0 {
-				n = min(n, g.level)
-			}
-			admitted += n
+			admitted += min(n, g.level)
 		}
 		return admitted > share*total-1e-6 && admitted < share*total+1e-6
 	}, gen.SliceOfN(8, gen.Float64Range(1, 500)), gen.Float64Range(0.1, 0.99)))
--- a/handlers/gateway/early.go
+++ b/handlers/gateway/early.go
@@ -8,8 +8,10 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -18,13 +20,15 @@
 	"madderway/models/result"
 	"madderway/models/routing"
 	"madderway/modules/httphead"
+	"madderway/services/forward"
 )
 
 const (
-	// earlyBody is the longest body of a request that is refused early: it must be read to
-	// its end before the next request.
+	// earlyBody is the longest body of a request that is refused or handed over early: it
+	// must be read to its end before the next request.
 	earlyBody = 256 << 10
-	// earlyBuffer is the size in which such a body is read; most come in one or two.
+	// earlyBuffer is the size in which the body of a refused request is read; most come in
+	// one or two.
 	earlyBuffer = 32 << 10
 	maxPlainID  = 64
 )
@@ -37,46 +41,86 @@
 
 // The verdicts.
 const (
-	NotJudged Verdict = iota // the HTTP server takes the request as any other
-	Admitted                 // the HTTP server takes it; it was counted and admitted
+	NotJudged  Verdict = iota // the HTTP server takes the request as any other
+	Admitted                  // the HTTP server takes it; it was counted and admitted
+	HandedOver                // another gateway serves it
 	Refused
 )
 
-// EarlyRefuser refuses requests from their heads, before an HTTP server parses them.
-type EarlyRefuser interface {
-	// Look judges a request by its head. The answer is that to a refused one.
-	Look(h *httphead.Head, closes bool) (answer []byte, v Verdict)
+// Judgement is what an early look at a request has found.
+type Judgement struct {
+	Verdict Verdict
+	Answer  []byte        // Answer is that to a refused request.
+	ID      string        // ID is that of a request that is handed over.
+	Account string        // Account is that of a request that is handed over.
+	Within  time.Duration // Within is how long a request that is handed over may take.
 }
 
-// Look implements EarlyRefuser: while the gateway is short of processor time it judges the
+// LookOptions say what may become of a request.
+type LookOptions struct {
+	Closes  bool // Closes tells that the answer ends the connection.
+	Movable bool // Movable tells that another gateway may serve the request.
+}
+
+// EarlyJudge judges requests by their heads, before an HTTP server parses them.
+type EarlyJudge interface {
+	// Judges tells whether requests are to be looked at now.
+	Judges() bool
+	Look(h *httphead.Head, o LookOptions) Judgement
+	// Lost returns the answer to a request of which nobody knows what has become.
+	Lost(id string) []byte
+	// Told notes how handing a request over came out.
+	Told(j Judgement, h HandedTo)
+}
+
+// Judges implements EarlyJudge.
+func (h *Handler) Judges() bool {
+	return h.opts.Forward.Strained() && Mode(h.mode.Load()) == ServeAll
+}
+
+// Look implements EarlyJudge: while the gateway is short of processor time it judges the
 // requests of known accounts for targets that a scheduler chooses.
 //
 // A refusal through the HTTP server takes 80 microseconds of a process that shares its core,
 // measured on a gateway that refuses all of a flood of 1,000 requests a second; where each is
 // refused twice nothing is left for serving.
-func (h *Handler) Look(head *httphead.Head, closes bool) (answer []byte, v Verdict) {
+func (h *Handler) Look(head *httphead.Head, o LookOptions) Judgement {
 	x := h.opts.Follow.Index()
-	if x == nil || !h.opts.Forward.Strained() || Mode(h.mode.Load()) != ServeAll {
-		return nil, NotJudged
+	if x == nil || !h.Judges() {
+		return Judgement{}
 	}
 	limits := x.Configuration.Limits
 	if limits.MaxHeaderBytes > 0 && head.Length > limits.MaxHeaderBytes || limits.MaxBodyBytes > 0 && head.Body > limits.MaxBodyBytes {
-		return nil, NotJudged
+		return Judgement{}
 	}
 	call, ok := h.opts.Dialect.PeekCall(head.Get)
 	route := x.Route(hostOf(string(head.Host)), string(head.Path))
 	if !ok || !plainID(call.ID) || route == nil || route.Public || len(route.Split) != 1 {
-		return nil, NotJudged
+		return Judgement{}
 	}
 	account, service := x.Account(call.Key), x.Service(route.Split[0].Service)
 	if account == nil || service == nil || service.Engine == nil || call.Prompt == nil {
-		return nil, NotJudged
+		return Judgement{}
 	}
-	err := h.opts.Forward.Admit(&call, service, account)
-	if err == nil {
-		return nil, Admitted
+	admission, err := h.opts.Forward.Admit(&call, service, account, o.Movable)
+	switch {
+	case err != nil:
+		return Judgement{Verdict: Refused, Answer: h.earlyAnswer(err, call.ID, o.Closes)}
+	case admission == forward.HandOver:
+		return Judgement{Verdict: HandedOver, ID: call.ID, Account: account.NameOf(), Within: route.Timeout}
+	default:
+		return Judgement{Verdict: Admitted}
 	}
-	return h.earlyAnswer(err, call.ID, closes), Refused
+}
+
+// Lost implements EarlyJudge.
+func (h *Handler) Lost(id string) []byte {
+	return h.earlyAnswer(result.New(result.OutcomeUnknown, "the gateway that took the request over is gone"), id, true)
+}
+
+// Told implements EarlyJudge.
+func (h *Handler) Told(j Judgement, to HandedTo) {
+	h.opts.Forward.NoteHandedOver(forward.HandedOver{ID: j.ID, Account: j.Account, Peer: to.Peer, After: to.After, Bytes: to.Bytes, Lost: to.Lost, Gone: to.Gone})
 }
 
 // plainID tells whether an ID can stand in an answer as it is.
@@ -139,50 +183,137 @@
 	return body
 }
 
-// callerConn is a connection of a caller. As long as all its requests were refused early it
-// looks at the next one itself; from the first other one on all bytes are the HTTP server's.
+// callerConn is a connection of a caller. At the beginning of each request it looks at the
+// head itself while requests are judged early; the bytes of all that it does not refuse or
+// hand over are the HTTP server's. Where the server has read beyond the end of a request, or
+// the end is not plain, all that follows is the server's, too: what this connection reads next
+// may be the middle of a request.
 type callerConn struct {
 	*counted
-	early    EarlyRefuser
-	crowded  func() bool
+	server   *Server
 	limits   routing.Limits
-	refused  bool // refused tells that a request was refused early.
-	served   bool // served tells that the HTTP server has had a request.
-	admitted bool // admitted tells that the request which the HTTP server reads next was counted and admitted.
+	ahead    []byte        // ahead has been read of the next request.
+	stop     chan struct{} // stop ends a read that looks only whether the caller has left.
+	gone     bool          // gone tells that the caller has left during a request that was handed over.
+	refused  bool          // refused tells that the last request was refused early.
+	served   bool          // served tells that the HTTP server reads a request, or all that is to come.
+	left     int64         // left is how much of its request the server has not read; negative where it has read more.
+	admitted bool          // admitted tells that the request which the HTTP server reads was counted and admitted.
+}
+
+// endless is what is left of a request whose end is not known.
+const endless = math.MaxInt64
+
+// idle tells that the HTTP server has ended a request and waits for the next one.
+func (c *callerConn) idle() { c.served, c.admitted = c.left != 0, false }
+
+// SetReadDeadline implements net.Conn.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() && !t.After(time.Now()) {
+		c.endLooking()
+	}
+	return c.counted.SetReadDeadline(t)
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.endLooking()
+	return c.counted.Close()
+}
+
+func (c *callerConn) endLooking() {
+	select {
+	case c.stop <- struct{}{}:
+	default:
+	}
+}
+
+// look reads a byte for the HTTP server, which wants to know whether the caller leaves while
+// a request is served. A byte that comes begins the next request: it is kept until that is
+// read, and the server learns that it must wait no longer.
+func (c *callerConn) look(p []byte) (int, error) {
+	select {
+	case <-c.stop: // of an earlier look
+	default:
+	}
+	n, err := c.counted.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	c.ahead = append(c.ahead, p[0])
+	<-c.stop
+	return 0, os.ErrDeadlineExceeded
+}
+
+// readOn reads what has come, behind what was read ahead.
+func (c *callerConn) readOn(p []byte) (int, error) {
+	if len(c.ahead) == 0 {
+		return c.counted.Read(p)
+	}
+	taken := copy(p, c.ahead)
+	c.ahead = c.ahead[taken:]
+	if taken == len(p) || c.served {
+		return taken, nil
+	}
+	n, err := c.counted.Read(p[taken:])
+	return taken + n, err
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	for {
-		n, err := c.counted.Read(p)
-		if c.served || err != nil || n == 0 {
+		if c.served && c.left == 0 && len(p) == 1 && len(c.ahead) == 0 {
+			return c.look(p)
+		}
+		n, err := c.readOn(p)
+		if c.served {
+			c.left -= int64(n)
+			return n, err
+		}
+		if err != nil || n == 0 {
 			return n, err
 		}
 		head, plain := httphead.Parse(p[:n])
 		rest := head.Body - int64(n-head.Length)
-		if !plain || rest < 0 || head.Body > earlyBody {
-			return n, c.handOver(NotJudged)
-		}
-		closes := c.crowded()
-		answer, verdict := c.early.Look(&head, closes)
-		if verdict != Refused {
-			return n, c.handOver(verdict)
+		if !plain || rest < 0 {
+			return n, c.toServer(NotJudged, endless)
 		}
-		if err := c.refuse(answer, rest); err != nil {
-			return 0, err
+		if head.Body > earlyBody || !c.server.judges() {
+			return n, c.toServer(NotJudged, rest)
 		}
-		if closes {
-			return 0, io.EOF
+		closes := c.server.crowded()
+		j := c.server.early.Look(&head, LookOptions{Closes: closes, Movable: c.server.relay != nil})
+		switch j.Verdict {
+		case HandedOver:
+			switch c.handOver(p[:n], rest, j, closes) {
+			case ended:
+				return 0, io.EOF
+			case servedHere:
+				whole := int64(len(c.ahead))
+				c.served = true
+				n, _ = c.readOn(p)
+				return n, c.toServer(Admitted, whole-int64(n))
+			}
+		case Refused:
+			if err := c.refuse(j.Answer, rest); err != nil {
+				return 0, err
+			}
+			if closes {
+				return 0, io.EOF
+			}
+		default:
+			return n, c.toServer(j.Verdict, rest)
 		}
 	}
 }
 
-// handOver leaves this request and all that follow to the HTTP server.
-func (c *callerConn) handOver(v Verdict) error {
-	c.served, c.admitted = true, v == Admitted
+// toServer leaves this request, of which so much is left, to the HTTP server.
+func (c *callerConn) toServer(v Verdict, left int64) error {
+	c.served, c.left, c.admitted = true, left, v == Admitted
 	if !c.refused {
 		return nil
 	}
+	c.refused = false
 	return c.SetReadDeadline(time.Now().Add(headerTime(c.limits)))
 }
 
--- a/handlers/gateway/early_test.go
+++ b/handlers/gateway/early_test.go
@@ -27,25 +27,47 @@
 type refuseKey struct {
 	handler *Handler
 	looked  atomic.Int64
+	told    chan HandedTo
 }
 
-func (r *refuseKey) Look(h *httphead.Head, closes bool) ([]byte, Verdict) {
+func (r *refuseKey) Judges() bool { return true }
+
+func (r *refuseKey) Lost(id string) []byte {
+	return r.handler.earlyAnswer(result.New(result.OutcomeUnknown, "lost"), id, true)
+}
+
+func (r *refuseKey) Told(_ Judgement, h HandedTo) { r.told <- h }
+
+func (r *refuseKey) Look(h *httphead.Head, o LookOptions) Judgement {
 	r.looked.Add(1)
 	key := make([]string, 1)
 	h.Get(key, "Authorization")
 	switch key[0] {
 	case "Bearer flood":
-		return r.handler.earlyAnswer(result.New(result.Overloaded, "too many").After(notReadyAfter), "id-1", closes), Refused
+		return Judgement{Verdict: Refused, Answer: r.handler.earlyAnswer(result.New(result.Overloaded, "too many").After(notReadyAfter), "id-1", o.Closes)}
 	case "Bearer known":
-		return nil, Admitted
+		return Judgement{Verdict: Admitted}
+	case "Bearer moved":
+		if o.Movable {
+			return Judgement{Verdict: HandedOver, ID: "id-2"}
+		}
+		return Judgement{Verdict: Admitted}
 	default:
-		return nil, NotJudged
+		return Judgement{}
 	}
 }
 
 // serveEarly runs a server that refuses early. Its handler echoes the body, and tells in a
 // header whether the request was admitted before.
 func serveEarly(t *testing.T, most int) (*refuseKey, string) {
+	t.Helper()
+	s, early, address := newEarlyServer(t, most)
+	go func() { _ = s.Serve() }()
+	return early, address
+}
+
+// newEarlyServer is serveEarly but for the serving.
+func newEarlyServer(t *testing.T, most int) (*Server, *refuseKey, string) {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -57,11 +79,10 @@
 		_, _ = w.Write(body)
 	})
 	s := NewServer(log.New("callers"), l, echo, most, &netopt.Traffic{})
-	early := &refuseKey{handler: &Handler{opts: Options{Dialect: platform.Dialect{}}}}
-	s.RefuseEarly(early)
-	go func() { _ = s.Serve() }()
+	early := &refuseKey{told: make(chan HandedTo, 8), handler: &Handler{opts: Options{Dialect: platform.Dialect{}}}}
+	s.JudgeEarly(early)
 	t.Cleanup(s.Close)
-	return early, l.Addr().String()
+	return s, early, l.Addr().String()
 }
 
 // caller writes raw requests on one connection and reads the answers.
@@ -104,8 +125,8 @@
 	return resp.StatusCode, string(b), resp.Header
 }
 
-// A refused request is read to its end and the next one on the same connection is served;
-// what follows is the HTTP server's, whatever its key.
+// A refused request is read to its end and the next one on the same connection is judged
+// anew, also where the HTTP server has served one in between.
 func TestEarlyRefusalKeepsTheConnection(t *testing.T) {
 	early, address := serveEarly(t, 10)
 	c := newCaller(t, address)
@@ -122,11 +143,39 @@
 	}
 	looked := early.looked.Load()
 	c.send(post("flood", "second"))
-	if status, body, header := c.answer(); status != http.StatusOK || body != "second" || header.Get("Admitted") != "false" {
+	if status, body, header := c.answer(); status != http.StatusServiceUnavailable || !strings.Contains(body, `"code":2010`) {
 		t.Errorf("status %d, %q, %v", status, body, header)
 	}
-	if early.looked.Load() != looked {
-		t.Error("a request on a connection that the HTTP server has was looked at")
+	c.send(post("other", "third"))
+	if status, body, header := c.answer(); status != http.StatusOK || body != "third" || header.Get("Admitted") != "false" {
+		t.Errorf("status %d, %q, %v", status, body, header)
+	}
+	if n := early.looked.Load() - looked; n != 2 {
+		t.Errorf("%d of two requests were looked at", n)
+	}
+}
+
+// Of a request whose beginning the HTTP server has read ahead, with the bytes of the one
+// before or while that was served, the rest is never taken for a request of its own.
+func TestRequestReadAheadIsTheServers(t *testing.T) {
+	early, address := serveEarly(t, 10)
+	inner := post("flood", "inner")
+	outer := post("other", inner)
+	for at := 1; at < len(outer); at += 7 {
+		c := newCaller(t, address)
+		looked := early.looked.Load()
+		c.send(post("other", "first") + outer[:at])
+		if status, body, _ := c.answer(); status != http.StatusOK || body != "first" {
+			t.Fatalf("split at %d: status %d, %q", at, status, body)
+		}
+		c.send(outer[at:])
+		if status, body, _ := c.answer(); status != http.StatusOK || body != inner {
+			t.Fatalf("split at %d: status %d, %q", at, status, body)
+		}
+		if n := early.looked.Load() - looked; n != 0 {
+			t.Fatalf("split at %d: looked at %d requests that are not whole", at, n)
+		}
+		_ = c.Close()
 	}
 }
 
--- a/handlers/gateway/gateway.go
+++ b/handlers/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"madderway/modules/clock"
 	"madderway/services/follow"
 	"madderway/services/forward"
+	"madderway/services/relay"
 	"madderway/services/upstream"
 )
 
@@ -138,7 +139,7 @@
 		return nil, result.New(result.NoTarget, "the route has no service").After(notReadyAfter)
 	}
 	if !takeAdmitted(r.Context()) {
-		if err := h.opts.Forward.Admit(&call, service, account); err != nil {
+		if _, err := h.opts.Forward.Admit(&call, service, account, false); err != nil {
 			return nil, err
 		}
 	}
@@ -152,7 +153,7 @@
 	}
 	return &forward.Request{
 		Call: call, Method: r.Method, URI: uri, Host: r.Host, Header: r.Header, Body: body, Route: route, Service: service,
-		Account: account, Received: received, Deadline: received.Add(patience),
+		Account: account, Received: received, Deadline: received.Add(patience), Carrier: relay.CarrierOf(r.Context()),
 	}, nil
 }
 
--- /dev/null
+++ b/handlers/gateway/relay.go
@@ -0,0 +1,169 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"madderway/services/relay"
+)
+
+const (
+	// relaySlack is what a request that was handed over may take beyond the time-out of its
+	// route, relayMost what it may take where the route has none.
+	relaySlack = time.Second
+	relayMost  = time.Minute
+	// handOverTime is how long it may take to hand a request over.
+	handOverTime = 1500 * time.Millisecond
+)
+
+// Relay hands requests over to other gateways.
+type Relay interface {
+	// Send hands a request over. The first relay.HeadSize bytes of the buffer are free, the
+	// request follows. The answer goes to the caller, and says so where it closes the caller's
+	// connection; when it is over, waiting reads of the caller are ended by a deadline.
+	Send(ctx context.Context, buffer []byte, caller net.Conn, closes bool) (*relay.Handed, error)
+}
+
+// HandedTo tells how handing a request over came out.
+type HandedTo struct {
+	Peer  string // Peer is empty where no other gateway took the request.
+	After time.Duration
+	Bytes int64 // Bytes are those of the answer.
+	Lost  bool  // Lost tells that the answer ended before it began.
+	Gone  bool  // Gone tells that the caller has left.
+}
+
+// SetRelay lets requests be handed over to other gateways. It is called before Serve.
+func (s *Server) SetRelay(r Relay) { s.relay = r }
+
+// Relaying returns how many requests other gateways serve for this one.
+func (s *Server) Relaying() int { return int(s.relaying.Load()) }
+
+// handedOver is what has become of a request that was to be handed over.
+type handedOver int
+
+const (
+	// servedHere tells that no gateway took it: the HTTP server reads it.
+	servedHere handedOver = iota + 1
+	// answered tells that the caller has its answer and may send another request.
+	answered
+	// ended tells that the caller's connection is to be closed.
+	ended
+)
+
+// handOver has another gateway serve a request, of which some bytes have been read and so
+// many are to come. Closes tells that its answer ends the connection.
+func (c *callerConn) handOver(begun []byte, rest int64, j Judgement, closes bool) handedOver {
+	c.server.relaying.Add(1)
+	defer c.server.relaying.Add(-1)
+	start, to := time.Now(), HandedTo{}
+	defer func() {
+		to.After = time.Since(start)
+		c.server.early.Told(j, to)
+	}()
+	handed, err := c.send(begun, rest, closes)
+	if err != nil {
+		to.Gone = c.gone
+		to.Lost = !c.gone && relay.IsErrSent(err)
+		switch {
+		case to.Lost:
+			_, _ = c.counted.Write(c.server.early.Lost(j.ID)) // the caller may be gone, too
+			return ended
+		case to.Gone:
+			return ended
+		}
+		return servedHere
+	}
+	to.Peer = handed.Peer
+	end := start.Add(relayMost)
+	if j.Within > 0 {
+		end = start.Add(j.Within + relaySlack)
+	}
+	c.await(handed, end)
+	var whole bool
+	to.Bytes, whole = handed.Result()
+	to.Gone, to.Lost = c.gone, to.Bytes == 0
+	if to.Lost && !c.gone {
+		_, _ = c.counted.Write(c.server.early.Lost(j.ID))
+	}
+	if !whole || closes || c.gone || c.SetDeadline(time.Time{}) != nil || c.SetReadDeadline(time.Now().Add(idleTime(c.limits))) != nil {
+		return ended
+	}
+	return answered
+}
+
+// send reads the rest of a request and hands it over. Where no gateway takes it, its bytes
+// are those that are read next.
+func (c *callerConn) send(begun []byte, rest int64, closes bool) (*relay.Handed, error) {
+	size := relay.HeadSize + len(begun) + int(rest)
+	pooled := requests.get(size)
+	defer requests.put(pooled)
+	buffer := *pooled
+	held := relay.HeadSize + copy(buffer[relay.HeadSize:], begun)
+	if rest > 0 {
+		err := c.SetReadDeadline(time.Now().Add(headerTime(c.limits)))
+		if err == nil {
+			_, err = io.ReadFull(c.counted, buffer[held:size])
+		}
+		if err != nil {
+			c.gone = true
+			return nil, err
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTime)
+	defer cancel()
+	handed, err := c.server.relay.Send(ctx, buffer[:size], c.counted, closes)
+	if err != nil && !relay.IsErrSent(err) {
+		c.ahead = append([]byte(nil), buffer[relay.HeadSize:size]...)
+	}
+	return handed, err
+}
+
+// await waits until an answer is over, the caller has left, or it is time to give up.
+func (c *callerConn) await(handed *relay.Handed, end time.Time) {
+	if c.SetReadDeadline(end) != nil {
+		c.gone = true
+		handed.Cancel()
+		return
+	}
+	if isOver(handed) { // before that deadline was set
+		return
+	}
+	var one [1]byte
+	n, err := c.counted.Read(one[:])
+	if n > 0 { // the next request begins
+		c.ahead = append(c.ahead, one[0])
+		c.awaitOver(handed, end)
+		return
+	}
+	if isOver(handed) {
+		return
+	}
+	timeout, ok := err.(net.Error)
+	c.gone = !ok || !timeout.Timeout()
+	handed.Cancel()
+}
+
+func isOver(handed *relay.Handed) bool {
+	select {
+	case <-handed.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *callerConn) awaitOver(handed *relay.Handed, end time.Time) {
+	late := time.NewTimer(time.Until(end))
+	defer late.Stop()
+	select {
+	case <-handed.Done():
+	case <-late.C:
+		handed.Cancel()
+	}
+}
--- a/handlers/gateway/server.go
+++ b/handlers/gateway/server.go
@@ -51,7 +51,9 @@
 	most     int64 // most is how many connections are open at once.
 	open     atomic.Int64
 	turned   atomic.Uint64 // turned counts the connections that were turned away.
-	early    EarlyRefuser  // early may refuse requests before they are parsed; nil for none.
+	relaying atomic.Int64  // relaying counts the requests that other gateways serve.
+	early    EarlyJudge    // early judges requests before they are parsed; nil for none.
+	relay    Relay         // relay is nil where nothing is handed over.
 
 	mu      sync.Mutex
 	limits  routing.Limits
@@ -69,8 +71,11 @@
 	return s
 }
 
-// RefuseEarly lets requests be refused before they are parsed. It is called before Serve.
-func (s *Server) RefuseEarly(e EarlyRefuser) { s.early = e }
+// JudgeEarly lets requests be judged before they are parsed. It is called before Serve.
+func (s *Server) JudgeEarly(e EarlyJudge) { s.early = e }
+
+// judges tells whether requests are to be judged early now.
+func (s *Server) judges() bool { return s.early != nil && s.early.Judges() }
 
 // SetLimits puts the limits of a configuration in force.
 func (s *Server) SetLimits(l routing.Limits) {
@@ -104,7 +109,7 @@
 func (s *Server) replace(l routing.Limits) {
 	server := &http.Server{
 		Handler: s.handler, MaxHeaderBytes: defaultHeaderBytes, ReadHeaderTimeout: headerTime(l), IdleTimeout: idleTime(l),
-		ConnContext: withConn, ErrorLog: stdlog.New(io.Discard, "", 0),
+		ConnContext: withConn, ConnState: noteIdle, ErrorLog: stdlog.New(io.Discard, "", 0),
 	}
 	if l.MaxHeaderBytes > 0 {
 		server.MaxHeaderBytes = l.MaxHeaderBytes + headerSlack
@@ -118,6 +123,13 @@
 	go func() { _ = server.Serve(next) }()
 }
 
+// noteIdle tells a connection that the next request may come.
+func noteIdle(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
+		c.idle()
+	}
+}
+
 // closeWhereCrowded lets answers end their connections while many are open.
 func (s *Server) closeWhereCrowded(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -150,7 +162,7 @@
 			s.turnAway(c)
 			continue
 		}
-		s.hand(&counted{Conn: s.traffic.Count(c), open: &s.open})
+		s.hand(&callerConn{counted: &counted{Conn: s.traffic.Count(c), open: &s.open}, server: s, stop: make(chan struct{}, 1)})
 	}
 }
 
@@ -195,19 +207,16 @@
 func (s *Server) TurnedAway() uint64 { return s.turned.Load() }
 
 // hand gives a connection to the server of the limits in force.
-func (s *Server) hand(counted *counted) {
+func (s *Server) hand(c *callerConn) {
 	for {
 		s.mu.Lock()
-		current, closed, limits := s.current, s.closed, s.limits
+		current, closed := s.current, s.closed
+		c.limits = s.limits
 		s.mu.Unlock()
 		if closed {
-			_ = counted.Close()
+			_ = c.Close()
 			return
 		}
-		c := net.Conn(counted)
-		if s.early != nil {
-			c = &callerConn{counted: counted, early: s.early, crowded: s.crowded, limits: limits}
-		}
 		select {
 		case current.conns <- c:
 			return
--- a/modules/clock/clock.go
+++ b/modules/clock/clock.go
@@ -76,3 +76,10 @@
 	}
 	f.timers = kept
 }
+
+// Waiting returns how many timers have not fired yet.
+func (f *Fake) Waiting() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.timers)
+}
--- a/modules/peernet/auth.go
+++ b/modules/peernet/auth.go
@@ -23,7 +23,11 @@
 )
 
 const (
-	protocolVersion  = 1
+	protocolVersion = 1
+	// carryVersion is the version in the hello of a connection that carries requests of
+	// callers. It is the only one sent there: a thousand of these are opened in a second
+	// where a flood begins. Whoever repeats one can send what any caller can.
+	carryVersion     = 2
 	nonceSize        = 16
 	handshakeTimeout = 3 * time.Second
 	maxHello         = 4096
@@ -127,12 +131,18 @@
 	return nil
 }
 
-// handshake exchanges hellos and returns the peer's ID.
-func (a *Auth) handshake(conn net.Conn, client bool) (string, error) {
+func (a *Auth) hello(version uint32) (*wire.Hello, error) {
+	h := &wire.Hello{Protocol: version, Id: a.id, Nonce: make([]byte, nonceSize)}
+	_, err := rand.Read(h.Nonce)
+	return h, err
+}
+
+// dial exchanges hellos with the peer that was dialled and returns its ID.
+func (a *Auth) dial(conn net.Conn) (string, error) {
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
 	defer conn.SetDeadline(time.Time{})
-	mine := &wire.Hello{Protocol: protocolVersion, Id: a.id, Nonce: make([]byte, nonceSize)}
-	if _, err := rand.Read(mine.Nonce); err != nil {
+	mine, err := a.hello(protocolVersion)
+	if err != nil {
 		return "", err
 	}
 	if err := writeMessage(conn, mine); err != nil {
@@ -143,13 +153,69 @@
 	if err != nil {
 		return "", err
 	}
+	return theirs.Id, a.check(conn, r, true, mine, theirs)
+}
+
+// accept exchanges hellos with a peer that has dialled. It returns the peer's ID and
+// whether the connection carries requests.
+func (a *Auth) accept(conn net.Conn) (id string, carries bool, err error) {
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	defer conn.SetDeadline(time.Time{})
+	r := newByteReader(conn)
+	theirs, err := readHello(r)
+	if err != nil {
+		return "", false, err
+	}
+	if theirs.Protocol == carryVersion {
+		return theirs.Id, true, a.checkCarrying(conn, theirs)
+	}
+	mine, err := a.hello(protocolVersion)
+	if err != nil {
+		return "", false, err
+	}
+	if err := writeMessage(conn, mine); err != nil {
+		return "", false, err
+	}
+	return theirs.Id, false, a.check(conn, r, false, mine, theirs)
+}
+
+func (a *Auth) check(conn net.Conn, r *byteReader, client bool, mine, theirs *wire.Hello) error {
 	if theirs.Protocol != protocolVersion {
-		return "", ErrHandshake{fmt.Sprintf("protocol %d, not %d", theirs.Protocol, protocolVersion)}
+		return ErrHandshake{fmt.Sprintf("protocol %d, not %d", theirs.Protocol, protocolVersion)}
 	}
 	if a.tls != nil {
-		return theirs.Id, checkName(conn, theirs.Id)
+		return checkName(conn, theirs.Id)
 	}
-	return theirs.Id, a.proveKey(conn, r, client, mine, theirs)
+	return a.proveKey(conn, r, client, mine, theirs)
+}
+
+// sayCarrying sends the hello of a connection that carries requests.
+func (a *Auth) sayCarrying(conn net.Conn) error {
+	h, err := a.hello(carryVersion)
+	if err != nil {
+		return err
+	}
+	if a.tls == nil {
+		h.Mac = a.carryMAC(h)
+	}
+	return writeMessage(conn, h)
+}
+
+func (a *Auth) checkCarrying(conn net.Conn, theirs *wire.Hello) error {
+	if a.tls != nil {
+		return checkName(conn, theirs.Id)
+	}
+	if !hmac.Equal(theirs.Mac, a.carryMAC(theirs)) {
+		return ErrHandshake{"wrong key"}
+	}
+	return nil
+}
+
+func (a *Auth) carryMAC(author *wire.Hello) []byte {
+	m := hmac.New(sha256.New, a.sharedKey)
+	fmt.Fprintf(m, "madderway carry\x00%s\x00", author.Id)
+	m.Write(author.Nonce)
+	return m.Sum(nil)
 }
 
 func checkName(conn net.Conn, id string) error {
--- a/modules/peernet/link.go
+++ b/modules/peernet/link.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -203,24 +204,41 @@
 func (l *Link) dial() (*yamux.Session, error) {
 	ctx, end := l.renewal.begin()
 	defer end()
-	raw, err := netopt.Dialer(l.timeout).DialContext(ctx, "tcp", l.address)
+	conn, err := dialPeer(ctx, l.auth, l.meter, l.id, l.address, l.timeout)
 	if err != nil {
 		return nil, err
 	}
-	conn, err := l.auth.wrap(meteredConn{raw, l.meter}, true)
+	return clientSession(conn)
+}
+
+// dialPeer connects to a peer and checks who it is; an empty ID is for anybody.
+func dialPeer(ctx context.Context, auth *Auth, meter *Meter, id, address string, timeout time.Duration) (net.Conn, error) {
+	conn, err := dialWrapped(ctx, auth, meter, address, timeout)
 	if err != nil {
-		_ = raw.Close()
 		return nil, err
 	}
-	peer, err := l.auth.handshake(conn, true)
-	if err == nil && l.id != "" && peer != l.id {
-		err = ErrHandshake{"dialled " + l.id + ", met " + peer}
+	peer, err := auth.dial(conn)
+	if err == nil && id != "" && peer != id {
+		err = ErrHandshake{"dialled " + id + ", met " + peer}
 	}
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
-	return clientSession(conn)
+	return conn, nil
+}
+
+func dialWrapped(ctx context.Context, auth *Auth, meter *Meter, address string, timeout time.Duration) (net.Conn, error) {
+	raw, err := netopt.Dialer(timeout).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := auth.wrap(meteredConn{raw, meter}, true)
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return conn, nil
 }
 
 func (l *Link) drop() {
--- a/modules/peernet/server.go
+++ b/modules/peernet/server.go
@@ -29,6 +29,12 @@
 	HandleCall(peer string, c *wire.Call) *wire.Reply
 }
 
+// Carrier takes connections on which a peer carries requests of its callers.
+type Carrier interface {
+	// HandleCarried serves a connection until it is closed.
+	HandleCarried(peer string, c net.Conn)
+}
+
 // Server accepts connections of peers.
 type Server struct {
 	t        *tomb.Tomb
@@ -36,6 +42,7 @@
 	auth     *Auth
 	meter    *Meter
 	handler  Handler
+	carrier  Carrier // carrier is nil where none are taken.
 	listener net.Listener
 	slots    chan struct{}
 
@@ -47,8 +54,13 @@
 
 // NewServer starts to accept on the listener; it ends with the tomb.
 func NewServer(t *tomb.Tomb, logger log.Logger, auth *Auth, meter *Meter, l net.Listener, h Handler) *Server {
+	return NewCarryingServer(t, logger, auth, meter, l, h, nil)
+}
+
+// NewCarryingServer is NewServer that also takes what peers carry.
+func NewCarryingServer(t *tomb.Tomb, logger log.Logger, auth *Auth, meter *Meter, l net.Listener, h Handler, c Carrier) *Server {
 	s := &Server{
-		t: t, log: logger, auth: auth, meter: meter, handler: h, listener: l,
+		t: t, log: logger, auth: auth, meter: meter, handler: h, carrier: c, listener: l,
 		slots: make(chan struct{}, maxConnections), conns: map[net.Conn]string{}, blocked: map[string]bool{},
 	}
 	t.Go(s.accept)
@@ -148,12 +160,18 @@
 		s.refuse(raw, err)
 		return
 	}
-	peer, err := s.auth.handshake(conn, false)
+	peer, carries, err := s.auth.accept(conn)
 	if err != nil {
 		s.refuse(raw, err)
 		return
 	}
 	s.track(raw, peer)
+	if carries {
+		if s.carrier != nil {
+			s.carrier.HandleCarried(peer, conn)
+		}
+		return
+	}
 	session, err := serverSession(conn)
 	if err != nil {
 		return
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -17,6 +17,7 @@
 
 	"madderway/core/drain"
 	"madderway/core/member"
+	"madderway/core/place"
 	"madderway/core/watch"
 	"madderway/handlers/gateway"
 	"madderway/modules/clock"
@@ -31,6 +32,7 @@
 	"madderway/services/follow"
 	"madderway/services/forward"
 	"madderway/services/mesh"
+	"madderway/services/relay"
 	"madderway/services/upstream"
 )
 
@@ -66,9 +68,11 @@
 	self     member.Record
 
 	meter   *peernet.Meter
+	carried *peernet.Meter  // carried counts what is carried for other gateways, or by them.
 	traffic *netopt.Traffic // traffic is that with callers and targets.
 	loop    *mesh.Loop
 	follow  *follow.Service
+	relay   *relay.Service
 	pool    *upstream.Pool
 	guard   *forward.Guard
 	probe   atomic.Pointer[lateness.Probe]
@@ -87,7 +91,7 @@
 	debug.SetGCPercent(garbagePercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
 	g := &Gateway{
-		clock: clock.System{}, log: log.New("gateway").With(s.ID), meter: &peernet.Meter{}, traffic: &netopt.Traffic{},
+		clock: clock.System{}, log: log.New("gateway").With(s.ID), meter: &peernet.Meter{}, carried: &peernet.Meter{}, traffic: &netopt.Traffic{},
 		draining: make(chan struct{}),
 	}
 	g.settings.Store(s)
@@ -103,8 +107,9 @@
 	if err != nil {
 		return nil, err
 	}
-	g.assemble(listeners[0])
+	g.assemble()
 	g.serve(listeners[1:])
+	peernet.NewCarryingServer(&g.t, log.New("peer").With(s.ID), peernet.NewSharedKey(s.ID, s.PeerKey), g.meter, listeners[0], g.loop, relay.NewServer(log.New("relay").With(s.ID), g.handler))
 	probe, err := lateness.Start(&g.t, probeEvery, g.guard.Late)
 	if err != nil {
 		g.log.Error(err, "No probe of lateness; overload is not noticed.")
@@ -135,7 +140,7 @@
 	return out, nil
 }
 
-func (g *Gateway) assemble(peers net.Listener) {
+func (g *Gateway) assemble() {
 	s := g.settings.Load()
 	auth := peernet.NewSharedKey(s.ID, s.PeerKey)
 	store := platform.NewStore(s.Store, s.StoreCall.Duration)
@@ -149,17 +154,17 @@
 	members.Interval, members.SuspectAfter, members.DeadAfter = 400*time.Millisecond, 1200*time.Millisecond, 1500*time.Millisecond
 	members.Greet, members.MaxRumors = true, maxRumors
 	client := upstream.NewClient(g.pool, platform.Dialect{})
+	g.relay = relay.New(&g.t, log.New("relay").With(s.ID), relay.Options{Auth: auth, Meter: g.carried, Clock: g.clock})
 	g.loop = mesh.NewLoop(&g.t, log.New("mesh").With(s.ID), mesh.Options{
 		Self: g.self, Seeds: s.Seeds, Clock: g.clock, Auth: auth, Meter: g.meter, Member: members, Follow: g.follow,
-		Kept: client.Kept, FairWindow: s.FairWindow.Duration,
+		Kept: client.Kept, FairWindow: s.FairWindow.Duration, OnMembers: g.setRelief, OnGone: g.relay.Gone,
 	})
-	peernet.NewServer(&g.t, log.New("peer").With(s.ID), auth, g.meter, peers, g.loop)
 	discover.Start(&g.t, log.New("discover").With(s.ID), discover.Options{
 		Self: discover.Entry{ID: s.ID, Address: s.Peers}, Register: platform.NewGateways(store), Peers: g.loop, Clock: g.clock,
 		Empty: s.FirstStart,
 	})
 	guard := forward.NewGuard(log.New("guard").With(s.ID), g.clock, forward.GuardOptions{
-		Bytes: g.crossed, LinkMbps: s.LinkMbps, Overdue: g.overdue,
+		Bytes: g.crossed, LinkMbps: s.LinkMbps, Relief: g.relay.Available, Overdue: g.overdue,
 		OnDuties: func(keepsUp, linkFull bool) { g.loop.SetStrength(strengthOf(s, keepsUp), !keepsUp && linkFull) },
 	})
 	g.guard = guard
@@ -177,9 +182,38 @@
 // crossed returns the bytes that have crossed the machine's link.
 func (g *Gateway) crossed() (sent, received uint64) {
 	sent, received = g.traffic.Bytes()
-	return sent + g.meter.Bytes(), received + g.meter.Received.Load()
+	return sent + g.meter.Bytes() + g.carried.Bytes(), received + g.meter.Received.Load() + g.carried.Received.Load()
 }
 
+// reliefs is how many gateways take requests of one over: the fewer they are, the more
+// answers come in one read. Where a hall's gateways differ the strong ones come first, and
+// one of them could take all.
+const reliefs = 6
+
+// setRelief tells who may take requests over: gateways of this data hall that keep up with
+// their own callers.
+func (g *Gateway) setRelief(others []member.Record) {
+	const percent = 100
+	var nodes []place.Node
+	able := map[string]member.Record{}
+	for _, r := range others {
+		if r.DataHall == g.self.DataHall && r.State == member.StateAlive && r.Strength > spent {
+			nodes = append(nodes, place.Node{ID: r.ID, Strength: r.Strength})
+			able[r.ID] = r
+		}
+	}
+	var peers []relay.Peer
+	for _, id := range place.TopByStrength(nodes, g.self.ID, reliefs) {
+		r := able[id]
+		peers = append(peers, relay.Peer{ID: r.ID, Incarnation: r.Incarnation, Address: r.Address, Strength: float64(r.Strength) / percent})
+	}
+	g.relay.SetPeers(peers)
+}
+
+// spent is the strength, in percent of a core, of a gateway that cannot keep up with its
+// own callers.
+const spent = 1
+
 // overdue returns how late the probe of lateness already is.
 func (g *Gateway) overdue(now time.Time) time.Duration {
 	probe := g.probe.Load()
@@ -194,9 +228,9 @@
 func strengthOf(s *setting.Gateway, keepsUp bool) uint32 {
 	const percent = 100
 	if !keepsUp {
-		return 1
+		return spent
 	}
-	return uint32(max(s.Processor*percent, 1))
+	return uint32(max(s.Processor*percent, spent+1))
 }
 
 func retryBudget(s *setting.Gateway) forward.RetryBudget {
@@ -237,7 +271,8 @@
 
 func (g *Gateway) serve(listeners []net.Listener) {
 	g.callers = gateway.NewServer(log.New("callers").With(g.settings.Load().ID), listeners[0], g.handler, int(callerShare*float64(g.settings.Load().Descriptors)), g.traffic)
-	g.callers.RefuseEarly(g.handler)
+	g.callers.JudgeEarly(g.handler)
+	g.callers.SetRelay(g.relay)
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.ReadinessPath, g.answerReadiness)
 	g.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -290,12 +325,12 @@
 	g.drainOnce.Do(func() {
 		s := g.settings.Load()
 		plan := drain.Plan{Started: g.clock.Now(), Linger: s.Linger.Duration, Grace: s.Grace.Duration}
-		g.log.Info("Drain started.", "open", g.handler.Open())
+		g.log.Info("Drain started.", "open", g.open())
 		close(g.draining)
 		g.handler.Drain(gateway.ServeClosing)
 		g.loop.Leave()
 		for {
-			phase := plan.Phase(g.clock.Now(), g.handler.Open())
+			phase := plan.Phase(g.clock.Now(), g.open())
 			if phase == drain.Exit {
 				break
 			}
@@ -304,11 +339,14 @@
 			}
 			<-g.clock.After(drainPoll)
 		}
-		g.log.Info("Drain ended.", "cut", g.handler.Open(), "after", g.clock.Now().Sub(plan.Started))
+		g.log.Info("Drain ended.", "cut", g.open(), "after", g.clock.Now().Sub(plan.Started))
 		g.Stop()
 	})
 }
 
+// open returns how many requests are under way here, or elsewhere for this gateway.
+func (g *Gateway) open() int { return g.handler.Open() + g.callers.Relaying() }
+
 // Stop ends the gateway at once.
 func (g *Gateway) Stop() {
 	g.t.Kill(nil)
--- a/router/gatewaystate.go
+++ b/router/gatewaystate.go
@@ -25,6 +25,7 @@
 	Ready       bool       `json:"ready"`
 	Draining    bool       `json:"draining"`
 	Open        int        `json:"open_requests"`
+	Relaying    int        `json:"handed_over_requests"`
 	Callers     int        `json:"caller_connections"`
 	TurnedAway  uint64     `json:"caller_connections_turned_away_total"`
 	Targets     int        `json:"targets"`
@@ -44,7 +45,7 @@
 	calls, fetches := g.follow.Calls()
 	return GatewayDump{
 		ID: g.self.ID, Incarnation: g.self.Incarnation, DataHall: g.self.DataHall, Ready: g.Ready(), Draining: g.isDraining(),
-		Open: g.handler.Open(), Callers: g.callers.Open(), TurnedAway: g.callers.TurnedAway(), Targets: len(g.follow.Targets().Targets), Evacuated: g.follow.Evacuated(), StoreCalls: calls, PeerFetches: fetches, Dials: g.pool.Dials(),
+		Open: g.open(), Relaying: g.callers.Relaying(), Callers: g.callers.Open(), TurnedAway: g.callers.TurnedAway(), Targets: len(g.follow.Targets().Targets), Evacuated: g.follow.Evacuated(), StoreCalls: calls, PeerFetches: fetches, Dials: g.pool.Dials(),
 		Mesh: g.loop.State(), Goroutines: runtime.NumGoroutine(), HeapBytes: mem.HeapAlloc,
 	}
 }
@@ -70,6 +71,8 @@
 	gauge("ready", boolNumber(d.Ready))
 	gauge("draining", boolNumber(d.Draining))
 	gauge("open_requests", d.Open)
+	gauge("handed_over_requests", d.Relaying)
+	gauge("carried_bytes_total", g.carried.Sent.Load()+g.carried.Received.Load())
 	gauge("caller_connections", d.Callers)
 	gauge("caller_connections_turned_away_total", d.TurnedAway)
 	gauge("targets", d.Targets)
--- a/services/forward/counters.go
+++ b/services/forward/counters.go
@@ -23,9 +23,13 @@
 	repeats     *metrics.Counter
 	budgetSpent *metrics.Counter
 	throttled   *metrics.Counter
-	beforeAsk   *metrics.Histogram
-	waited      *metrics.Histogram
-	byOutcome   *sync.Map // byOutcome holds figures by service and outcome: to name them anew took 4 % of a refusal.
+	// Requests that another gateway has served, those of which no answer came, and those
+	// that no gateway took.
+	handedOver, handOverLost, notHandedOver *metrics.Counter
+
+	beforeAsk *metrics.Histogram
+	waited    *metrics.Histogram
+	byOutcome *sync.Map // byOutcome holds figures by service and outcome: to name them anew took 4 % of a refusal.
 }
 
 // figures are those of the requests of one service that ended alike.
@@ -38,10 +42,13 @@
 	set := metrics.NewSet()
 	return counters{
 		set: set, repeats: set.NewCounter("madderway_gateway_repeats_total"),
-		budgetSpent: set.NewCounter("madderway_gateway_repeat_budget_spent_total"),
-		throttled:   set.NewCounter("madderway_gateway_throttled_total"),
-		beforeAsk:   set.NewHistogram("madderway_gateway_before_ask_seconds"),
-		waited:      set.NewHistogram("madderway_gateway_placement_seconds"), byOutcome: &sync.Map{},
+		budgetSpent:   set.NewCounter("madderway_gateway_repeat_budget_spent_total"),
+		throttled:     set.NewCounter("madderway_gateway_throttled_total"),
+		handedOver:    set.NewCounter("madderway_gateway_handed_over_total"),
+		handOverLost:  set.NewCounter("madderway_gateway_handed_over_lost_total"),
+		notHandedOver: set.NewCounter("madderway_gateway_not_handed_over_total"),
+		beforeAsk:     set.NewHistogram("madderway_gateway_before_ask_seconds"),
+		waited:        set.NewHistogram("madderway_gateway_placement_seconds"), byOutcome: &sync.Map{},
 	}
 }
 
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -18,6 +18,7 @@
 	"madderway/core/attempt"
 	"madderway/core/balance"
 	"madderway/core/budget"
+	"madderway/core/overload"
 	"madderway/core/throttle"
 	"madderway/models/result"
 	"madderway/models/routing"
@@ -88,6 +89,8 @@
 	Account  *routing.ClientAccount
 	Received time.Time
 	Deadline time.Time
+	// Carrier is the gateway that has handed the request over, or empty.
+	Carrier string
 }
 
 func (r *Request) account() string { return r.Account.NameOf() }
@@ -146,22 +149,37 @@
 // refusalLines is how many refusals at the entry are told one by one in a second.
 const refusalLines = 10
 
+// Admission is what becomes of a request that is not refused.
+type Admission int
+
+// The admissions.
+const (
+	Serve    Admission = iota + 1 // this gateway serves it
+	HandOver                      // another gateway of the data hall serves it
+)
+
 // Admit counts a request and refuses it where this gateway is overloaded, or its
 // account asks for far more than it is given. It is asked before the body is
-// read, so that a flood costs little.
-func (s *Service) Admit(call *upstream.Call, service *routing.Service, account *routing.ClientAccount) error {
+// read, so that a flood costs little. Movable tells whether the request can be
+// handed over to another gateway, which then counts it as its own.
+func (s *Service) Admit(call *upstream.Call, service *routing.Service, account *routing.ClientAccount, movable bool) (Admission, error) {
 	if !scheduled(service, call) {
-		return nil
+		return Serve, nil
 	}
 	var err error
-	switch name := account.NameOf(); {
-	case !s.opts.Guard.admit(name):
+	name := account.NameOf()
+	verdict := s.opts.Guard.admit(name, movable)
+	switch {
+	case verdict == overload.Refuse:
 		err = result.New(result.Overloaded, "this gateway is asked for more than it can serve in time").After(s.opts.Guard.returnAfter())
+	case verdict == overload.HandOver:
+		s.outcomes.noteTaken(name, call.Prompt.Tokens)
+		return HandOver, nil
 	case !s.underThrottle(name):
 		err = result.New(result.QueueFull, "the account asks for far more than it is given").After(throttledAfter)
 	default:
 		s.outcomes.noteTaken(name, call.Prompt.Tokens)
-		return nil
+		return Serve, nil
 	}
 	s.counters.note(service, err, 0)
 	// A flood is told in full at the beginning of each second, then by a sample and by
@@ -169,7 +187,34 @@
 	if n := s.outcomes.noteRefused(account.NameOf(), result.Of(err).Code, call.Prompt.Tokens); n <= refusalLines || sampled(call.ID) {
 		s.log.Request("Request refused at the entry.", "id", call.ID, "account", account.NameOf(), "service", service.Name, "error", err)
 	}
-	return err
+	return 0, err
+}
+
+// HandedOver tells of a request that another gateway was to serve.
+type HandedOver struct {
+	ID, Account string
+	Peer        string // Peer is empty where no gateway took it; it was served here.
+	After       time.Duration
+	Bytes       int64 // Bytes are those of the answer that was passed on.
+	Lost        bool  // Lost tells that no answer came.
+	Gone        bool  // Gone tells that the caller has left.
+}
+
+// NoteHandedOver counts a request that was handed over, and tells of it where it failed or
+// the request is of the sample.
+func (s *Service) NoteHandedOver(h HandedOver) {
+	switch {
+	case h.Peer == "" && !h.Lost:
+		s.counters.notHandedOver.Inc()
+		return
+	case h.Lost && !h.Gone:
+		s.counters.handOverLost.Inc()
+		s.log.Request("Request handed over and lost.", "id", h.ID, "account", h.Account, "peer", h.Peer, "after", h.After)
+	case sampled(h.ID):
+		s.log.Request("Request handed over.", "id", h.ID, "account", h.Account, "peer", h.Peer, "after", h.After, "bytes", h.Bytes, "gone", h.Gone)
+	}
+	s.counters.handedOver.Inc()
+	s.outcomes.note(outcomeHandedOver)
 }
 
 // Strained tells whether requests are refused for want of processor time.
--- a/services/forward/guard.go
+++ b/services/forward/guard.go
@@ -25,7 +25,7 @@
 	clock clock.Clock
 
 	opts GuardOptions
-	// strained tells that some requests are refused for want of processor time.
+	// strained tells that some requests are handed over or refused for want of processor time.
 	strained atomic.Bool
 
 	mu       sync.Mutex
@@ -61,6 +61,9 @@
 	// megabits it carries in a second, 0 where that is not known.
 	Bytes    func() (sent, received uint64)
 	LinkMbps float64
+	// Relief tells whether there is another gateway to hand requests over to; nil where
+	// nothing is handed over.
+	Relief func() bool
 	// Overdue tells how late the next report of lateness already is.
 	Overdue func(now time.Time) time.Duration
 	// OnDuties is called when the gateway can no longer schedule for others, with
@@ -77,22 +80,24 @@
 func (g *Guard) Late(lateness time.Duration) {
 	now := g.clock.Now()
 	sent, received := g.opts.Bytes()
+	relief := g.opts.Relief != nil && g.opts.Relief()
 	g.mu.Lock()
 	g.second.note(lateness)
+	g.governor.SetRelief(relief)
 	use := g.link.Observe(now, sent, received)
 	changed := g.governor.Observe(now, lateness)
-	share, refused := g.governor.Share(), g.governor.Refused()
-	g.strained.Store(share < 1)
-	keepsUp, moved := g.duties.Observe(now, share, use)
+	share, own, refused := g.governor.Share(), g.governor.Own(), g.governor.Refused()
+	g.strained.Store(own < 1)
+	keepsUp, moved := g.duties.Observe(now, own, use)
 	g.mu.Unlock()
 	if moved {
-		g.log.Info("Scheduling for others changed.", "keeps_up", keepsUp, "late", lateness, "link", percent(use), "share", share)
+		g.log.Info("Scheduling for others changed.", "keeps_up", keepsUp, "late", lateness, "link", percent(use), "share", share, "own", own)
 		g.opts.OnDuties(keepsUp, overload.Full(use))
 	}
 	switch {
 	case !changed:
-	case share < 1:
-		g.log.Warn("Overloaded, refusing some requests.", "late", lateness, "link", percent(use), "share", share)
+	case own < 1:
+		g.log.Warn("Overloaded, handing over or refusing some requests.", "late", lateness, "link", percent(use), "share", share, "own", own, "relief", relief)
 	default:
 		g.log.Info("No longer overloaded.", "refused since the start", refused)
 	}
@@ -102,15 +107,16 @@
 // process that is late by seconds reports nothing in that time.
 const overdueLeast = 100 * time.Millisecond
 
-// admit tells whether a request of an account is served here.
-func (g *Guard) admit(account string) bool {
+// admit tells what becomes of a request of an account; movable tells whether it can be
+// handed over.
+func (g *Guard) admit(account string, movable bool) overload.Verdict {
 	now := g.clock.Now()
 	if overdue := g.opts.Overdue(now); overdue >= overdueLeast {
 		g.Late(overdue)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.governor.Admit(now, account, rand.Float64())
+	return g.governor.Admit(now, account, rand.Float64(), movable)
 }
 
 // When a request that was refused for want of processor time may come back, spread by a
@@ -146,7 +152,7 @@
 	defer g.mu.Unlock()
 	l := g.second
 	g.second = latenessSecond{}
-	return []any{"share", percent(g.governor.Share()), "late_mean", l.mean().Round(time.Millisecond), "late_worst", l.worst.Round(time.Millisecond)}
+	return []any{"share", percent(g.governor.Share()), "own", percent(g.governor.Own()), "late_mean", l.mean().Round(time.Millisecond), "late_worst", l.worst.Round(time.Millisecond)}
 }
 
 // percent rounds a share to hundredths, for log lines.
@@ -157,9 +163,9 @@
 
 func (g *Guard) writeMetrics(w io.Writer) {
 	g.mu.Lock()
-	share, refused := g.governor.Share(), g.governor.Refused()
+	share, own, refused := g.governor.Share(), g.governor.Own(), g.governor.Refused()
 	g.mu.Unlock()
 	sent, received := g.opts.Bytes()
 	fmt.Fprintf(w, "madderway_gateway_bytes_total{direction=\"sent\"} %d\nmadderway_gateway_bytes_total{direction=\"received\"} %d\n", sent, received)
-	fmt.Fprintf(w, "madderway_gateway_admitted_share %v\nmadderway_gateway_overload_refused_total %d\n", share, refused)
+	fmt.Fprintf(w, "madderway_gateway_admitted_share %v\nmadderway_gateway_own_share %v\nmadderway_gateway_overload_refused_total %d\n", share, own, refused)
 }
--- a/services/forward/guard_test.go
+++ b/services/forward/guard_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"madderway/core/attempt"
+	"madderway/core/overload"
 	"madderway/modules/clock"
 	"madderway/modules/log"
 	"madderway/services/upstream"
@@ -102,7 +103,7 @@
 	refused := 0
 	for range 1000 {
 		c.Advance(time.Millisecond)
-		if !g.admit("flood") {
+		if g.admit("flood", true) == overload.Refuse {
 			refused++
 		}
 	}
@@ -129,7 +130,7 @@
 	calm := mean()
 	for range 500 {
 		c.Advance(10 * time.Millisecond)
-		g.admit("flood")
+		g.admit("flood", true)
 		g.Late(100 * time.Millisecond)
 	}
 	if flooded := mean(); flooded < 3*calm {
--- a/services/forward/second.go
+++ b/services/forward/second.go
@@ -47,6 +47,8 @@
 	outcomeGone    = "gone"
 	outcomeAborted = "aborted"
 	outcomeAtEntry = "refused_at_entry"
+	// outcomeHandedOver is that of requests which another gateway has served.
+	outcomeHandedOver = "handed_over"
 )
 
 // secondEvery is how often a line is written.
@@ -116,7 +118,7 @@
 			continue
 		}
 		open, turnedAway := s.opts.Connections()
-		values := append(strain, "streams", s.running.Load(), "connections", open, "turned_away_total", turnedAway)
+		values := append(strain, "streams", s.Streams(), "connections", open, "turned_away_total", turnedAway)
 		for _, name := range slices.Sorted(maps.Keys(counts)) {
 			values = append(values, name, counts[name])
 		}
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -66,9 +66,10 @@
 	}
 }
 
-// gather lets further events come where this gateway is short of processor time.
+// gather lets further events come where this gateway is short of processor time, or the
+// one that passes them on is.
 func (j *job) gather() {
-	if !j.s.opts.Guard.Strained() {
+	if !j.s.opts.Guard.Strained() && j.r.Carrier == "" {
 		return
 	}
 	select {
--- a/services/mesh/layout.go
+++ b/services/mesh/layout.go
@@ -37,6 +37,9 @@
 	l.known.Store(int64(l.members.Count() + 1))
 	l.watches.Store(slices.Contains(place.Top(nodes, watchKey, watch.Watchers), l.opts.Self.ID))
 	l.register.Store(slices.Contains(place.Top(nodes, registerKey, discover.Registrars), l.opts.Self.ID))
+	if l.opts.OnMembers != nil {
+		l.opts.OnMembers(l.members.Others())
+	}
 	l.layout = l.layout.WithNodes(nodes)
 	for key, s := range l.cells {
 		l.paceCold(now, key, s)
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -69,6 +69,10 @@
 	Follow *follow.Service
 	// FairWindow is the span over which client accounts are compared.
 	FairWindow time.Duration
+	// OnMembers is told of the members after each change, OnGone that one is dead or has
+	// begun a new life; nil where nobody asks. They must not wait.
+	OnMembers func(others []member.Record)
+	OnGone    func(id string)
 	// Kept asks a target which parts of prompts it keeps; nil where none tell.
 	Kept func(ctx context.Context, t *routing.Target) ([]routing.PromptPart, error)
 }
--- a/services/mesh/step.go
+++ b/services/mesh/step.go
@@ -29,6 +29,9 @@
 				l.schedule(now, key, s, cell.EntryGone{Entry: a.ID})
 			}
 			l.enter(now, entry.PeerRestarted{ID: a.ID})
+			if l.opts.OnGone != nil {
+				l.opts.OnGone(a.ID)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/services/relay/relay.go
@@ -0,0 +1,222 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+// Package relay hands requests of callers over to other gateways of the data
+// hall, and serves those that others hand over. One connection to a gateway
+// carries all of them. The gateway that hands over passes the bytes of request
+// and answer on without looking at them, and without a goroutine for each answer:
+// it has no processor time to spare.
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"madderway/core/relay"
+	"madderway/modules/clock"
+	"madderway/modules/log"
+	"madderway/modules/peernet"
+)
+
+const (
+	// dialTime is how long a gateway of the same hall may take to answer: the request that
+	// is to be handed over waits meanwhile. Who hands over is late itself.
+	dialTime = time.Second
+	// idleAfter is how long a connection stays open unused: floods come in waves of seconds.
+	idleAfter = 10 * time.Second
+	// probeEvery is how often the other gateway must say something while it has requests of
+	// this one. Silence at silentProbes probes in a row ends the connection: it can go silent
+	// while the heartbeats, which have one of their own, still come.
+	probeEvery   = time.Second
+	silentProbes = 3
+	// tries is how many gateways are tried for one request.
+	tries = 2
+)
+
+// ErrNobody tells that there is no gateway to hand a request over to.
+var ErrNobody = errors.New("no gateway of the data hall has time")
+
+// Peer is another gateway of the data hall that keeps up with its callers.
+type Peer struct {
+	ID          string
+	Incarnation uint64
+	Address     string
+	Strength    float64 // Strength is in cores.
+}
+
+// Options are the parts of a Service.
+type Options struct {
+	Auth  *peernet.Auth
+	Meter *peernet.Meter
+	Clock clock.Clock
+}
+
+// Service hands requests over.
+type Service struct {
+	t    *tomb.Tomb
+	log  log.Logger
+	opts Options
+
+	mu      sync.Mutex
+	chooser *relay.Chooser
+	peers   map[string]*peer
+}
+
+// peer is a gateway and the connection to it.
+type peer struct {
+	Peer
+	mu     sync.Mutex // mu is held while the connection is opened.
+	gone   bool
+	tunnel *tunnel // tunnel is nil where none is open.
+}
+
+// New returns a service that knows nobody; it closes its connections with the tomb.
+func New(t *tomb.Tomb, logger log.Logger, o Options) *Service {
+	s := &Service{t: t, log: logger, opts: o, chooser: relay.New(), peers: map[string]*peer{}}
+	t.Go(func() error {
+		<-t.Dying()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, p := range s.peers {
+			go p.end()
+		}
+		return nil
+	})
+	return s
+}
+
+// SetPeers replaces the gateways that may take requests over. What is under way to one
+// that has only become busy goes on; Gone ends it.
+func (s *Service) SetPeers(peers []Peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	choice := make([]relay.Peer, 0, len(peers))
+	for _, p := range peers {
+		choice = append(choice, relay.Peer{ID: p.ID, Strength: p.Strength})
+		known := s.peers[p.ID]
+		if known != nil && known.Incarnation == p.Incarnation && known.Address == p.Address {
+			continue
+		}
+		if known != nil {
+			go known.end()
+		}
+		s.peers[p.ID] = &peer{Peer: p}
+	}
+	s.chooser.SetPeers(choice)
+}
+
+// Gone tells that a gateway is dead, or has begun a new life: what it had taken over is
+// lost. It does not wait.
+func (s *Service) Gone(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.peers[id]; p != nil {
+		go p.end()
+		delete(s.peers, id)
+	}
+}
+
+// Available tells whether there is a gateway to hand requests over to.
+func (s *Service) Available() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chooser.Available(s.opts.Clock.Now())
+}
+
+// Send hands a request over. The first HeadSize bytes of the buffer are free, the request
+// follows. The answer goes to the caller, and says so where it closes the caller's connection;
+// when it is over, waiting reads of the caller are ended by a deadline.
+func (s *Service) Send(ctx context.Context, buffer []byte, caller net.Conn, closes bool) (*Handed, error) {
+	err := error(ErrNobody)
+	for range tries {
+		p := s.choose()
+		if p == nil {
+			return nil, err
+		}
+		var t *tunnel
+		if t, err = s.open(ctx, p); err == nil {
+			h := &Handed{s: s, Peer: p.ID, caller: caller, tunnel: t, done: make(chan struct{})}
+			if err = t.send(h, buffer, closes); err == nil {
+				return h, nil
+			}
+		}
+		s.failed(p, err)
+		if IsErrSent(err) {
+			return nil, err
+		}
+	}
+	return nil, err
+}
+
+// choose counts a request for a gateway; it returns nil where there is none.
+func (s *Service) choose() *peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id, ok := s.chooser.Choose(s.opts.Clock.Now(), rand.Float64)
+	p := s.peers[id]
+	if !ok || p == nil {
+		return nil
+	}
+	s.chooser.Began(id)
+	return p
+}
+
+// open returns the connection to a gateway and dials where there is none.
+func (s *Service) open(ctx context.Context, p *peer) (*tunnel, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.tunnel != nil && !p.tunnel.isClosed() {
+		return p.tunnel, nil
+	}
+	if p.gone || !s.t.Alive() {
+		return nil, ErrNobody
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTime)
+	defer cancel()
+	conn, err := peernet.DialCarrying(ctx, peernet.CarryOptions{
+		Auth: s.opts.Auth, Meter: s.opts.Meter, Address: p.Address, DialTimeout: dialTime,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.tunnel = newTunnel(conn)
+	s.log.Info("Hands requests over.", "peer", p.ID, "address", p.Address)
+	go p.tunnel.read()
+	go p.tunnel.probe(s.opts.Clock)
+	return p.tunnel, nil
+}
+
+func (s *Service) failed(p *peer, err error) {
+	s.log.Warn("Gateway not reached, nothing handed over.", "peer", p.ID, "address", p.Address, "reason", err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.chooser.Ended(p.ID)
+	// No answer in time is as likely this process's own lateness, and a silent member is
+	// found dead soon.
+	if !os.IsTimeout(err) && !errors.Is(err, context.DeadlineExceeded) {
+		s.chooser.Failed(s.opts.Clock.Now(), p.ID)
+	}
+}
+
+func (s *Service) ended(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.chooser.Ended(id)
+}
+
+// end closes the connection to a gateway for good.
+func (p *peer) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gone = true
+	if p.tunnel != nil {
+		p.tunnel.close()
+	}
+}
--- /dev/null
+++ b/services/relay/relay_test.go
@@ -0,0 +1,313 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package relay
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"madderway/modules/clock"
+	"madderway/modules/log"
+	"madderway/modules/peernet"
+	"madderway/modules/wire"
+)
+
+const key = "a key of the test"
+
+// far is another gateway. It answers with the path of what it is asked for, and "/wait" when
+// it is told to.
+type far struct {
+	Peer
+	t       *tomb.Tomb
+	waiting chan struct{} // waiting gets a value for each request that waits.
+	release chan struct{}
+}
+
+func (*far) HandleFrame(string, *wire.Frame) {}
+
+func (*far) HandleCall(string, *wire.Call) *wire.Reply { return &wire.Reply{} }
+
+func (f *far) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/wait" {
+		f.waiting <- struct{}{}
+		select {
+		case <-f.release:
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+	_, _ = io.WriteString(w, r.URL.Path)
+}
+
+func newFar(t *testing.T, id string) *far {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &far{
+		Peer: Peer{ID: id, Incarnation: 1, Address: l.Addr().String(), Strength: 0.2}, t: &tomb.Tomb{},
+		waiting: make(chan struct{}, 8), release: make(chan struct{}),
+	}
+	peernet.NewCarryingServer(f.t, log.New("far"), peernet.NewSharedKey(id, key), &peernet.Meter{}, l, f, NewServer(log.New("far"), f))
+	t.Cleanup(f.stop)
+	return f
+}
+
+func (f *far) stop() {
+	f.t.Kill(nil)
+	_ = f.t.Wait()
+}
+
+func newNear(t *testing.T, key string, c clock.Clock) *Service {
+	t.Helper()
+	var owner tomb.Tomb
+	s := New(&owner, log.New("relay"), Options{Auth: peernet.NewSharedKey("near", key), Meter: &peernet.Meter{}, Clock: c})
+	t.Cleanup(func() {
+		owner.Kill(nil)
+		_ = owner.Wait()
+	})
+	return s
+}
+
+// ask hands a request for a path over; the caller's end of its connection is returned.
+func ask(t *testing.T, s *Service, path string) (*Handed, net.Conn, error) {
+	t.Helper()
+	near, caller := net.Pipe()
+	t.Cleanup(func() { _ = caller.Close() })
+	h, err := s.Send(t.Context(), append(make([]byte, HeadSize), "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n"...), near, false)
+	return h, caller, err
+}
+
+// answered reads the answer of a request and waits for its end.
+func answered(t *testing.T, h *Handed, caller net.Conn, want string) {
+	t.Helper()
+	got := ""
+	b := make([]byte, 1000)
+	for !strings.HasSuffix(got, want) {
+		n, err := caller.Read(b)
+		if err != nil {
+			t.Fatalf("%q, then %v", got, err)
+		}
+		got += string(b[:n])
+	}
+	<-h.Done()
+	if bytes, whole := h.Result(); !whole || bytes != int64(len(got)) {
+		t.Errorf("%d of %d bytes, whole %v", bytes, len(got), whole)
+	}
+}
+
+// Requests under way at the same time get their own answers, in any order, over one
+// connection.
+func TestAnswersFindTheirCallers(t *testing.T) {
+	s, f := newNear(t, key, clock.System{}), newFar(t, "far")
+	s.SetPeers([]Peer{f.Peer})
+	slow, slowCaller, err := ask(t, s, "/wait")
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-f.waiting
+	for _, path := range []string{"/a", "/b", "/c"} {
+		h, caller, err := ask(t, s, path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answered(t, h, caller, path)
+	}
+	close(f.release)
+	answered(t, slow, slowCaller, "/wait")
+}
+
+// A caller that does not read holds nobody else up, and gets all of its answer in the end.
+func TestSlowCallerHoldsNobodyUp(t *testing.T) {
+	s, f := newNear(t, key, clock.System{}), newFar(t, "far")
+	s.SetPeers([]Peer{f.Peer})
+	slow, slowCaller, err := ask(t, s, "/slow") // a pipe takes nothing until it is read
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, caller, err := ask(t, s, "/other")
+	if err != nil {
+		t.Fatal(err)
+	}
+	answered(t, h, caller, "/other")
+	answered(t, slow, slowCaller, "/slow")
+}
+
+// What is given up ends at the other gateway, and what is under way ends where that is gone.
+func TestEndsOnBothSides(t *testing.T) {
+	s, f := newNear(t, key, clock.System{}), newFar(t, "far")
+	s.SetPeers([]Peer{f.Peer})
+	given, _, err := ask(t, s, "/wait")
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-f.waiting
+	given.Cancel()
+	<-given.Done()
+	lost, _, err := ask(t, s, "/wait")
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-f.waiting
+	s.Gone("far")
+	<-lost.Done()
+	for _, h := range []*Handed{given, lost} {
+		if bytes, whole := h.Result(); bytes != 0 || whole {
+			t.Errorf("%d bytes, whole %v", bytes, whole)
+		}
+	}
+	s.SetPeers(nil)
+	if _, _, err := ask(t, s, "/a"); !errors.Is(err, ErrNobody) || s.Available() {
+		t.Errorf("handed one more over: %v", err)
+	}
+}
+
+// A gateway that refuses the connection is left out for a while; another one is taken.
+func TestUnreachableGatewayIsLeftOut(t *testing.T) {
+	c := clock.NewFake()
+	s, f, gone := newNear(t, key, c), newFar(t, "far"), newFar(t, "gone")
+	gone.stop()
+	s.SetPeers([]Peer{f.Peer, gone.Peer})
+	for range 20 {
+		h, caller, err := ask(t, s, "/a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		answered(t, h, caller, "/a")
+	}
+	s.SetPeers([]Peer{gone.Peer})
+	if _, _, err := ask(t, s, "/a"); err == nil || s.Available() {
+		t.Errorf("handed over to nobody: %v", err)
+	}
+	c.Advance(5 * time.Second)
+	if !s.Available() {
+		t.Error("left out for ever")
+	}
+}
+
+// A gateway with another key is not served.
+func TestStrangersAreNotServed(t *testing.T) {
+	s, f := newNear(t, "another key", clock.System{}), newFar(t, "far")
+	s.SetPeers([]Peer{f.Peer})
+	h, _, err := ask(t, s, "/a")
+	if err != nil {
+		return // the connection was closed before the request was written
+	}
+	<-h.Done()
+	if bytes, whole := h.Result(); bytes != 0 || whole {
+		t.Errorf("%d bytes, whole %v", bytes, whole)
+	}
+}
+
+// silentConn takes all and says nothing.
+type silentConn struct {
+	net.Conn
+	closed chan struct{}
+}
+
+func (c *silentConn) Write(b []byte) (int, error)      { return len(b), nil }
+func (c *silentConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *silentConn) Close() error {
+	select {
+	case <-c.closed:
+	default:
+		close(c.closed)
+	}
+	return nil
+}
+
+// A connection that has gone silent ends, and with it what is under way on it; one that
+// carries nothing ends only after a while.
+func TestSilentConnectionEnds(t *testing.T) {
+	c := clock.NewFake()
+	s := newNear(t, key, c)
+	near, _ := net.Pipe()
+	for _, used := range []bool{true, false} {
+		tunnel := newTunnel(&silentConn{closed: make(chan struct{})})
+		h := &Handed{s: s, Peer: "far", caller: near, tunnel: tunnel, done: make(chan struct{})}
+		if used {
+			if err := tunnel.send(h, make([]byte, HeadSize+1), false); err != nil {
+				t.Fatal(err)
+			}
+		}
+		ended, probes := make(chan struct{}), 0
+		go func() {
+			tunnel.probe(c)
+			close(ended)
+		}()
+		for over := false; !over; {
+			select {
+			case <-ended:
+				over = true
+			default:
+				if c.Waiting() > 0 {
+					c.Advance(probeEvery)
+					probes++
+				}
+			}
+		}
+		if want := map[bool]int{true: silentProbes, false: int(idleAfter / probeEvery)}[used]; probes < want || probes > want+2 {
+			t.Errorf("used %v: ended after %d probes", used, probes)
+		}
+		if used {
+			<-h.Done()
+		}
+	}
+}
+
+// However frames are cut into reads, their bytes come out as they were sent.
+func FuzzDecoder(f *testing.F) {
+	f.Add([]byte("some bytes"), []byte("of two frames"), uint8(3))
+	f.Add([]byte{}, []byte{0}, uint8(0))
+	f.Fuzz(func(t *testing.T, first, second []byte, size uint8) {
+		if len(first) > maxFrame || len(second) > maxFrame {
+			return
+		}
+		var sent []byte
+		for i, b := range [][]byte{first, second} {
+			var head [HeadSize]byte
+			putHead(head[:], kindPart+kind(i), uint32(i), len(b))
+			sent = append(append(sent, head[:]...), b...)
+		}
+		var d decoder
+		got, lasts := [2]string{}, [2]int{}
+		for len(sent) > 0 {
+			n := min(int(size)+1, len(sent))
+			err := d.feed(sent[:n], func(fr frame, piece []byte, last bool) {
+				if fr.kind != kindPart+kind(fr.number) {
+					t.Fatalf("frame %+v", fr)
+				}
+				got[fr.number] += string(piece)
+				if last {
+					lasts[fr.number]++
+				}
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			sent = sent[n:]
+		}
+		if got[0] != string(first) || got[1] != string(second) || lasts != [2]int{1, 1} {
+			t.Fatalf("%q, ends %v", got, lasts)
+		}
+	})
+}
+
+// What is no frame ends the connection.
+func TestNoFrame(t *testing.T) {
+	for _, b := range []string{"GET / HTTP/1.1\r\n", "\x00\x00\x00\x00\x00\x00\x00\x00\x00", "\x01\x00\x00\x00\x00\xff\xff\xff\xff"} {
+		var d decoder
+		if err := d.feed([]byte(b), func(frame, []byte, bool) {}); err == nil {
+			t.Errorf("%q is taken for a frame", b)
+		}
+	}
+}
--- /dev/null
+++ b/services/relay/tunnel.go
@@ -0,0 +1,312 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package relay
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"madderway/modules/clock"
+)
+
+const (
+	// readSize is how much is read of a connection at once: the events of many answers.
+	readSize = 64 << 10
+	// frameTime is how long the other gateway may take to read a frame.
+	frameTime = 3 * time.Second
+	// pieceTime is how long a caller may take to read a piece of an answer before the rest
+	// is kept for it: other callers' answers come on the same connection.
+	pieceTime = 20 * time.Millisecond
+	// maxKept is the most that is kept for a caller that reads slowly, keptTime how long it
+	// may take to read it.
+	maxKept  = 1 << 20
+	keptTime = 10 * time.Second
+)
+
+// ErrSent tells that a request may have reached the other gateway, whose connection broke.
+type ErrSent struct{ Reason error }
+
+// Error implements error.
+func (e ErrSent) Error() string { return "sent in part: " + e.Reason.Error() }
+
+// Unwrap returns the reason.
+func (e ErrSent) Unwrap() error { return e.Reason }
+
+// IsErrSent reports whether err is an ErrSent.
+func IsErrSent(err error) bool {
+	var e ErrSent
+	return errors.As(err, &e)
+}
+
+// longAgo is a deadline that is over.
+var longAgo = time.Unix(1, 0)
+
+// tunnel is the near end of a connection to another gateway.
+type tunnel struct {
+	conn  net.Conn
+	heard atomic.Bool // heard tells that something has come since the last probe.
+
+	writing sync.Mutex // writing is held while a frame is written.
+
+	mu     sync.Mutex
+	next   uint32
+	handed map[uint32]*Handed // handed are the requests whose answers are not over.
+	closed bool
+}
+
+func newTunnel(conn net.Conn) *tunnel { return &tunnel{conn: conn, handed: map[uint32]*Handed{}} }
+
+func (t *tunnel) isClosed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.closed
+}
+
+// send sends a request; its head is written into the buffer.
+func (t *tunnel) send(h *Handed, buffer []byte, closes bool) error {
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return net.ErrClosed
+	}
+	t.next++
+	h.number = t.next
+	t.handed[h.number] = h
+	t.mu.Unlock()
+	last := kindEnd
+	if closes {
+		last = kindClosing
+	}
+	putHead(buffer, last, h.number, len(buffer)-HeadSize)
+	if err := t.write(buffer); err != nil {
+		t.forget(h)
+		return ErrSent{err}
+	}
+	return nil
+}
+
+func (t *tunnel) write(b []byte) error {
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	err := t.conn.SetWriteDeadline(time.Now().Add(frameTime))
+	if err == nil {
+		_, err = t.conn.Write(b)
+	}
+	if err != nil {
+		t.close()
+	}
+	return err
+}
+
+// signal sends a frame without bytes.
+func (t *tunnel) signal(k kind, number uint32) error {
+	var b [HeadSize]byte
+	putHead(b[:], k, number, 0)
+	return t.write(b[:])
+}
+
+// forget drops a request; what still comes of its answer is passed over.
+func (t *tunnel) forget(h *Handed) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.handed, h.number)
+}
+
+func (t *tunnel) find(number uint32) *Handed {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.handed[number]
+}
+
+// read passes answers on until the connection ends; those that are not over then are broken.
+func (t *tunnel) read() {
+	buffer := make([]byte, readSize)
+	var d decoder
+	for {
+		n, err := t.conn.Read(buffer)
+		if n > 0 {
+			t.heard.Store(true)
+			if wrong := d.feed(buffer[:n], t.take); wrong != nil {
+				err = wrong
+			}
+		}
+		if err != nil {
+			t.close()
+			return
+		}
+	}
+}
+
+func (t *tunnel) take(f frame, piece []byte, last bool) {
+	h := t.find(f.number)
+	if h == nil {
+		return
+	}
+	if len(piece) > 0 {
+		h.pass(piece)
+	}
+	if !last || f.kind == kindPart {
+		return
+	}
+	t.forget(h)
+	h.end(f.kind == kindEnd)
+}
+
+// close ends the connection and all that is under way on it.
+func (t *tunnel) close() {
+	t.mu.Lock()
+	broken := t.handed
+	t.handed, t.closed = map[uint32]*Handed{}, true
+	t.mu.Unlock()
+	_ = t.conn.Close()
+	for _, h := range broken {
+		h.end(false)
+	}
+}
+
+// probe ends the connection where the other gateway is silent, or nothing is handed over for
+// long.
+func (t *tunnel) probe(c clock.Clock) {
+	silent, unused := 0, time.Duration(0)
+	for {
+		<-c.After(probeEvery)
+		t.mu.Lock()
+		closed, used := t.closed, len(t.handed) > 0
+		t.mu.Unlock()
+		if closed {
+			return
+		}
+		silent++
+		if t.heard.Swap(false) || !used {
+			silent = 0
+		}
+		unused += probeEvery
+		if used {
+			unused = 0
+		}
+		if silent >= silentProbes || unused >= idleAfter || used && t.signal(kindProbe, 0) != nil {
+			t.close()
+			return
+		}
+	}
+}
+
+// Handed is a request that another gateway serves.
+type Handed struct {
+	Peer string
+
+	s      *Service
+	tunnel *tunnel
+	number uint32
+	caller net.Conn
+	done   chan struct{}
+
+	mu    sync.Mutex
+	kept  []byte // kept is what the caller has not read yet, written by a goroutine of its own.
+	slow  bool   // slow tells that there is such a goroutine.
+	over  bool   // over tells that nothing more comes.
+	whole bool
+	gone  bool // gone tells that the caller does not take the answer.
+	bytes int64
+}
+
+// Done returns a channel that is closed when the answer is over.
+func (h *Handed) Done() <-chan struct{} { return h.done }
+
+// Result returns, after Done, how many bytes the caller was sent, and whether that is all of
+// the answer.
+func (h *Handed) Result() (bytes int64, whole bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.bytes, h.whole && !h.gone
+}
+
+// Cancel gives the request up: the caller has left, or its time is over.
+func (h *Handed) Cancel() {
+	h.tunnel.forget(h)
+	_ = h.tunnel.signal(kindCancel, h.number) // where that fails the connection is closed
+	h.end(false)
+}
+
+// pass gives the caller a piece of the answer.
+func (h *Handed) pass(piece []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.gone || h.over {
+		return
+	}
+	if h.slow {
+		h.keep(piece)
+		return
+	}
+	n, err := h.write(piece, pieceTime)
+	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+		h.slow = true
+		h.keep(piece[n:])
+		go h.writeKept()
+		return
+	}
+	h.gone = err != nil
+}
+
+func (h *Handed) write(b []byte, within time.Duration) (int, error) {
+	if err := h.caller.SetWriteDeadline(time.Now().Add(within)); err != nil {
+		return 0, err
+	}
+	n, err := h.caller.Write(b)
+	h.bytes += int64(n)
+	return n, err
+}
+
+func (h *Handed) keep(b []byte) {
+	if h.kept = append(h.kept, b...); len(h.kept) > maxKept {
+		h.gone = true
+	}
+}
+
+// writeKept writes what was kept until nothing is left.
+func (h *Handed) writeKept() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for len(h.kept) > 0 && !h.gone {
+		b := h.kept
+		h.kept = nil
+		h.mu.Unlock()
+		err := h.caller.SetWriteDeadline(time.Now().Add(keptTime))
+		n := 0
+		if err == nil {
+			n, err = h.caller.Write(b)
+		}
+		h.mu.Lock()
+		h.bytes += int64(n)
+		h.gone = h.gone || err != nil
+	}
+	h.slow = false
+	if h.over {
+		h.finish()
+	}
+}
+
+// end notes that the answer is over.
+func (h *Handed) end(whole bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.over {
+		return
+	}
+	h.over, h.whole = true, whole
+	if !h.slow {
+		h.finish()
+	}
+}
+
+// finish wakes whoever waits for the end; the lock is held.
+func (h *Handed) finish() {
+	close(h.done)
+	_ = h.caller.SetReadDeadline(longAgo) // where that fails nobody reads
+	h.s.ended(h.Peer)
+}
