follow, platform: A worker that starts again under its name is another target

Cause: the platform's workers may start again under the id that they had, and entries may come from another writer. Targets were known by that id alone: a new life inherited what was remembered of the old one; a row that could not be read stopped the whole feed (configuration, base64) or left the target that stood there in use. Change: a target's ID is the worker's name and the start of its life, so that all that is remembered under an ID is forgotten with it; the larger start wins in the table of targets, in any order and by way of any peer. Entries are read strictly: one that is not whole names no target, the one that stood there is gone; bad rows are counted and told of at a bounded rate, all other rows hold.

--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -123,6 +123,24 @@
 	}
 }
 
+// A target that has started again is another one: what was under way, how it failed and how
+// fast it was is forgotten.
+func TestAnotherLifeIsAnotherTarget(t *testing.T) {
+	b := newBalancer("h1")
+	life := func(born int64) []*routing.Target {
+		return []*routing.Target{{ID: routing.TargetID("w", born), Name: "w", Born: born}}
+	}
+	for range 20 {
+		b.Failed(start, b.Choose(start, life(1), nil, Limits{}), attempt.Failed)
+	}
+	b.Choose(start, life(1), nil, Limits{})
+	b.Keep((&routing.TargetSet{Targets: []routing.Target{*life(2)[0]}}).Build())
+	b.Choose(start, life(2), nil, Limits{})
+	if len(b.states) != 1 || len(b.state(life(2)[0].ID).underWay) != 1 || b.Usual(life(2)[0].ID) != New("h1", nil).Usual("w") {
+		t.Errorf("the new life begins with %+v", b.state(life(2)[0].ID))
+	}
+}
+
 // What an operator has evacuated gets nothing, not even where nothing else is there.
 func TestEvacuatedIsNotChosen(t *testing.T) {
 	b := newBalancer("h1")
--- a/lab/platform/trouble.go
+++ b/lab/platform/trouble.go
@@ -19,7 +19,14 @@
 // Troubles are what can be made to go wrong in the middle of a play.
 func Troubles() map[string]func(*Site) {
 	return map[string]func(*Site){
-		"worker-crash": func(s *Site) { s.model(0).Crash() },
+		"worker-crash":  func(s *Site) { s.model(0).Crash() },
+		"worker-reborn": func(s *Site) { s.reborn() },
+		"worker-reborn-no-store": func(s *Site) {
+			s.store.SetMode("", StoreBusy)
+			s.reborn()
+			time.Sleep(outage)
+			s.store.SetMode("", StoreServes)
+		},
 		"worker-dark":  func(s *Site) { s.spell(FaultDark) },
 		"worker-error": func(s *Site) { s.spell(FaultErrors) },
 		"answer-lost":  func(s *Site) { s.spell(FaultLost) },
@@ -106,6 +113,20 @@
 	return s.workers[i]
 }
 
+// reborn starts a model worker and a plain worker again under their names.
+func (s *Site) reborn() {
+	for _, i := range []int{0, s.opts.Models} {
+		w, err := s.model(i).Reborn()
+		if err != nil {
+			s.ledger.Wrong("worker: %v", err)
+			return
+		}
+		s.mu.Lock()
+		s.workers[i] = w
+		s.mu.Unlock()
+	}
+}
+
 // spell makes a model worker and a plain worker go wrong for a while.
 func (s *Site) spell(f Fault) {
 	one, other := s.model(0), s.model(s.opts.Models)
--- a/lab/platform/worker.go
+++ b/lab/platform/worker.go
@@ -50,6 +50,8 @@
 // Worker is a model worker or a plain worker.
 type Worker struct {
 	ID     string
+	born   int64 // born is the start of this life in Unix milliseconds.
+	seed   uint64
 	cfg    WorkerConfig
 	store  *Store
 	ledger *Ledger
@@ -80,12 +82,23 @@
 
 // StartWorker starts a worker and lists it in the store.
 func StartWorker(id string, cfg WorkerConfig, store *Store, ledger *Ledger, seed uint64) (*Worker, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	return startWorker(id, cfg, store, ledger, seed, "127.0.0.1:0", time.Now().UnixMilli())
+}
+
+// Reborn ends the worker without a word and starts it again under its name and at its
+// address, with nothing kept.
+func (w *Worker) Reborn() (*Worker, error) {
+	w.Crash()
+	return startWorker(w.ID, w.cfg, w.store, w.ledger, w.seed+1, w.listener.Addr().String(), max(time.Now().UnixMilli(), w.born+1))
+}
+
+func startWorker(id string, cfg WorkerConfig, store *Store, ledger *Ledger, seed uint64, address string, born int64) (*Worker, error) {
+	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
 	w := &Worker{
-		ID: id, cfg: cfg, store: store, ledger: ledger, rng: rand.New(rand.NewPCG(seed, 1)), listener: l,
+		ID: id, born: born, seed: seed, cfg: cfg, store: store, ledger: ledger, rng: rand.New(rand.NewPCG(seed, 1)), listener: l,
 		freed: make(chan struct{}), kept: map[string]int{}, seen: map[string]bool{},
 	}
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Second}
@@ -97,7 +110,7 @@
 func (w *Worker) list(state string) {
 	w.store.Put("servers", w.ID, map[string]any{
 		"service": w.cfg.Service, "address": w.listener.Addr().String(), "zone": w.cfg.Hall, "version": "v1",
-		"slots": w.cfg.Slots, "state": state, "coldRemainingMs": 0, "seq": 1,
+		"slots": w.cfg.Slots, "state": state, "coldRemainingMs": 0, "seq": 1, "born": w.born,
 	})
 }
 
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -149,6 +149,7 @@
 		Fleet: func() (bool, int) { return g.loop.Watches(), g.loop.Members() },
 		Start: watch.Start{Seed: len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.Peers), First: s.FirstStart},
 	})
+	store.OnBadRow(g.follow.NoteBadRow)
 	g.pool = upstream.NewPool(dialTimeout, idlePerTarget, g.traffic)
 	members := member.DefaultConfig()
 	members.Interval, members.SuspectAfter, members.DeadAfter = 400*time.Millisecond, 1200*time.Millisecond, 1500*time.Millisecond
--- a/services/follow/cold.go
+++ b/services/follow/cold.go
@@ -19,6 +19,9 @@
 func stampCold(now time.Time, known, told routing.Target) routing.Target {
 	left := told.ColdFor
 	told.ColdFor = 0
+	if told.Born > known.Born {
+		known.ColdUntil = time.Time{} // that of an older life
+	}
 	if left <= 0 {
 		if !known.ColdUntil.After(now) {
 			told.ColdUntil = known.ColdUntil
@@ -35,7 +38,7 @@
 // stampAll stamps targets that were listed; known are those of the table.
 func (t *targetTable) stampAll(now time.Time, listed []routing.Target) []routing.Target {
 	for i := range listed {
-		listed[i] = stampCold(now, t.known[listed[i].ID].Target, listed[i])
+		listed[i] = stampCold(now, t.known[listed[i].Worker()].Target, listed[i])
 	}
 	return listed
 }
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -68,6 +68,7 @@
 	peerNews chan peerNews
 	fetches  atomic.Uint64
 	counters *metrics.Set
+	bad      badRows
 	calls    atomic.Uint64
 }
 
@@ -257,6 +258,9 @@
 
 // publish makes the known targets visible; mu is held.
 func (s *Service) publish(from string) {
+	for _, life := range s.table.takeLives() {
+		s.log.Info("Target started again.", "target", life.Name, "born", life.Born, "after", life.After, "from", from)
+	}
 	listed, leaving := s.table.set()
 	now := s.opts.Clock.Now()
 	set, wait := s.lapses.hold(now, s.watchTargets.Unsettled(now), s.targets.Load(), listed)
--- a/services/follow/source.go
+++ b/services/follow/source.go
@@ -21,9 +21,9 @@
 // IsErrHistoryGone reports whether err is ErrHistoryGone.
 func IsErrHistoryGone(err error) bool { return errors.Is(err, ErrHistoryGone) }
 
-// TargetChange is a new state of one target.
+// TargetChange is a new state of one worker.
 type TargetChange struct {
-	ID       string
+	ID       string // ID is the worker's name, the same in all its lives.
 	Revision uint64
 	Gone     bool
 	Target   routing.Target
@@ -44,6 +44,9 @@
 	Revision      uint64 // Revision is where to watch from.
 }
 
+// BadRow tells of a row that could not be read, in whole or in part.
+type BadRow struct{ Table, Key, Reason string }
+
 // Source is where the operator's settings and the targets are kept.
 type Source interface {
 	// Operator returns all that the operator has set.
--- a/services/follow/targets.go
+++ b/services/follow/targets.go
@@ -13,16 +13,46 @@
 const maxRemoved = 1024
 
 // targetTable is the list of targets with the revision of each change, so that
-// a peer can be told only what it lacks.
+// a peer can be told only what it lacks. It knows workers by their names, and of each
+// its present life only.
 type targetTable struct {
 	revision uint64
 	known    map[string]TargetChange
 	removed  map[string]uint64
 	horizon  uint64 // horizon is the revision of the newest removal that was forgotten.
+	// born holds when the newest life of a worker began that was ever told of, also where
+	// it is removed: what an older life says later changes nothing.
+	born map[string]int64
+	// lives are those that have followed another one since they were last taken.
+	lives []newLife
+}
+
+// newLife tells that a worker has started again under its name.
+type newLife struct {
+	Name        string
+	Born, After int64
 }
 
 func newTargetTable() *targetTable {
-	return &targetTable{known: map[string]TargetChange{}, removed: map[string]uint64{}}
+	return &targetTable{known: map[string]TargetChange{}, removed: map[string]uint64{}, born: map[string]int64{}}
+}
+
+// present returns what a worker said as of its newest life, and false where it is an older
+// one that said it. One that does not tell its life is taken for the one that is known.
+func (t *targetTable) present(told routing.Target) (routing.Target, bool) {
+	name, newest := told.Worker(), t.born[told.Worker()]
+	switch {
+	case told.Born == 0 && newest != 0:
+		told.Name, told.Born, told.ID = name, newest, routing.TargetID(name, newest)
+	case told.Born < newest:
+		return told, false
+	case told.Born > newest:
+		t.born[name] = told.Born
+		if _, was := t.known[name]; was {
+			t.lives = append(t.lives, newLife{name, told.Born, newest})
+		}
+	}
+	return told, true
 }
 
 // replace makes the table hold exactly these targets, as of a revision, and
@@ -31,13 +61,16 @@
 	revision = max(revision, t.revision)
 	listed := map[string]bool{}
 	changed := false
-	for _, target := range targets {
-		listed[target.ID] = true
-		if old, ok := t.known[target.ID]; ok && old.Target == target {
+	for _, told := range targets {
+		name := told.Worker()
+		target, present := t.present(told)
+		old, was := t.known[name]
+		listed[name] = present || was
+		if !present || was && old.Target == target {
 			continue
 		}
-		t.known[target.ID] = TargetChange{ID: target.ID, Revision: revision, Target: target}
-		delete(t.removed, target.ID)
+		t.known[name] = TargetChange{ID: name, Revision: revision, Target: target}
+		delete(t.removed, name)
 		changed = true
 	}
 	for id := range t.known {
@@ -58,15 +91,20 @@
 	changed := false
 	for _, ch := range changes {
 		old, was := t.known[ch.ID]
-		if was && old.Revision >= ch.Revision || t.removed[ch.ID] >= ch.Revision {
+		if was && old.Revision >= ch.Revision && (ch.Gone || ch.Target.Born <= old.Target.Born) || t.removed[ch.ID] >= ch.Revision {
 			continue
 		}
+		ch.Revision = max(ch.Revision, old.Revision) // what an older life says may come first
 		t.revision = max(t.revision, ch.Revision)
 		if ch.Gone {
 			t.remove(ch.ID, ch.Revision)
 			changed = changed || was
 			continue
 		}
+		var present bool
+		if ch.Target, present = t.present(ch.Target); !present {
+			continue
+		}
 		t.known[ch.ID] = ch
 		delete(t.removed, ch.ID)
 		changed = changed || !was || old.Target != ch.Target
@@ -86,6 +124,7 @@
 		}
 		t.horizon = max(t.horizon, t.removed[oldest])
 		delete(t.removed, oldest)
+		delete(t.born, oldest)
 	}
 }
 
@@ -121,7 +160,7 @@
 		return changed
 	}
 	if news.Revision <= t.revision {
-		return false
+		return t.apply(t.newerLives(news.Changes))
 	}
 	var targets []routing.Target
 	for _, ch := range news.Changes {
@@ -132,6 +171,24 @@
 	return changed
 }
 
+// takeLives returns the lives that have followed another one since the last call.
+func (t *targetTable) takeLives() []newLife {
+	lives := t.lives
+	t.lives = nil
+	return lives
+}
+
+// newerLives returns the changes that tell of newer lives of known workers.
+func (t *targetTable) newerLives(changes []TargetChange) []TargetChange {
+	var newer []TargetChange
+	for _, ch := range changes {
+		if old, was := t.known[ch.ID]; was && !ch.Gone && ch.Target.Born > old.Target.Born {
+			newer = append(newer, ch)
+		}
+	}
+	return newer
+}
+
 // set returns the table as others use it.
 func (t *targetTable) set() (set *routing.TargetSet, leaving int) {
 	set = &routing.TargetSet{Revision: t.revision}
--- a/services/upstream/exchange_test.go
+++ b/services/upstream/exchange_test.go
@@ -419,6 +419,30 @@
 	}
 }
 
+// A connection to an older life of a target is not used for the new one, at the same address.
+func TestAnotherLifeTakesAnotherConnection(t *testing.T) {
+	s := script(t, func(int, int, string) answer { return answer{text: whole("r", "body")} })
+	c, p := newClient()
+	life := func(born int64) *routing.Target {
+		return &routing.Target{ID: routing.TargetID("t", born), Name: "t", Born: born, Address: s.listener.Addr().String()}
+	}
+	for _, born := range []int64{1, 1, 2, 2} {
+		a, err := c.Send(t.Context(), life(born), request("r", ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, a.Body)
+		a.Close()
+	}
+	if p.Dials() != 2 {
+		t.Errorf("%d connections for two lives", p.Dials())
+	}
+	p.Keep((&routing.TargetSet{Targets: []routing.Target{*life(2)}}).Build())
+	if len(p.idle[life(1).ID]) != 0 || len(p.idle[life(2).ID]) != 1 {
+		t.Errorf("kept %v", p.idle)
+	}
+}
+
 // Whatever a target sends, the caller gets an error or a signed, whole answer
 // to its own request.
 func FuzzAnswer(f *testing.F) {
