gateway, docs: The connection of a caller in a file of its own; handing over explained

No logic but one: after an answer of another gateway the HTTP server's own deadline holds for the next request's head, as it does after a refusal.

--- /dev/null
+++ b/handlers/gateway/callerconn.go
@@ -0,0 +1,209 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"context"
+	"io"
+	"math"
+	"net"
+	"os"
+	"time"
+
+	"madderway/models/routing"
+	"madderway/modules/httphead"
+)
+
+// callerConn is a connection of a caller. At the beginning of each request it looks at the
+// head itself while requests are judged early; the bytes of all that it does not refuse or
+// hand over are the HTTP server's. Where the server has read beyond the end of a request, or
+// the end is not plain, all that follows is the server's, too: what this connection reads next
+// may be the middle of a request.
+type callerConn struct {
+	*counted
+	server   *Server
+	limits   routing.Limits
+	ahead    []byte        // ahead has been read of the next request.
+	stop     chan struct{} // stop ends a read that looks only whether the caller has left.
+	gone     bool          // gone tells that the caller has left during a request that was handed over.
+	early    bool          // early tells that the last request was answered without the HTTP server, whose deadlines do not hold.
+	served   bool          // served tells that the HTTP server reads a request, or all that is to come.
+	left     int64         // left is how much of its request the server has not read; negative where it has read more.
+	admitted bool          // admitted tells that the request which the HTTP server reads was counted and admitted.
+}
+
+// endless is what is left of a request whose end is not known.
+const endless = math.MaxInt64
+
+// idle tells that the HTTP server has ended a request and waits for the next one.
+func (c *callerConn) idle() { c.served, c.admitted = c.left != 0, false }
+
+// SetReadDeadline implements net.Conn.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() && !t.After(time.Now()) {
+		c.endLooking()
+	}
+	return c.counted.SetReadDeadline(t)
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.endLooking()
+	return c.counted.Close()
+}
+
+func (c *callerConn) endLooking() {
+	select {
+	case c.stop <- struct{}{}:
+	default:
+	}
+}
+
+// look reads a byte for the HTTP server, which wants to know whether the caller leaves while
+// a request is served. A byte that comes begins the next request: it is kept until that is
+// read, and the server learns that it must wait no longer.
+func (c *callerConn) look(p []byte) (int, error) {
+	select {
+	case <-c.stop: // of an earlier look
+	default:
+	}
+	n, err := c.counted.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	c.ahead = append(c.ahead, p[0])
+	<-c.stop
+	return 0, os.ErrDeadlineExceeded
+}
+
+// readOn reads what has come, behind what was read ahead.
+func (c *callerConn) readOn(p []byte) (int, error) {
+	if len(c.ahead) == 0 {
+		return c.counted.Read(p)
+	}
+	taken := copy(p, c.ahead)
+	c.ahead = c.ahead[taken:]
+	if taken == len(p) || c.served {
+		return taken, nil
+	}
+	n, err := c.counted.Read(p[taken:])
+	return taken + n, err
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	for {
+		if c.served && c.left == 0 && len(p) == 1 && len(c.ahead) == 0 {
+			return c.look(p)
+		}
+		n, err := c.readOn(p)
+		if c.served {
+			c.left -= int64(n)
+			return n, err
+		}
+		if err != nil || n == 0 {
+			return n, err
+		}
+		head, plain := httphead.Parse(p[:n])
+		rest := head.Body - int64(n-head.Length)
+		if !plain || rest < 0 {
+			return n, c.toServer(NotJudged, endless)
+		}
+		if head.Body > earlyBody || !c.server.judges() {
+			return n, c.toServer(NotJudged, rest)
+		}
+		closes := c.server.crowded()
+		j := c.server.early.Look(&head, LookOptions{Closes: closes, Movable: c.server.relay != nil})
+		switch j.Verdict {
+		case HandedOver:
+			switch c.handOver(p[:n], rest, j, closes) {
+			case ended:
+				return 0, io.EOF
+			case servedHere:
+				return c.readBack(p)
+			}
+			c.early = true
+		case Refused:
+			if err := c.refuse(j.Answer, rest); err != nil {
+				return 0, err
+			}
+			if closes {
+				return 0, io.EOF
+			}
+		default:
+			return n, c.toServer(j.Verdict, rest)
+		}
+	}
+}
+
+// readBack leaves a request to the HTTP server that was read to be handed over.
+func (c *callerConn) readBack(p []byte) (int, error) {
+	whole := int64(len(c.ahead))
+	c.served = true
+	n, err := c.readOn(p)
+	if err != nil {
+		return n, err
+	}
+	return n, c.toServer(Admitted, whole-int64(n))
+}
+
+// toServer leaves this request, of which so much is left, to the HTTP server.
+func (c *callerConn) toServer(v Verdict, left int64) error {
+	c.served, c.left, c.admitted = true, left, v == Admitted
+	if !c.early {
+		return nil
+	}
+	c.early = false
+	return c.SetReadDeadline(time.Now().Add(headerTime(c.limits)))
+}
+
+// refuse reads the rest of a request and answers it.
+func (c *callerConn) refuse(answer []byte, rest int64) error {
+	c.early = true
+	if err := c.drop(rest); err != nil {
+		return err
+	}
+	if _, err := c.counted.Write(answer); err != nil {
+		return err
+	}
+	return c.SetReadDeadline(time.Now().Add(idleTime(c.limits)))
+}
+
+// drop reads so many bytes that nobody looks at.
+func (c *callerConn) drop(rest int64) error {
+	if rest == 0 {
+		return nil
+	}
+	if err := c.SetReadDeadline(time.Now().Add(headerTime(c.limits))); err != nil {
+		return err
+	}
+	buffer := earlyBuffers.Get().(*[earlyBuffer]byte)
+	defer earlyBuffers.Put(buffer)
+	for rest > 0 {
+		n, err := c.counted.Read(buffer[:min(rest, earlyBuffer)])
+		rest -= int64(n)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// connKey is the key of a request's context under which its connection stands.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// takeAdmitted tells whether a request was counted and admitted before the HTTP server
+// parsed it.
+func takeAdmitted(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok || !c.admitted {
+		return false
+	}
+	c.admitted = false
+	return true
+}
