gateway: Drop requests whose callers have left before they are judged

Change: before a head is judged, and after its body was read, the connection is asked whether the caller has closed it, without waiting. Test: TestCallerHasLeftBeforeItsRequestIsRead.

--- a/handlers/gateway/callerconn.go
+++ b/handlers/gateway/callerconn.go
@@ -13,6 +13,7 @@
 
 	"madderway/models/routing"
 	"madderway/modules/httphead"
+	"madderway/modules/netopt"
 )
 
 // callerConn is a connection of a caller. At the beginning of each request it looks at the
@@ -113,6 +114,9 @@
 		if head.Body > earlyBody || !c.server.judges() {
 			return n, c.toServer(NotJudged, rest)
 		}
+		if c.hasLeft() {
+			return 0, io.EOF
+		}
 		closes := c.server.crowded()
 		j := c.server.early.Look(&head, LookOptions{Closes: closes, Movable: c.server.relay != nil})
 		switch j.Verdict {
@@ -137,6 +141,12 @@
 	}
 }
 
+// hasLeft tells whether the caller has closed the connection. A process that is late reads
+// requests whose callers have given up; what is done for them is done for nobody.
+func (c *callerConn) hasLeft() bool {
+	return len(c.ahead) == 0 && netopt.Peek(c.counted.Conn) == netopt.End
+}
+
 // readBack leaves a request to the HTTP server that was read to be handed over.
 func (c *callerConn) readBack(p []byte) (int, error) {
 	whole := int64(len(c.ahead))
@@ -197,6 +207,12 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// callerHasLeft tells whether the caller of a request has closed its connection.
+func callerHasLeft(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	return ok && c.hasLeft()
+}
+
 // takeAdmitted tells whether a request was counted and admitted before the HTTP server
 // parsed it.
 func takeAdmitted(ctx context.Context) bool {
--- a/handlers/gateway/relay.go
+++ b/handlers/gateway/relay.go
@@ -117,6 +117,10 @@
 			return nil, err
 		}
 	}
+	if c.hasLeft() {
+		c.gone = true
+		return nil, io.EOF
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTime)
 	defer cancel()
 	handed, err := c.server.relay.Send(ctx, buffer[:size], c.counted)
--- a/handlers/gateway/relay_test.go
+++ b/handlers/gateway/relay_test.go
@@ -9,9 +9,11 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 
+	"golang.org/x/sys/unix"
 	"gopkg.in/tomb.v2"
 
 	"madderway/modules/clock"
@@ -141,6 +143,9 @@
 	near, early, address := serveRelay(t, far)
 	c := newCaller(t, address)
 	c.send("POST /x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer moved\r\nContent-Length: 9\r\n\r\nabc")
+	for early.looked.Load() == 0 { // one that has left before is not judged
+		runtime.Gosched()
+	}
 	_ = c.Close()
 	if told := <-early.told; !told.Gone || told.Peer != "" {
 		t.Errorf("told %+v", told)
@@ -160,6 +165,61 @@
 	}
 }
 
+// A gateway that comes late to a request whose caller has left by then does nothing for it: it
+// sent 85 requests on in a second that way.
+func TestCallerHasLeftBeforeItsRequestIsRead(t *testing.T) {
+	far := newRelay(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("a request was handed over for nobody") }))
+	near, early, address := newEarlyServer(t, 10)
+	near.SetRelay(far)
+	for _, key := range []string{"moved", "flood", "known"} {
+		c := newCaller(t, address)
+		c.send(post(key, "x"))
+		_ = c.Close()
+	}
+	for _, c := range accepted(t, near) {
+		if _, err := c.Read(make([]byte, 4096)); err != io.EOF {
+			t.Errorf("the request is read: %v", err)
+		}
+	}
+	if n := early.looked.Load(); n != 0 {
+		t.Errorf("%d requests of nobody were judged", n)
+	}
+}
+
+// awaitEnd waits until the end of what the other side sends has arrived.
+func awaitEnd(t *testing.T, conn net.Conn) {
+	t.Helper()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = raw.Control(func(fd uintptr) {
+		const seconds = 5
+		if n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}, seconds*1000); n != 1 || err != nil {
+			t.Errorf("no end: %v", err)
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// accepted accepts three connections whose callers have closed them.
+func accepted(t *testing.T, s *Server) []*callerConn {
+	t.Helper()
+	var out []*callerConn
+	for range 3 {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := &callerConn{counted: &counted{Conn: s.traffic.Count(conn), open: &s.open}, server: s, stop: make(chan struct{}, 1)}
+		awaitEnd(t, conn)
+		out = append(out, c)
+	}
+	return out
+}
+
 // Where no gateway takes a request it is served here, whatever its size.
 func TestNobodyToHandOverTo(t *testing.T) {
 	far := newRelay(t, nil)
--- a/services/upstream/pool.go
+++ b/services/upstream/pool.go
@@ -8,7 +8,6 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"madderway/models/routing"
@@ -138,24 +137,5 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	counted, ok := c.Conn.(interface{ NetConn() net.Conn })
-	if !ok {
-		return false
-	}
-	tcp, ok := counted.NetConn().(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	nothing := false
-	var one [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		nothing = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && nothing
+	return netopt.Peek(c.Conn) == netopt.Nothing
 }
