forward, upstream: Tell which request broke off, and whether its target ended

Cause: the lines of a request cannot tell whether two tries are the same request, nor a target that ended from one that cut an answer and lives on. Change: a broken answer is followed by one connect to its target, shared by all that break off there together; the line of the failed attempt says target_ended, and names the request by a digest of account, method, host, path and body. No decision changes.

--- /dev/null
+++ b/core/quarantine/fingerprint_test.go
@@ -0,0 +1,57 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package quarantine_test
+
+import (
+	"testing"
+
+	"madderway/core/quarantine"
+)
+
+func identity() quarantine.Identity {
+	return quarantine.Identity{Account: "a", Method: "POST", Host: "h", URI: "/p?q=1", Body: []byte("body")}
+}
+
+// Whatever makes a request another one changes its fingerprint; parts do not run together.
+func TestFingerprintTellsRequestsApart(t *testing.T) {
+	seen := map[quarantine.Fingerprint]int{}
+	changes := []func(*quarantine.Identity){
+		func(*quarantine.Identity) {},
+		func(i *quarantine.Identity) { i.Account = "b" },
+		func(i *quarantine.Identity) { i.Method = "GET" },
+		func(i *quarantine.Identity) { i.Host = "g" },
+		func(i *quarantine.Identity) { i.URI = "/p?q=2" },
+		func(i *quarantine.Identity) { i.Body = []byte("Body") },
+		func(i *quarantine.Identity) { i.Account, i.Method = "aP", "OST" },
+		func(i *quarantine.Identity) { i.URI, i.Body = "/p?q=1b", []byte("ody") },
+	}
+	for n, change := range changes {
+		i := identity()
+		change(&i)
+		if other, ok := seen[i.Fingerprint()]; ok {
+			t.Errorf("change %d has the fingerprint of change %d", n, other)
+		}
+		seen[i.Fingerprint()] = n
+	}
+	if identity().Fingerprint() != identity().Fingerprint() || identity().Outline() != identity().Outline() {
+		t.Error("the same request has two fingerprints or outlines")
+	}
+}
+
+func BenchmarkFingerprint(b *testing.B) {
+	i := identity()
+	i.Body = make([]byte, 16<<10)
+	b.ReportAllocs()
+	for b.Loop() {
+		i.Fingerprint()
+	}
+}
+
+func BenchmarkOutline(b *testing.B) {
+	i := identity()
+	b.ReportAllocs()
+	for b.Loop() {
+		i.Outline()
+	}
+}
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -30,6 +30,7 @@
 	defer cancel()
 	impatient := j.watch(p, cancel)
 	defer impatient.Stop()
+	j.broken = false
 	a, err := j.s.opts.Client.Send(ctx, p.target(), j.sendRequest(p.target()))
 	if err != nil {
 		return j.noAnswer(p, err), nil
@@ -81,6 +82,7 @@
 		j.history.Unsent++
 		outcome = attempt.NotSent
 	default:
+		j.broken = true
 		j.history.Sent++
 		j.history.MayHave = true
 	}
@@ -104,7 +106,7 @@
 func (j *job) failed(p place, a *upstream.Answer) (attempt.Outcome, *failure) {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole))
 	if err != nil {
-		j.reason = "failure broke off: " + err.Error()
+		j.broken, j.reason = true, "failure broke off: "+err.Error()
 		return j.ended(p, attempt.Unknown), nil
 	}
 	j.reason = http.StatusText(a.Status)
@@ -126,7 +128,7 @@
 func (j *job) whole(p place, a *upstream.Answer) attempt.Outcome {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
 	if err != nil {
-		j.reason = "answer broke off: " + err.Error()
+		j.broken, j.reason = true, "answer broke off: "+err.Error()
 		return j.ended(p, attempt.Unknown)
 	}
 	p.began()
@@ -144,7 +146,7 @@
 
 func (j *job) copyRest(p place, a *upstream.Answer) attempt.Outcome {
 	if _, err := io.Copy(j.w, a.Body); err != nil {
-		j.reason = "answer broke off: " + err.Error()
+		j.broken, j.reason = true, "answer broke off: "+err.Error()
 		return j.ended(p, attempt.Cut)
 	}
 	p.done()
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -42,6 +42,7 @@
 	scheduler string // scheduler is the gateway that placed or refused it.
 	number    mesh.RequestID
 	reason    string
+	broken    bool // broken tells that the last target ended its answer or connection early.
 	lastEvent string
 	headOut   bool
 	repeat    func() bool   // repeat takes one repeat from the retry budget.
@@ -81,8 +82,9 @@
 		if j.ctx.Err() == context.Canceled {
 			return j.ctx.Err()
 		}
+		end := j.lookAtEnd(p.target(), outcome)
 		next := attempt.Decide(outcome, j.history, j.budget)
-		j.s.logNext(j, outcome, next)
+		j.s.logNext(j, outcome, next, end)
 		switch next {
 		case attempt.Again, attempt.Resume:
 			j.deny = append(j.deny, j.target)
--- a/services/forward/story.go
+++ b/services/forward/story.go
@@ -62,9 +62,18 @@
 }
 
 // logNext writes what follows an attempt that came to nothing.
-func (s *Service) logNext(j *job, o attempt.Outcome, next attempt.Next) {
-	s.log.Request("Attempt failed.", "id", j.r.Call.ID, "number", j.number, "target", j.target, "outcome", o, "next", next,
-		"sent", j.history.Sent, "unsent", j.history.Unsent, "may_have_run", j.history.MayHave, "reason", j.reason)
+func (s *Service) logNext(j *job, o attempt.Outcome, next attempt.Next, end targetEnd) {
+	values := []any{
+		"id", j.r.Call.ID, "number", j.number, "target", j.target, "outcome", o, "next", next,
+		"sent", j.history.Sent, "unsent", j.history.Unsent, "may_have_run", j.history.MayHave, "reason", j.reason,
+	}
+	if end.looked {
+		values = append(values, "target_ended", end.ended)
+	}
+	if end.ended {
+		values = append(values, "request", end.request)
+	}
+	s.log.Request("Attempt failed.", values...)
 }
 
 // story returns what a line about a request tells.
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -60,7 +60,7 @@
 			return j.endStream(p, a, flusher, held)
 		}
 		if err != nil {
-			j.reason = "stream broke off: " + err.Error()
+			j.broken, j.reason = true, "stream broke off: "+err.Error()
 			return j.ended(p, attempt.Cut)
 		}
 	}
@@ -90,7 +90,7 @@
 
 func (j *job) endStream(p place, a *upstream.Answer, flusher *http.ResponseController, held []byte) attempt.Outcome {
 	if len(held) > 0 {
-		j.reason = "stream ended inside an event"
+		j.broken, j.reason = true, "stream ended inside an event"
 		return j.ended(p, attempt.Cut)
 	}
 	if !j.headOut && !j.pass(a, flusher, nil) {
--- a/services/upstream/exchange.go
+++ b/services/upstream/exchange.go
@@ -79,10 +79,13 @@
 type Client struct {
 	pool    *Pool
 	dialect Dialect
+	endings endings
 }
 
 // NewClient returns a client that takes its connections from the pool.
-func NewClient(pool *Pool, d Dialect) *Client { return &Client{pool, d} }
+func NewClient(pool *Pool, d Dialect) *Client {
+	return &Client{pool: pool, dialect: d, endings: endings{findings: map[string]*finding{}}}
+}
 
 // Send sends a request and returns the head of its answer. Where the context
 // ends, the connection is closed at once, so that the target can stop.
