--- a/lab/platform/client.go
+++ b/lab/platform/client.go
@@ -40,6 +40,7 @@
 	site    *Site
 	address func(c *client) string // address is that of the gateway that takes the next request.
 	uri     func(c *client) string
+	body    func(c *client) string
 	kind    Kind
 	account string
 	key     string
@@ -51,7 +52,7 @@
 func newClient(s *Site, k Kind, account, key string, seed uint64) *client {
 	dialer := &net.Dialer{Timeout: time.Second}
 	return &client{
-		address: anyGateway, uri: itemURI, site: s, kind: k, account: account, key: key, rng: rand.New(rand.NewPCG(seed, 2)),
+		address: anyGateway, uri: itemURI, body: anyBody, site: s, kind: k, account: account, key: key, rng: rand.New(rand.NewPCG(seed, 2)),
 		http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}},
 	}
 }
@@ -62,6 +63,8 @@
 	return fmt.Sprintf("%sitem/%%2F%d?q=%d", c.kind.Path, c.next, c.rng.IntN(100))
 }
 
+func anyBody(c *client) string { return strings.Repeat("x", 50+c.rng.IntN(200)) }
+
 // ask sends a request and, where it was told to come back, sends it once more.
 func (c *client) ask(ctx context.Context) {
 	began := time.Now()
@@ -106,7 +109,7 @@
 	id := fmt.Sprintf("%016x", c.rng.Uint64())
 	body := ""
 	if c.kind.Method == http.MethodPost {
-		body = strings.Repeat("x", 50+c.rng.IntN(200))
+		body = c.body(c)
 	}
 	uri := c.uri(c)
 	c.next++
--- a/lab/platform/single.go
+++ b/lab/platform/single.go
@@ -21,14 +21,72 @@
 // reports whether the answer was whole; the ledger notes whatever else was wrong.
 func (s *Site) AskAt(ctx context.Context, gateway int, account string, seed uint64) bool {
 	kind := Kinds()[0]
+	c := s.single(gateway, kind, account, kind.Path+"item", seed)
+	result, _ := c.once(ctx)
+	return result == outcomeServed || result == outcomeLate
+}
+
+// AskEnding sends a request that ends each worker which begins to run it. The same kind and
+// account make the same request, but for its headers. It reports whether the answer was a
+// refusal, and after which time the caller may come back.
+func (s *Site) AskEnding(ctx context.Context, gateway int, kind Kind, account string, seed uint64) (refused bool, after time.Duration) {
+	c := s.single(gateway, kind, account, kind.Path+EndsWorker, seed)
+	c.body = func(*client) string { return "the same each time" }
+	result, after := c.once(ctx)
+	return result == outcomeRefused, after
+}
+
+// single returns a client that sends one request to a gateway.
+func (s *Site) single(gateway int, kind Kind, account, uri string, seed uint64) *client {
 	c := newClient(s, kind, account, s.keys[account][0], seed)
 	c.address = func(*client) string { return s.gateways[gateway].setting.Callers }
-	c.uri = func(*client) string { return kind.Path + "item" }
+	c.uri = func(*client) string { return uri }
+	return c
+}
+
+// once sends the one request of a client, on a connection of its own.
+func (c *client) once(ctx context.Context) (outcome, time.Duration) {
 	defer c.http.CloseIdleConnections()
-	ctx, cancel := context.WithTimeout(ctx, kind.Deadline)
+	ctx, cancel := context.WithTimeout(ctx, c.kind.Deadline)
 	defer cancel()
-	result, _ := c.attempt(ctx, time.Now())
-	return result == outcomeServed || result == outcomeLate
+	return c.attempt(ctx, time.Now())
+}
+
+// noteEnded notes that a request has ended a worker.
+func (s *Site) noteEnded(w *Worker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = append(s.ended, w)
+	s.endings++
+}
+
+// Endings returns how many workers requests have ended.
+func (s *Site) Endings() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endings
+}
+
+// RestartEnded starts the workers again that requests have ended.
+func (s *Site) RestartEnded() error {
+	s.mu.Lock()
+	ended := s.ended
+	s.ended = nil
+	s.mu.Unlock()
+	for _, old := range ended {
+		w, err := old.Reborn()
+		if err != nil {
+			return err
+		}
+		s.mu.Lock()
+		for i := range s.workers {
+			if s.workers[i] == old {
+				s.workers[i] = w
+			}
+		}
+		s.mu.Unlock()
+	}
+	return nil
 }
 
 // Broken returns what was seen that must never be.
--- a/lab/platform/site.go
+++ b/lab/platform/site.go
@@ -51,6 +51,8 @@
 	keys     map[string][]string
 	routes   int
 	nextID   int
+	ended    []*Worker // ended are the workers that requests have ended and that are not back.
+	endings  int       // endings counts all of them.
 }
 
 // seat is the place of a gateway, which may be stopped and started again.
@@ -191,7 +193,7 @@
 	if model {
 		cfg = WorkerConfig{Service: modelService, Slots: 16, Queue: 16, Model: true, ReadRate: 40_000, Step: 8 * time.Millisecond, Memory: 40_000, CopyRate: copyRate, Peer: s.workerAt}
 	}
-	cfg.Hall = fmt.Sprint("hall-", s.nextID%3)
+	cfg.Hall, cfg.Ended = fmt.Sprint("hall-", s.nextID%3), s.noteEnded
 	w, err := StartWorker(fmt.Sprint("worker-", s.nextID), cfg, s.store, s.ledger, s.opts.Seed+uint64(s.nextID))
 	if err == nil {
 		s.workers = append(s.workers, w)
--- a/lab/platform/worker.go
+++ b/lab/platform/worker.go
@@ -45,8 +45,13 @@
 	// Peer finds the worker at an address, nil where there is none; parts are
 	// copied from it.
 	Peer func(address string) *Worker
+	// Ended is told of a worker that a request has ended; nil where nobody asks.
+	Ended func(w *Worker)
 }
 
+// EndsWorker in the path of a request makes each worker that begins to run it end.
+const EndsWorker = "ends-worker"
+
 // Worker is a model worker or a plain worker.
 type Worker struct {
 	ID     string
@@ -151,6 +156,20 @@
 // Crash ends the worker without a word.
 func (w *Worker) Crash() { _ = w.server.Close() }
 
+// endsAfter is how long a request that ends its worker runs.
+const endsAfter = 20 * time.Millisecond
+
+// end lets a request end the worker, with all that runs there.
+func (w *Worker) end(r *http.Request) {
+	if pause(r, endsAfter) {
+		w.Crash()
+		if w.cfg.Ended != nil {
+			w.cfg.Ended(w)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // Reread returns the tokens of shared parts that were read again, and all that
 // were read.
 func (w *Worker) Reread() (again, all int) {
@@ -230,6 +249,9 @@
 }
 
 func (w *Worker) run(rw http.ResponseWriter, r *http.Request, body []byte) {
+	if strings.Contains(r.URL.Path, EndsWorker) {
+		w.end(r)
+	}
 	w.mu.Lock()
 	fault := w.fault
 	w.count++
