quarantine, forward, mesh: A request under which three targets ended is not sent again

Cause: what a request did was forgotten with its try; each try at each gateway was a new one. Change: gateways remember under which requests targets ended (core/quarantine). A run that goes through clears it. The check stands right before the first byte to a target, so that no way to a target passes it by. Without such a request it costs one load of a counter.

--- a/router/gateway.go
+++ b/router/gateway.go
@@ -18,6 +18,7 @@
 	"madderway/core/drain"
 	"madderway/core/member"
 	"madderway/core/place"
+	core "madderway/core/quarantine"
 	"madderway/core/watch"
 	"madderway/handlers/gateway"
 	"madderway/modules/clock"
@@ -32,6 +33,7 @@
 	"madderway/services/follow"
 	"madderway/services/forward"
 	"madderway/services/mesh"
+	"madderway/services/quarantine"
 	"madderway/services/relay"
 	"madderway/services/upstream"
 )
@@ -74,11 +76,13 @@
 	loop    *mesh.Loop
 	follow  *follow.Service
 	relay   *relay.Service
-	pool    *upstream.Pool
-	guard   *forward.Guard
-	probe   atomic.Pointer[lateness.Probe]
-	forward *forward.Service
-	handler *gateway.Handler
+	// requests are those under which targets ended.
+	requests *quarantine.Service
+	pool     *upstream.Pool
+	guard    *forward.Guard
+	probe    atomic.Pointer[lateness.Probe]
+	forward  *forward.Service
+	handler  *gateway.Handler
 
 	callers   *gateway.Server
 	readiness *http.Server
@@ -155,10 +159,13 @@
 	members := member.DefaultConfig()
 	members.Interval, members.SuspectAfter, members.DeadAfter = 400*time.Millisecond, 1200*time.Millisecond, 1500*time.Millisecond
 	members.Greet, members.MaxRumors = true, maxRumors
+	g.requests = quarantine.New(log.New("quarantine").With(s.ID), quarantine.Options{
+		Clock: g.clock, Tell: func(r core.Record) { g.loop.TellRecord(r) },
+	})
 	client := upstream.NewClient(g.pool, platform.Dialect{})
 	g.relay = relay.New(&g.t, log.New("relay").With(s.ID), relay.Options{Auth: auth, Meter: g.carried, Clock: g.clock})
 	g.loop = mesh.NewLoop(&g.t, log.New("mesh").With(s.ID), mesh.Options{
-		Self: g.self, Seeds: s.Seeds, Clock: g.clock, Auth: auth, Meter: g.meter, Member: members, Follow: g.follow,
+		Self: g.self, Seeds: s.Seeds, Clock: g.clock, Auth: auth, Meter: g.meter, Member: members, Follow: g.follow, Requests: g.requests,
 		Kept: client.Kept, FairWindow: s.FairWindow.Duration, OnMembers: g.setRelief, OnGone: g.relay.Gone,
 	})
 	discover.Start(&g.t, log.New("discover").With(s.ID), discover.Options{
@@ -172,7 +179,7 @@
 	g.guard = guard
 	g.forward = forward.New(log.New("forward").With(s.ID), forward.Options{
 		DataHall: s.DataHall, Clock: g.clock, Follow: g.follow, Mesh: g.loop, Client: client,
-		Guard: guard, Retry: retryBudget(s),
+		Guard: guard, Retry: retryBudget(s), Requests: g.requests,
 		Connections: func() (int, uint64) { return g.callers.Open(), g.callers.TurnedAway() },
 	})
 	g.handler = gateway.New(gateway.Options{
--- a/router/gatewaystate.go
+++ b/router/gatewaystate.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"madderway/core/cell"
+	"madderway/core/quarantine"
 	"madderway/services/mesh"
 )
 
@@ -34,8 +35,10 @@
 	PeerFetches uint64     `json:"peer_fetches_total"`
 	Dials       uint64     `json:"target_connections_total"`
 	Mesh        mesh.State `json:"mesh"`
-	Goroutines  int        `json:"goroutines"`
-	HeapBytes   uint64     `json:"heap_bytes"`
+	// Quarantined are the requests that are refused since targets ended under them.
+	Quarantined int    `json:"quarantined_requests"`
+	Goroutines  int    `json:"goroutines"`
+	HeapBytes   uint64 `json:"heap_bytes"`
 }
 
 // Dump returns the state of the process.
@@ -46,7 +49,7 @@
 	return GatewayDump{
 		ID: g.self.ID, Incarnation: g.self.Incarnation, DataHall: g.self.DataHall, Ready: g.Ready(), Draining: g.isDraining(),
 		Open: g.open(), Relaying: g.callers.Relaying(), Callers: g.callers.Open(), TurnedAway: g.callers.TurnedAway(), Targets: len(g.follow.Targets().Targets), Evacuated: g.follow.Evacuated(), StoreCalls: calls, PeerFetches: fetches, Dials: g.pool.Dials(),
-		Mesh: g.loop.State(), Goroutines: runtime.NumGoroutine(), HeapBytes: mem.HeapAlloc,
+		Mesh: g.loop.State(), Quarantined: g.requests.Standings()[quarantine.Quarantined], Goroutines: runtime.NumGoroutine(), HeapBytes: mem.HeapAlloc,
 	}
 }
 
@@ -66,6 +69,7 @@
 	g.forward.WriteMetrics(w)
 	g.follow.WriteMetrics(w)
 	g.loop.WriteMetrics(w)
+	g.requests.WriteMetrics(w)
 	d := g.Dump()
 	gauge := func(name string, v any) { fmt.Fprintf(w, "madderway_gateway_%s %v\n", name, v) }
 	gauge("ready", boolNumber(d.Ready))
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -30,8 +30,12 @@
 	defer cancel()
 	impatient := j.watch(p, cancel)
 	defer impatient.Stop()
-	j.broken = false
+	j.broken, j.refusal = false, nil
 	a, err := j.s.opts.Client.Send(ctx, p.target(), j.sendRequest(p.target()))
+	if j.refusal != nil {
+		p.canceled()
+		return attempt.NotSent, nil
+	}
 	if err != nil {
 		return j.noAnswer(p, err), nil
 	}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -26,6 +26,7 @@
 	"madderway/modules/log"
 	"madderway/services/follow"
 	"madderway/services/mesh"
+	"madderway/services/quarantine"
 	"madderway/services/upstream"
 )
 
@@ -51,6 +52,8 @@
 	Client   *upstream.Client
 	Guard    *Guard
 	Retry    RetryBudget
+	// Requests are those under which targets ended.
+	Requests *quarantine.Service
 	// Connections tells how many connections of callers are open, and how many were
 	// turned away since the start.
 	Connections func() (open int, turnedAway uint64)
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -43,6 +43,9 @@
 	number    mesh.RequestID
 	reason    string
 	broken    bool // broken tells that the last target ended its answer or connection early.
+	sentAt    time.Time
+	refusal   error // refusal is why the request may not be sent to a target.
+	past      past
 	lastEvent string
 	headOut   bool
 	repeat    func() bool   // repeat takes one repeat from the retry budget.
@@ -69,7 +72,11 @@
 }
 
 func (j *job) run() error {
+	defer j.endTrial()
 	for range maxRounds {
+		if err := j.mayBeSent(); err != nil {
+			return j.notPlaced(err)
+		}
 		p, err := j.placeOrWait()
 		if err != nil {
 			return j.notPlaced(err)
@@ -77,8 +84,12 @@
 		j.target = p.target().ID
 		outcome, answer := j.exchange(p)
 		if outcome == 0 {
+			j.passed()
 			return nil
 		}
+		if j.refusal != nil {
+			return j.notPlaced(j.refusal)
+		}
 		if j.ctx.Err() == context.Canceled {
 			return j.ctx.Err()
 		}
@@ -91,6 +102,7 @@
 			j.s.counters.repeats.Inc()
 			continue
 		case attempt.Deliver:
+			j.passed()
 			return j.deliver(answer)
 		case attempt.Refuse:
 			return result.New(result.TargetRefused, "%s", j.reason).After(soonAfter)
@@ -162,7 +174,7 @@
 	}
 	return &upstream.Request{
 		ID: j.r.Call.ID, Method: j.r.Method, URI: j.r.URI, Host: j.r.Host, Header: j.r.Header, Body: j.r.Body,
-		MayRepeat: j.r.Route.MayRepeat(), Deadline: j.r.Deadline,
+		MayRepeat: j.r.Route.MayRepeat(), Deadline: j.r.Deadline, Check: j.checkAtSend,
 		Outgoing: upstream.Outgoing{
 			Remaining: j.r.Deadline.Sub(j.s.opts.Clock.Now()), TargetID: t.Worker(), Account: j.r.account(), LastEvent: j.lastEvent,
 			CopyFrom: j.s.sourceAddress(j.source),
--- /dev/null
+++ b/services/forward/quarantine.go
@@ -0,0 +1,100 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package forward
+
+import (
+	"context"
+
+	"madderway/core/attempt"
+	"madderway/core/quarantine"
+	"madderway/models/result"
+	"madderway/models/routing"
+)
+
+// past is what earlier tries of a request have done, as far as this one has asked.
+type past struct {
+	request quarantine.Fingerprint
+	known   bool // known tells that request is set.
+	onTrial bool // onTrial tells that this is the one run of a request on trial.
+}
+
+// targetEnd is what is known of a target whose answer broke off.
+type targetEnd struct {
+	looked  bool // looked tells that the target was asked whether it is still there.
+	ended   bool
+	request quarantine.Fingerprint // request is the one under which it ended.
+}
+
+// identity returns what makes another try the same request.
+func (r *Request) identity() quarantine.Identity {
+	return quarantine.Identity{Account: r.account(), Method: r.Method, Host: r.Host, URI: r.URI, Body: r.Body}
+}
+
+// fingerprint returns the request's, which is worked out once.
+func (j *job) fingerprint() quarantine.Fingerprint {
+	if !j.past.known {
+		j.past.request, j.past.known = j.r.identity().Fingerprint(), true
+	}
+	return j.past.request
+}
+
+// mayBeSent returns why the request must not be sent to a target, or nil. A request that
+// ends each target that runs it would otherwise end one at each try: 11 to 19 of nine in
+// half a minute, each with up to 17 other streams.
+func (j *job) mayBeSent() error {
+	if !j.s.opts.Requests.Knows(j.r.identity()) {
+		return nil
+	}
+	switch standing, hold := j.s.opts.Requests.Judge(j.fingerprint()); {
+	case standing == quarantine.Quarantined:
+		j.s.opts.Requests.NoteRefused()
+		return result.New(result.EndsTargets, "targets have ended under request %s", j.fingerprint()).After(hold)
+	case standing == quarantine.OnTrial && !j.past.onTrial:
+		ok, pause := j.s.opts.Requests.StartTrial(j.fingerprint())
+		if !ok {
+			j.s.opts.Requests.NoteRefused()
+			return result.New(result.EndsTargets, "another try of request %s is under way", j.fingerprint()).After(pause)
+		}
+		j.past.onTrial = true
+	}
+	return nil
+}
+
+// checkAtSend looks once more when a connection is there: while the request waited for a
+// place, another gateway may have seen a target end under it.
+func (j *job) checkAtSend() error {
+	j.refusal = j.mayBeSent()
+	j.sentAt = j.s.opts.Clock.Now()
+	return j.refusal
+}
+
+// endTrial lets the next try of a request on trial begin.
+func (j *job) endTrial() {
+	if j.past.onTrial {
+		j.s.opts.Requests.EndTrial(j.past.request)
+	}
+}
+
+// passed notes that a target has answered the request and lives on.
+func (j *job) passed() {
+	if j.past.known || j.s.opts.Requests.Knows(j.r.identity()) {
+		j.s.opts.Requests.Passed(j.fingerprint())
+	}
+}
+
+// lookAtEnd finds out whether the target of an attempt that broke off has ended under it,
+// and remembers the request if so. One that was to leave accuses nobody.
+func (j *job) lookAtEnd(t *routing.Target, o attempt.Outcome) targetEnd {
+	if !j.broken || o != attempt.Unknown && o != attempt.Cut {
+		return targetEnd{}
+	}
+	// The end of this request's time must not hide the target's end from later ones.
+	if !j.s.opts.Client.HasEnded(context.WithoutCancel(j.ctx), t) {
+		return targetEnd{looked: true}
+	}
+	if now := j.s.opts.Follow.Targets().Find(t.ID); now != nil && now.TakesWork() {
+		j.s.opts.Requests.Ended(j.r.identity(), t.ID, j.sentAt)
+	}
+	return targetEnd{looked: true, ended: true, request: j.fingerprint()}
+}
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -25,6 +25,7 @@
 	"madderway/modules/wire"
 	"madderway/services/follow"
 	"madderway/services/peerwire"
+	"madderway/services/quarantine"
 )
 
 const (
@@ -67,6 +68,8 @@
 	Meter  *peernet.Meter
 	Member member.Config
 	Follow *follow.Service
+	// Requests are those under which targets ended.
+	Requests *quarantine.Service
 	// FairWindow is the span over which client accounts are compared.
 	FairWindow time.Duration
 	// OnMembers is told of the members after each change, OnGone that one is dead or has
@@ -114,6 +117,8 @@
 	nextTick,
 	tickDue time.Time // tickDue is when the next tick comes at the latest, unless this process is late.
 	told follow.Versions
+	// recordsSent is when each gateway was last sent all records of requests.
+	recordsSent map[string]time.Time
 	// membersChanged tells that changes of the members are not in force yet.
 	membersChanged bool
 
@@ -131,6 +136,7 @@
 		t: t, log: logger, opts: o, inputs: ring.New[input]("mesh", inputRing), members: member.New(o.Member, o.Self),
 		entry: entry.New(o.Self.ID), cells: map[cell.Key]*scheduled{}, undecided: map[cell.Key]*scheduled{}, given: map[string]given{}, layout: &cell.Layout{},
 		answers: map[cell.RequestID]chan Decision{}, links: map[string]*peernet.Link{}, out: peerwire.NewOutbox(lazyDelay), traffic: newTraffic(),
+		recordsSent: map[string]time.Time{},
 	}
 	l.requests.Store(firstID(o.Self.Incarnation))
 	l.size.Store(1)
@@ -222,6 +228,8 @@
 		l.enter(now, e.event)
 	case memberIn:
 		l.member(now, e.event)
+	case recordIn:
+		l.tellRecord(now, e.record, "")
 	case worldIn:
 		l.index, l.targets = e.index, e.targets
 		l.relayout(now)
--- a/services/mesh/traffic.go
+++ b/services/mesh/traffic.go
@@ -54,6 +54,7 @@
 	add("progress", sizeOfAll(f.EngineProgress))
 	add("inventory", sizeOfAll(f.EngineInventories))
 	add("tally", sizeOfAll(f.EngineTallies))
+	add("request_record", sizeOfAll(f.RequestRecords))
 }
 
 // noteState counts a configuration or list of targets that a peer was given.
--- /dev/null
+++ b/services/quarantine/quarantine.go
@@ -0,0 +1,205 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+// Package quarantine keeps the table of requests under which targets ended, for the
+// requests of this gateway and for what other gateways tell, and writes what it decides.
+package quarantine
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"madderway/core/quarantine"
+	"madderway/modules/clock"
+	"madderway/modules/log"
+)
+
+// expireEvery is how often what is over is looked for; records are kept for minutes.
+const expireEvery = 10 * time.Second
+
+// Options are the parts of a Service.
+type Options struct {
+	Clock clock.Clock
+	// Tell tells other gateways of a record; it must not wait for them.
+	Tell func(r quarantine.Record)
+}
+
+// Service holds the table.
+type Service struct {
+	log  log.Logger
+	opts Options
+	// known is how many requests are remembered: where there are none, a request costs
+	// one load of it.
+	known atomic.Int32
+
+	mu      sync.Mutex // mu guards what follows.
+	table   *quarantine.Table
+	expired time.Time
+
+	set     *metrics.Set
+	ends    *metrics.Counter
+	refused *metrics.Counter
+}
+
+// New returns a service that remembers nothing.
+func New(logger log.Logger, o Options) *Service {
+	set := metrics.NewSet()
+	return &Service{
+		log: logger, opts: o, table: quarantine.New(), set: set,
+		ends:    set.NewCounter("madderway_gateway_requests_accused_total"),
+		refused: set.NewCounter("madderway_gateway_quarantine_refused_total"),
+	}
+}
+
+// Knows tells whether a request may be one of those remembered.
+func (s *Service) Knows(id quarantine.Identity) bool {
+	if s.known.Load() == 0 {
+		return false
+	}
+	outline := id.Outline()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Knows(outline)
+}
+
+// Judge returns the standing of a request and, where it is quarantined, for how long.
+func (s *Service) Judge(f quarantine.Fingerprint) (quarantine.Standing, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Judge(s.opts.Clock.Now(), f)
+}
+
+// NoteRefused counts a request that was refused for its standing.
+func (s *Service) NoteRefused() { s.refused.Inc() }
+
+// StartTrial tells whether a request on trial may run here now, and if not, when its caller
+// may come back. Where it may, EndTrial must follow.
+func (s *Service) StartTrial(f quarantine.Fingerprint) (bool, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.StartTrial(f), s.table.TrialPause()
+}
+
+// EndTrial tells that the run is over.
+func (s *Service) EndTrial(f quarantine.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.EndTrial(f)
+}
+
+// Ended takes that a target has ended under a request that was sent to it then.
+func (s *Service) Ended(id quarantine.Identity, target string, sent time.Time) {
+	now := s.opts.Clock.Now()
+	f := id.Fingerprint()
+	s.mu.Lock()
+	before, _ := s.table.Judge(now, f)
+	r, accused := s.table.Ended(now, id, target, sent)
+	after, hold := s.table.Judge(now, f)
+	s.count()
+	s.mu.Unlock()
+	if !accused {
+		return
+	}
+	s.ends.Inc()
+	s.logChange(r, before, after, hold, "")
+	s.opts.Tell(r)
+}
+
+// Passed takes that a request has gone through at a target.
+func (s *Service) Passed(f quarantine.Fingerprint) {
+	now := s.opts.Clock.Now()
+	s.mu.Lock()
+	before, _ := s.table.Judge(now, f)
+	r, news := s.table.Passed(now, f)
+	s.count()
+	s.mu.Unlock()
+	if news {
+		s.logChange(r, before, quarantine.Unsuspected, 0, "")
+		s.opts.Tell(r)
+	}
+}
+
+// Merge takes records of another gateway. It returns those that told anything new and that
+// all gateways are to know.
+func (s *Service) Merge(from string, records []quarantine.Record) []quarantine.Record {
+	now := s.opts.Clock.Now()
+	var news []quarantine.Record
+	for _, other := range records {
+		s.mu.Lock()
+		before, _ := s.table.Judge(now, other.Request)
+		r, changed := s.table.Merge(now, other)
+		after, hold := s.table.Judge(now, other.Request)
+		s.count()
+		s.mu.Unlock()
+		if !changed {
+			continue
+		}
+		s.logChange(r, before, after, hold, from)
+		if r.IsShared() {
+			news = append(news, r)
+		}
+	}
+	return news
+}
+
+// Shared returns the records that all gateways are to know.
+func (s *Service) Shared() []quarantine.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Shared(s.opts.Clock.Now())
+}
+
+// Digest returns the digest of the shared records, 0 where there are none, and how long it
+// has not changed.
+func (s *Service) Digest() (digest uint64, age time.Duration) {
+	if s.known.Load() == 0 {
+		return 0, expireEvery
+	}
+	now := s.opts.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.expired) >= expireEvery {
+		s.expired = now
+		s.table.Expire(now)
+		s.count()
+	}
+	return s.table.Digest(), now.Sub(s.table.ChangedAt())
+}
+
+// count keeps known right; mu is held.
+func (s *Service) count() { s.known.Store(int32(s.table.Len())) }
+
+// logChange tells of a request whose standing has changed. The first end under a request is
+// told by the line of the failed attempt.
+func (s *Service) logChange(r quarantine.Record, before, after quarantine.Standing, hold time.Duration, from string) {
+	if before == after || before <= quarantine.Suspect && after <= quarantine.Suspect {
+		return
+	}
+	targets := make([]string, len(r.Deaths))
+	for i, d := range r.Deaths {
+		targets[i] = d.Target
+	}
+	s.log.Info("Standing of a request changed.", "request", r.Request, "account", r.Account, "standing", after, "before", before,
+		"targets_ended", targets, "refused_for", hold.Round(time.Second), "from", from)
+}
+
+// Standings counts the requests of each standing.
+func (s *Service) Standings() map[quarantine.Standing]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Standings(s.opts.Clock.Now())
+}
+
+// WriteMetrics writes the figures in text form.
+func (s *Service) WriteMetrics(w io.Writer) {
+	s.set.WritePrometheus(w)
+	standings := s.Standings()
+	for _, standing := range []quarantine.Standing{quarantine.Suspect, quarantine.OnTrial, quarantine.Quarantined} {
+		fmt.Fprintf(w, "madderway_gateway_remembered_requests{standing=%q} %d\n", standing, standings[standing])
+	}
+}
--- a/services/upstream/exchange.go
+++ b/services/upstream/exchange.go
@@ -55,6 +55,10 @@
 	MayRepeat bool
 	Outgoing  Outgoing
 	Deadline  time.Time
+	// Check is asked when a connection is there, right before the first byte is written:
+	// waiting for one can take as long as the reason not to send needs to become known.
+	// Its error ends the exchange, with nothing sent; nil asks nothing.
+	Check func() error
 }
 
 // Answer is a target's answer whose body is still to be read. Close must be
@@ -98,6 +102,12 @@
 	if err != nil {
 		return nil, ErrExchange{false, err.Error()}
 	}
+	if r.Check != nil {
+		if err := r.Check(); err != nil {
+			_ = connection.Close()
+			return nil, err
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	_ = connection.SetDeadline(r.Deadline)
 	a := &Answer{client: c, target: t.ID, conn: connection, stop: stop}
