--- a/core/quarantine/fingerprint_test.go
+++ b/core/quarantine/fingerprint_test.go
@@ -34,7 +34,8 @@
 		}
 		seen[i.Fingerprint()] = n
 	}
-	if identity().Fingerprint() != identity().Fingerprint() || identity().Outline() != identity().Outline() {
+	one, same := identity(), identity()
+	if one.Fingerprint() != same.Fingerprint() || one.Outline() != same.Outline() {
 		t.Error("the same request has two fingerprints or outlines")
 	}
 }
