quarantine: What is told of a request that is refused already stops

Change: such an end is not added; digests of refused requests hold the number of ends only; the same tables are not sent to a gateway again for 15 s. A model of a fleet under cuts, starts and both, with the ways weighed: forgetting, each alone, all told at once, as built.

--- /dev/null
+++ b/core/quarantine/fleet_test.go
@@ -0,0 +1,296 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package quarantine_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"madderway/core/place"
+	"madderway/core/quarantine"
+)
+
+// way is how gateways of a model tell each other of ends.
+type way int
+
+const (
+	forgetting way = iota // nobody remembers anything
+	alone                 // each gateway remembers what it has seen itself
+	flooding              // all are told of each end
+	asBuilt               // a few count the first end, all are told of the second
+)
+
+// model is a fleet on a fake clock before targets of which one request ends each that runs
+// it. Its callers send it again and again at all gateways.
+type model struct {
+	rng        *rand.Rand
+	way        way
+	now        time.Time
+	events     events
+	nodes      []place.Node
+	neighbours map[string][]string
+	tables     []*quarantine.Table
+	cut        map[int]bool // cut are gateways that neither hear nor are heard.
+	touch      []time.Time  // touch is since when each gateway runs and is not cut.
+	back       []time.Time  // back is when each target takes requests.
+	lives      []int
+	ended      []time.Time // ended is when targets ended under the request.
+	sent       []time.Time // sent is when it was sent by a gateway in touch.
+	told       int         // told counts the records that were sent.
+}
+
+const (
+	runs     = 150 * time.Millisecond // from the send to the end of a target
+	restarts = 3 * time.Second
+	hop      = 20 * time.Millisecond // a message, with the time it waits for others
+	exchange = time.Second           // between two tables of gateways whose digests differ
+	degree   = 8                     // neighbours of a gateway
+	tryEvery = 500 * time.Millisecond
+	contact  = 3 * time.Second
+)
+
+type event struct {
+	at  time.Time
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+func newModel(w way, gateways, targets int, seed uint64) *model {
+	m := &model{
+		rng: rand.New(rand.NewPCG(seed, 9)), way: w, now: start, neighbours: map[string][]string{}, cut: map[int]bool{},
+		back: make([]time.Time, targets), lives: make([]int, targets),
+	}
+	for i := range gateways {
+		m.nodes = append(m.nodes, place.Node{ID: fmt.Sprint("g", i)})
+		m.tables = append(m.tables, quarantine.New())
+		m.touch = append(m.touch, start.Add(-contact))
+	}
+	for i := range gateways {
+		for _, j := range m.rng.Perm(gateways)[:min(degree/2, gateways)] {
+			if i != j {
+				a, b := m.nodes[i].ID, m.nodes[j].ID
+				m.neighbours[a] = append(m.neighbours[a], b)
+				m.neighbours[b] = append(m.neighbours[b], a)
+			}
+		}
+	}
+	return m
+}
+
+func (m *model) after(d time.Duration, run func()) {
+	heap.Push(&m.events, event{m.now.Add(d), run})
+}
+
+func (m *model) play(until time.Duration) {
+	end := start.Add(until)
+	for len(m.events) > 0 && m.events[0].at.Before(end) {
+		e := heap.Pop(&m.events).(event)
+		m.now = e.at
+		e.run()
+	}
+}
+
+// repeat has callers send the request at a gateway for as long as the model plays.
+func (m *model) repeat(gateway int, id quarantine.Identity) {
+	m.after(time.Duration(m.rng.Float64()*float64(2*tryEvery)), func() {
+		m.try(gateway, id)
+		m.repeat(gateway, id)
+	})
+}
+
+func (m *model) try(gateway int, id quarantine.Identity) {
+	table, f := m.tables[gateway], id.Fingerprint()
+	standing, _ := table.Judge(m.now, f)
+	onTrial := standing == quarantine.OnTrial
+	if m.way != forgetting && (standing == quarantine.Quarantined || onTrial && !table.StartTrial(f)) {
+		return
+	}
+	target := m.rng.IntN(len(m.back))
+	if m.now.Before(m.back[target]) {
+		table.EndTrial(f)
+		return
+	}
+	if !m.cut[gateway] && m.now.Sub(m.touch[gateway]) >= contact {
+		m.sent = append(m.sent, m.now)
+	}
+	sent, life := m.now, m.lives[target]
+	m.after(time.Duration((0.5+m.rng.Float64())*float64(runs)), func() {
+		if m.tables[gateway] != table {
+			return // the gateway has started again meanwhile
+		}
+		table.EndTrial(f)
+		if m.lives[target] == life {
+			m.lives[target]++
+			m.back[target] = m.now.Add(restarts)
+			m.ended = append(m.ended, m.now)
+		}
+		r, accused := table.Ended(m.now, id, fmt.Sprintf("t%d@%d", target, life), sent)
+		if accused {
+			m.tell(gateway, r, -1)
+		}
+	})
+}
+
+func (m *model) tell(from int, r quarantine.Record, except int) {
+	var to []string
+	switch self := m.nodes[from].ID; m.way {
+	case forgetting, alone:
+		return
+	case flooding:
+		to = m.neighbours[self]
+	case asBuilt:
+		to = quarantine.Audience(r, m.nodes, m.neighbours[self])
+	}
+	for _, id := range to {
+		j := slices.IndexFunc(m.nodes, func(n place.Node) bool { return n.ID == id })
+		if j == from || j == except || m.cut[from] || m.cut[j] {
+			continue
+		}
+		m.told++
+		m.after(hop, func() { m.hear(from, j, r) })
+	}
+}
+
+func (m *model) hear(from, to int, r quarantine.Record) {
+	now, news := m.tables[to].Merge(m.now, r)
+	if news && (now.IsShared() || m.way == flooding) {
+		m.tell(to, now, from)
+	}
+}
+
+// compare has gateways that heartbeats connect exchange their tables where these differ.
+func (m *model) compare() {
+	m.after(exchange, func() {
+		for i, a := range m.tables {
+			for _, id := range m.neighbours[m.nodes[i].ID] {
+				j := slices.IndexFunc(m.nodes, func(n place.Node) bool { return n.ID == id })
+				if m.cut[i] || m.cut[j] || a.Digest() == m.tables[j].Digest() {
+					continue
+				}
+				for _, r := range a.Shared(m.now) {
+					m.told++
+					m.after(hop, func() { m.hear(i, j, r) })
+				}
+			}
+		}
+		m.compare()
+	})
+}
+
+// start has a gateway begin anew. The first gateway that it greets tells it what is known.
+func (m *model) start(g int) {
+	m.tables[g], m.touch[g] = quarantine.New(), m.now
+	j := (g + 1) % len(m.tables)
+	if m.cut[g] || m.cut[j] {
+		return
+	}
+	for _, r := range m.tables[j].Shared(m.now) {
+		m.after(2*hop, func() { m.hear(j, g, r) })
+	}
+}
+
+// late returns how often the request was sent by gateways in touch later than contact after
+// the third target had ended.
+func (m *model) late() int {
+	if len(m.ended) < quarantine.Enough {
+		return 0
+	}
+	n := 0
+	for _, at := range m.sent {
+		if at.After(m.ended[quarantine.Enough-1].Add(contact)) {
+			n++
+		}
+	}
+	return n
+}
+
+func playFleet(w way, gateways int, trouble func(m *model)) *model {
+	m := newModel(w, gateways, max(9, 2*gateways), uint64(gateways))
+	id := request(1)
+	for g := range gateways {
+		m.repeat(g, id)
+	}
+	if w == asBuilt {
+		m.compare()
+	}
+	if trouble != nil {
+		trouble(m)
+	}
+	m.play(time.Minute)
+	return m
+}
+
+// Each gateway is sent the request twice a second, for a minute. Later than three seconds
+// after it has ended the third target it is sent to no target any more, at nine gateways and
+// at three hundred. What ended before counts those that were on their way when the first
+// ends became known; ways that were not kept are played for comparison.
+func TestFleetSendsNoFurther(t *testing.T) {
+	for _, gateways := range []int{9, 64, 300} {
+		for _, w := range []way{forgetting, alone, flooding, asBuilt} {
+			if w <= alone && gateways > 9 {
+				continue // some thousand ends
+			}
+			m := playFleet(w, gateways, nil)
+			t.Logf("%d gateways, way %d: %d targets ended, %d sends in touch too late, %d records told", gateways, w, len(m.ended), m.late(), m.told)
+			if w == asBuilt && m.late() > 0 {
+				t.Errorf("%d sends later than %v after the third end", m.late(), contact)
+			}
+		}
+	}
+}
+
+// It holds through cuts that come and go, gateways that start again and know nothing, and
+// both at once; a gateway that is cut counts for itself.
+func TestFleetSendsNoFurtherUnderTrouble(t *testing.T) {
+	const gateways = 9
+	cut := func(m *model, g int, at, length time.Duration) {
+		m.after(at, func() { m.cut[g] = true })
+		m.after(at+length, func() { m.cut[g], m.touch[g] = false, m.now })
+	}
+	restart := func(m *model, g int, at time.Duration) {
+		m.after(at, func() { m.start(g) })
+	}
+	for name, trouble := range map[string]func(m *model){
+		"cut from the start":    func(m *model) { cut(m, 3, 0, 10*time.Second) },
+		"cut again and again":   func(m *model) { cut(m, 3, time.Second, 4*time.Second); cut(m, 3, 10*time.Second, 4*time.Second) },
+		"half is cut":           func(m *model) { cut(m, 0, 0, 8*time.Second); cut(m, 1, 0, 8*time.Second); cut(m, 2, 0, 8*time.Second); cut(m, 4, 0, 8*time.Second) },
+		"all start in turn":     func(m *model) { rollAll(m, restart) },
+		"a start during a cut":  func(m *model) { cut(m, 5, 2*time.Second, 6*time.Second); restart(m, 5, 4*time.Second) },
+		"starts at every second": func(m *model) {
+			for s := range 50 {
+				restart(m, s%gateways, time.Duration(s)*time.Second)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := playFleet(asBuilt, gateways, trouble)
+			t.Logf("%d targets ended, %d sends too late", len(m.ended), m.late())
+			if m.late() > 3 {
+				t.Errorf("%d sends later than %v after the third end", m.late(), contact)
+			}
+		})
+	}
+}
+
+func rollAll(m *model, restart func(m *model, g int, at time.Duration)) {
+	for g := range m.tables {
+		restart(m, g, time.Duration(5+2*g)*time.Second)
+	}
+}
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -113,6 +113,9 @@
 		}
 		return news
 	}
+	if !d.Forgiven && r.count() >= Enough && d.At.Before(r.until()) {
+		return false // a run that was on its way when the request was refused
+	}
 	r.Deaths = append(r.Deaths, d)
 	if len(r.Deaths) > maxDeaths && r.dropOldest() == d {
 		return false
@@ -151,11 +154,15 @@
 	return out
 }
 
-// digest sums up what the record tells. Times are not in it: they differ by the way.
+// digest sums up what the record tells. Times are not in it: they differ by the way. Of a
+// request that is refused the number of ends is enough: gateways hear of different ones.
 func (r *Record) digest() uint64 {
 	var d xxhash.Digest
-	d.Reset()
+	d.ResetWithSeed(uint64(r.count()))
 	_, _ = d.Write(r.Request[:])
+	if r.count() >= Enough {
+		return d.Sum64()
+	}
 	for _, death := range r.Deaths {
 		var size [9]byte
 		binary.LittleEndian.PutUint64(size[:], uint64(len(death.Target)))
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -129,7 +129,8 @@
 	r := t.record(other.Request, other.Outline, other.Account)
 	news := t.update(now, r, func() bool {
 		news := false
-		for _, d := range other.Deaths {
+		deaths := slices.SortedFunc(slices.Values(other.Deaths), func(a, b Death) int { return a.At.Compare(b.At) })
+		for _, d := range deaths {
 			news = r.add(d) || news
 		}
 		return news
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -117,8 +117,8 @@
 	nextTick,
 	tickDue time.Time // tickDue is when the next tick comes at the latest, unless this process is late.
 	told follow.Versions
-	// recordsSent is when each gateway was last sent all records of requests.
-	recordsSent map[string]time.Time
+	// recordsSent is what each gateway was last sent of all records of requests.
+	recordsSent map[string]recordsSent
 	// membersChanged tells that changes of the members are not in force yet.
 	membersChanged bool
 
@@ -136,7 +136,7 @@
 		t: t, log: logger, opts: o, inputs: ring.New[input]("mesh", inputRing), members: member.New(o.Member, o.Self),
 		entry: entry.New(o.Self.ID), cells: map[cell.Key]*scheduled{}, undecided: map[cell.Key]*scheduled{}, given: map[string]given{}, layout: &cell.Layout{},
 		answers: map[cell.RequestID]chan Decision{}, links: map[string]*peernet.Link{}, out: peerwire.NewOutbox(lazyDelay), traffic: newTraffic(),
-		recordsSent: map[string]time.Time{},
+		recordsSent: map[string]recordsSent{},
 	}
 	l.requests.Store(firstID(o.Self.Incarnation))
 	l.size.Store(1)
--- a/services/mesh/quarantine.go
+++ b/services/mesh/quarantine.go
@@ -7,21 +7,24 @@
 	"time"
 
 	"madderway/core/member"
-	"madderway/core/place"
 	"madderway/core/quarantine"
 	"madderway/modules/wire"
 )
 
-const (
-	// recordKeepers is how many gateways are told of a request under which one target has
-	// ended, drawn by its fingerprint: whoever sees the next end tells the same ones. The
-	// second is there for the loss of the first.
-	recordKeepers = 2
-	// recordsSettled is how long a table must not have changed before another digest is a
-	// reason to send it: records that are on their way make digests differ. It is also the
-	// least time between two tables to the same gateway.
-	recordsSettled = time.Second
-)
+// recordsSettled is how long a table must not have changed before another digest is a
+// reason to send it: records that are on their way make digests differ. It is also the
+// least time between two tables to the same gateway.
+const recordsSettled = time.Second
+
+// recordsAgain is how long the same tables are not sent once more to a gateway whose digest
+// still differs.
+const recordsAgain = 15 * time.Second
+
+// recordsSent is what a gateway was sent last.
+type recordsSent struct {
+	at           time.Time
+	mine, theirs uint64 // the digests at that time
+}
 
 // recordIn is a record to tell other gateways of.
 type recordIn struct{ record quarantine.Record }
@@ -33,12 +36,7 @@
 func (l *Loop) TellRecord(r quarantine.Record) { l.put(recordIn{r}) }
 
 func (l *Loop) tellRecord(now time.Time, r quarantine.Record, except string) {
-	to := place.Top(l.members.Nodes(), string(r.Request[:]), recordKeepers)
-	if r.IsShared() {
-		// Each neighbour tells its own, so that all know within a few steps.
-		to = l.members.Near(now)
-	}
-	for _, id := range to {
+	for _, id := range quarantine.Audience(r, l.members.Nodes(), l.members.Near(now)) {
 		if id != except && id != l.opts.Self.ID {
 			f := l.out.Frame(now, id, false)
 			f.RequestRecords = append(f.RequestRecords, recordToWire(now, r))
@@ -66,10 +64,17 @@
 // or was cut off, learns in one exchange what the fleet knows.
 func (l *Loop) compareRecords(now time.Time, hb member.HeartbeatSeen, theirs uint64) {
 	mine, age := l.opts.Requests.Digest()
-	if mine == theirs || mine != 0 && age < recordsSettled || now.Sub(l.recordsSent[hb.From.ID]) < recordsSettled {
+	if mine == theirs || mine != 0 && age < recordsSettled {
+		return
+	}
+	last, pause := l.recordsSent[hb.From.ID], recordsSettled
+	if last.mine == mine && last.theirs == theirs {
+		pause = recordsAgain
+	}
+	if now.Sub(last.at) < pause {
 		return
 	}
-	l.recordsSent[hb.From.ID] = now
+	l.recordsSent[hb.From.ID] = recordsSent{now, mine, theirs}
 	l.sendRecords(now, hb.From.ID, true)
 }
 
