quarantine: Keep refused requests in the store; disregard them in the throttle

Cause: after the loss of all gateways at once a refused request would end three more targets. Change: what is refused is written to a table of the store, once, read by the three gateways that watch the store when they start, and dropped when it is over or goes through. Refused tries are taken out of the throttle's count.

--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -268,11 +268,16 @@
 		m.after(at, func() { m.start(g) })
 	}
 	for name, trouble := range map[string]func(m *model){
-		"cut from the start":    func(m *model) { cut(m, 3, 0, 10*time.Second) },
-		"cut again and again":   func(m *model) { cut(m, 3, time.Second, 4*time.Second); cut(m, 3, 10*time.Second, 4*time.Second) },
-		"half is cut":           func(m *model) { cut(m, 0, 0, 8*time.Second); cut(m, 1, 0, 8*time.Second); cut(m, 2, 0, 8*time.Second); cut(m, 4, 0, 8*time.Second) },
-		"all start in turn":     func(m *model) { rollAll(m, restart) },
-		"a start during a cut":  func(m *model) { cut(m, 5, 2*time.Second, 6*time.Second); restart(m, 5, 4*time.Second) },
+		"cut from the start":  func(m *model) { cut(m, 3, 0, 10*time.Second) },
+		"cut again and again": func(m *model) { cut(m, 3, time.Second, 4*time.Second); cut(m, 3, 10*time.Second, 4*time.Second) },
+		"half is cut": func(m *model) {
+			cut(m, 0, 0, 8*time.Second)
+			cut(m, 1, 0, 8*time.Second)
+			cut(m, 2, 0, 8*time.Second)
+			cut(m, 4, 0, 8*time.Second)
+		},
+		"all start in turn":    func(m *model) { rollAll(m, restart) },
+		"a start during a cut": func(m *model) { cut(m, 5, 2*time.Second, 6*time.Second); restart(m, 5, 4*time.Second) },
 		"starts at every second": func(m *model) {
 			for s := range 50 {
 				restart(m, s%gateways, time.Duration(s)*time.Second)
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -209,13 +209,16 @@
 	return out
 }
 
-// Expire forgets what is over.
-func (t *Table) Expire(now time.Time) {
+// Expire forgets what is over and returns it.
+func (t *Table) Expire(now time.Time) []Record {
+	var over []Record
 	for _, r := range t.records {
 		if !now.Before(r.expires()) {
 			t.drop(r)
+			over = append(over, *r)
 		}
 	}
+	return over
 }
 
 // record returns the record of a request, a new one where there is none. Where the table
--- a/core/throttle/throttle.go
+++ b/core/throttle/throttle.go
@@ -72,6 +72,13 @@
 // Accepted counts a request that was placed.
 func (t *Throttle) Accepted(now time.Time, name string) { t.account(now, name).accepted++ }
 
+// Disregard takes a counted request back that is refused for a reason of its own: it is no
+// demand that the account's other requests should pay for.
+func (t *Throttle) Disregard(now time.Time, name string) {
+	a := t.account(now, name)
+	a.asked = max(a.asked-1, 0)
+}
+
 // sweep forgets accounts that have asked for nothing for long.
 func (t *Throttle) sweep(now time.Time) {
 	if now.Sub(t.swept) < 10*half {
--- a/core/throttle/throttle_test.go
+++ b/core/throttle/throttle_test.go
@@ -78,3 +78,17 @@
 		t.Error("a flood of a minute ago still counts")
 	}
 }
+
+// An account's requests that are refused for what they did are no demand that was not met:
+// its other requests are asked for as before.
+func TestDisregardedRequestsAreNoFlood(t *testing.T) {
+	th := New()
+	now := time.Unix(1_700_000_000, 0)
+	for range 1000 {
+		th.Admit(now, "a", 1)
+		th.Disregard(now, "a")
+	}
+	if !th.Admit(now, "a", 0) {
+		t.Error("an account is throttled for requests that were to be refused in any case")
+	}
+}
--- a/lab/platform/single.go
+++ b/lab/platform/single.go
@@ -67,6 +67,27 @@
 	return s.endings
 }
 
+// StoreAway makes the store answer no call, or serve again.
+func (s *Site) StoreAway(away bool) {
+	mode := StoreServes
+	if away {
+		mode = StoreBusy
+	}
+	s.store.SetMode("", mode)
+}
+
+// KillGateways ends all gateways at once and starts them again.
+func (s *Site) KillGateways() {
+	for _, g := range s.gateways {
+		g.running.Stop()
+	}
+	for _, g := range s.gateways {
+		if err := s.startGateway(g); err != nil {
+			s.ledger.Wrong("gateway: %v", err)
+		}
+	}
+}
+
 // RestartEnded starts the workers again that requests have ended.
 func (s *Site) RestartEnded() error {
 	s.mu.Lock()
--- a/lab/platform/trouble.go
+++ b/lab/platform/trouble.go
@@ -27,14 +27,15 @@
 			time.Sleep(outage)
 			s.store.SetMode("", StoreServes)
 		},
-		"worker-dark":  func(s *Site) { s.spell(FaultDark) },
-		"worker-error": func(s *Site) { s.spell(FaultErrors) },
-		"answer-lost":  func(s *Site) { s.spell(FaultLost) },
-		"answer-cut":   func(s *Site) { s.spell(FaultCut) },
-		"answer-extra": func(s *Site) { s.spell(FaultExtra) },
-		"worker-shed":  func(s *Site) { s.spell(FaultShed) },
-		"worker-drain": func(s *Site) { s.replace() },
-		"gateway-kill": func(s *Site) { s.kill(0) },
+		"worker-dark":          func(s *Site) { s.spell(FaultDark) },
+		"worker-error":         func(s *Site) { s.spell(FaultErrors) },
+		"answer-lost":          func(s *Site) { s.spell(FaultLost) },
+		"answer-cut":           func(s *Site) { s.spell(FaultCut) },
+		"answer-extra":         func(s *Site) { s.spell(FaultExtra) },
+		"worker-shed":          func(s *Site) { s.spell(FaultShed) },
+		"worker-drain":         func(s *Site) { s.replace() },
+		"request-ends-workers": func(s *Site) { s.endWorkers() },
+		"gateway-kill":         func(s *Site) { s.kill(0) },
 		"gateways-kill": func(s *Site) {
 			for i := range s.gateways {
 				s.kill(i)
@@ -127,6 +128,30 @@
 	}
 }
 
+const (
+	// endingEvery is how often callers send a request that ends workers.
+	endingEvery = 50 * time.Millisecond
+	// mostEnded is how many workers may end under it: three until it is refused, and those
+	// of tries that were under way at the other gateways.
+	mostEnded = 3 + 3
+)
+
+// endWorkers has callers send a request that ends its workers to all gateways for a while.
+// Workers are back when the next try is over.
+func (s *Site) endWorkers() {
+	before := s.Endings()
+	for end, n := time.Now().Add(outage), 0; time.Now().Before(end); n++ {
+		s.AskEnding(s.ctx, n%len(s.gateways), Kinds()[n%len(Kinds())], "account-0", uint64(n))
+		if err := s.RestartEnded(); err != nil {
+			s.ledger.Wrong("worker: %v", err)
+		}
+		time.Sleep(endingEvery)
+	}
+	if n := s.Endings() - before; n > mostEnded*len(Kinds()) {
+		s.ledger.Wrong("%d workers ended under %d requests", n, len(Kinds()))
+	}
+}
+
 // spell makes a model worker and a plain worker go wrong for a while.
 func (s *Site) spell(f Fault) {
 	one, other := s.model(0), s.model(s.opts.Models)
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -168,6 +168,7 @@
 		Self: g.self, Seeds: s.Seeds, Clock: g.clock, Auth: auth, Meter: g.meter, Member: members, Follow: g.follow, Requests: g.requests,
 		Kept: client.Kept, FairWindow: s.FairWindow.Duration, OnMembers: g.setRelief, OnGone: g.relay.Gone,
 	})
+	g.requests.Keep(&g.t, quarantine.Keeping{Archive: platform.NewQuarantine(store), Looks: g.loop.Watches, Empty: s.FirstStart})
 	discover.Start(&g.t, log.New("discover").With(s.ID), discover.Options{
 		Self: discover.Entry{ID: s.ID, Address: s.Peers}, Register: platform.NewGateways(store), Peers: g.loop, Clock: g.clock,
 		Empty: s.FirstStart,
--- a/services/forward/quarantine.go
+++ b/services/forward/quarantine.go
@@ -48,19 +48,29 @@
 	}
 	switch standing, hold := j.s.opts.Requests.Judge(j.fingerprint()); {
 	case standing == quarantine.Quarantined:
-		j.s.opts.Requests.NoteRefused()
-		return result.New(result.EndsTargets, "targets have ended under request %s", j.fingerprint()).After(hold)
+		return j.disregard(result.New(result.EndsTargets, "targets have ended under request %s", j.fingerprint()).After(hold))
 	case standing == quarantine.OnTrial && !j.past.onTrial:
 		ok, pause := j.s.opts.Requests.StartTrial(j.fingerprint())
 		if !ok {
-			j.s.opts.Requests.NoteRefused()
-			return result.New(result.EndsTargets, "another try of request %s is under way", j.fingerprint()).After(pause)
+			return j.disregard(result.New(result.EndsTargets, "another try of request %s is under way", j.fingerprint()).After(pause))
 		}
 		j.past.onTrial = true
 	}
 	return nil
 }
 
+// disregard counts a refusal for the request's past; the account's other requests are not
+// throttled for it.
+func (j *job) disregard(refusal error) error {
+	j.s.opts.Requests.NoteRefused()
+	if scheduled(j.r.Service, &j.r.Call) {
+		j.s.mu.Lock()
+		defer j.s.mu.Unlock()
+		j.s.throttle.Disregard(j.s.opts.Clock.Now(), j.r.account())
+	}
+	return refusal
+}
+
 // checkAtSend looks once more when a connection is there: while the request waited for a
 // place, another gateway may have seen a target end under it.
 func (j *job) checkAtSend() error {
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -118,7 +118,8 @@
 	tickDue time.Time // tickDue is when the next tick comes at the latest, unless this process is late.
 	told follow.Versions
 	// recordsSent is what each gateway was last sent of all records of requests.
-	recordsSent map[string]recordsSent
+	recordsSent    map[string]recordsSent
+	recordsExpired time.Time
 	// membersChanged tells that changes of the members are not in force yet.
 	membersChanged bool
 
@@ -250,6 +251,7 @@
 	l.member(now, member.Tick{})
 	l.takeMembers(now)
 	l.callSeeds(now)
+	l.expireRecords(now)
 	for key, s := range l.cells {
 		l.schedule(now, key, s, cell.Tick{})
 		if s.keptAt.IsZero() {
--- a/services/mesh/quarantine.go
+++ b/services/mesh/quarantine.go
@@ -4,9 +4,11 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"madderway/core/member"
+	"madderway/core/place"
 	"madderway/core/quarantine"
 	"madderway/modules/wire"
 )
@@ -20,6 +22,9 @@
 // still differs.
 const recordsAgain = 15 * time.Second
 
+// recordsExpire is how often what is over is looked for; records are kept for minutes.
+const recordsExpire = 10 * time.Second
+
 // recordsSent is what a gateway was sent last.
 type recordsSent struct {
 	at           time.Time
@@ -52,7 +57,7 @@
 			records = append(records, record)
 		}
 	}
-	for _, r := range l.opts.Requests.Merge(peer, records) {
+	for _, r := range l.opts.Requests.Merge(peer, records, l.keepsFirst) {
 		l.tellRecord(now, r, peer)
 	}
 	if f.RequestRecordsAsk {
@@ -60,6 +65,20 @@
 	}
 }
 
+// keepsFirst tells whether this gateway is the first to keep a record of a request.
+func (l *Loop) keepsFirst(f quarantine.Fingerprint) bool {
+	return slices.Contains(place.Top(l.members.Nodes(), string(f[:]), 1), l.opts.Self.ID)
+}
+
+// expireRecords forgets records that are over.
+func (l *Loop) expireRecords(now time.Time) {
+	if now.Sub(l.recordsExpired) < recordsExpire {
+		return
+	}
+	l.recordsExpired = now
+	l.opts.Requests.Expire(l.keepsFirst)
+}
+
 // compareRecords sends a gateway all records where it knows others: one that has started,
 // or was cut off, learns in one exchange what the fleet knows.
 func (l *Loop) compareRecords(now time.Time, hb member.HeartbeatSeen, theirs uint64) {
--- /dev/null
+++ b/services/quarantine/archive.go
@@ -0,0 +1,171 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"madderway/core/quarantine"
+)
+
+// Archive keeps what is refused where it outlasts the processes of the fleet: after the
+// loss of all machines each refused request would end three more targets.
+type Archive interface {
+	// Records returns all that is kept, the time of its ends aside.
+	Records(ctx context.Context) ([]quarantine.Record, error)
+	Put(ctx context.Context, r quarantine.Record) error
+	Drop(ctx context.Context, requests []quarantine.Fingerprint) error
+}
+
+const (
+	// archiveTime bounds one call of the archive.
+	archiveTime = 2 * time.Second
+	// archiveRing is how many changes may wait for the archive; it is away for seconds, and
+	// few requests are refused.
+	archiveRing = 64
+	// archiveAgain is the pause after a call that failed; it doubles up to archiveMost.
+	archiveAgain = time.Second
+	archiveMost  = 10 * time.Second
+	// lookAfter is how long after its start a gateway looks into the archive. By then it
+	// knows whether others are there, and three of the fleet look for all.
+	lookAfter = 700 * time.Millisecond
+	// dropMost is how many rows one call may drop.
+	dropMost = 90
+)
+
+// change is one of the archive: a record to put, or requests to drop.
+type change struct {
+	put  *quarantine.Record
+	drop []quarantine.Fingerprint
+}
+
+// Keeping is what a Service needs to keep what is refused.
+type Keeping struct {
+	Archive Archive
+	// Looks tells whether this gateway is one of those that read the archive for all.
+	Looks func() bool
+	// Empty tells that nothing can be kept yet: the whole fleet starts for the first time.
+	Empty bool
+}
+
+// Keep starts to keep what is refused; it ends with the tomb.
+func (s *Service) Keep(t *tomb.Tomb, k Keeping) {
+	t.Go(func() error {
+		s.look(t, k)
+		for {
+			select {
+			case <-t.Dying():
+				return nil
+			case c := <-s.changes:
+				s.write(t, k.Archive, c)
+			}
+		}
+	})
+}
+
+// look reads the archive soon after the start.
+func (s *Service) look(t *tomb.Tomb, k Keeping) {
+	if k.Empty {
+		return
+	}
+	pause := lookAfter
+	for {
+		select {
+		case <-t.Dying():
+			return
+		case <-s.opts.Clock.After(pause):
+		}
+		if !k.Looks() || s.read(t, k.Archive) {
+			return
+		}
+		pause = min(max(2*pause, archiveAgain), archiveMost)
+	}
+}
+
+// read takes what is kept, tells it on and drops what is no longer of use.
+func (s *Service) read(t *tomb.Tomb, a Archive) bool {
+	ctx, cancel := context.WithTimeout(t.Context(context.Background()), archiveTime)
+	defer cancel()
+	records, err := a.Records(ctx)
+	if err != nil {
+		s.log.Warn("What is refused cannot be read, will try again.", "error", err)
+		return false
+	}
+	s.log.Info("Read what is refused.", "requests", len(records))
+	now := s.opts.Clock.Now()
+	for i := range records {
+		date(&records[i], now)
+	}
+	for _, r := range s.Merge("archive", records, func(quarantine.Fingerprint) bool { return false }) {
+		s.opts.Tell(r)
+	}
+	var useless []quarantine.Fingerprint
+	for _, r := range records {
+		if standing, _ := s.Judge(r.Request); standing == quarantine.Unsuspected {
+			useless = append(useless, r.Request)
+		}
+	}
+	s.change(change{drop: useless})
+	return true
+}
+
+// date gives the ends of a record times from now back: the archive's are of another clock.
+func date(r *quarantine.Record, now time.Time) {
+	const apart = 2 * time.Second // more than ends of one target can be told apart by
+	for i := range r.Deaths {
+		r.Deaths[i].At = now.Add(-time.Duration(i) * apart)
+	}
+}
+
+// change has the archive changed, where one is kept.
+func (s *Service) change(c change) {
+	if c.put == nil && len(c.drop) == 0 {
+		return
+	}
+	select {
+	case s.changes <- c:
+	default:
+		s.log.Warn("Too many changes wait for the archive, one left out.")
+	}
+}
+
+// write makes one change; a put is tried until it is done, a drop once: it is made up for
+// when the archive is read.
+func (s *Service) write(t *tomb.Tomb, a Archive, c change) {
+	if c.put == nil {
+		s.drop(t, a, c.drop)
+		return
+	}
+	for pause := archiveAgain; ; pause = min(2*pause, archiveMost) {
+		ctx, cancel := context.WithTimeout(t.Context(context.Background()), archiveTime)
+		err := a.Put(ctx, *c.put)
+		cancel()
+		if err == nil {
+			return
+		}
+		s.log.Warn("A refused request is not kept, will try again.", "request", c.put.Request, "error", err)
+		select {
+		case <-t.Dying():
+			return
+		case <-s.opts.Clock.After(pause):
+		}
+	}
+}
+
+func (s *Service) drop(t *tomb.Tomb, a Archive, requests []quarantine.Fingerprint) {
+	for len(requests) > 0 {
+		n := min(len(requests), dropMost)
+		ctx, cancel := context.WithTimeout(t.Context(context.Background()), archiveTime)
+		err := a.Drop(ctx, requests[:n])
+		cancel()
+		if err != nil {
+			s.log.Warn("Requests that are no longer refused stay in the archive.", "requests", len(requests), "error", err)
+			return
+		}
+		requests = requests[n:]
+	}
+}
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -19,9 +19,6 @@
 	"madderway/modules/log"
 )
 
-// expireEvery is how often what is over is looked for; records are kept for minutes.
-const expireEvery = 10 * time.Second
-
 // Options are the parts of a Service.
 type Options struct {
 	Clock clock.Clock
@@ -37,9 +34,10 @@
 	// one load of it.
 	known atomic.Int32
 
-	mu      sync.Mutex // mu guards what follows.
-	table   *quarantine.Table
-	expired time.Time
+	mu    sync.Mutex // mu guards what follows.
+	table *quarantine.Table
+
+	changes chan change // changes wait for the archive.
 
 	set     *metrics.Set
 	ends    *metrics.Counter
@@ -50,7 +48,7 @@
 func New(logger log.Logger, o Options) *Service {
 	set := metrics.NewSet()
 	return &Service{
-		log: logger, opts: o, table: quarantine.New(), set: set,
+		log: logger, opts: o, table: quarantine.New(), changes: make(chan change, archiveRing), set: set,
 		ends:    set.NewCounter("madderway_gateway_requests_accused_total"),
 		refused: set.NewCounter("madderway_gateway_quarantine_refused_total"),
 	}
@@ -108,6 +106,9 @@
 	s.ends.Inc()
 	s.logChange(r, before, after, hold, "")
 	s.opts.Tell(r)
+	if after == quarantine.Quarantined && before != after {
+		s.change(change{put: &r})
+	}
 }
 
 // Passed takes that a request has gone through at a target.
@@ -121,12 +122,15 @@
 	if news {
 		s.logChange(r, before, quarantine.Unsuspected, 0, "")
 		s.opts.Tell(r)
+		if len(r.Deaths) >= quarantine.Enough {
+			s.change(change{drop: []quarantine.Fingerprint{f}})
+		}
 	}
 }
 
 // Merge takes records of another gateway. It returns those that told anything new and that
-// all gateways are to know.
-func (s *Service) Merge(from string, records []quarantine.Record) []quarantine.Record {
+// all gateways are to know. First tells whether this gateway is the first to keep a record.
+func (s *Service) Merge(from string, records []quarantine.Record, first func(f quarantine.Fingerprint) bool) []quarantine.Record {
 	now := s.opts.Clock.Now()
 	var news []quarantine.Record
 	for _, other := range records {
@@ -140,6 +144,9 @@
 			continue
 		}
 		s.logChange(r, before, after, hold, from)
+		if after == quarantine.Quarantined && before != after && first(r.Request) {
+			s.change(change{put: &r})
+		}
 		if r.IsShared() {
 			news = append(news, r)
 		}
@@ -158,17 +165,30 @@
 // has not changed.
 func (s *Service) Digest() (digest uint64, age time.Duration) {
 	if s.known.Load() == 0 {
-		return 0, expireEvery
+		return 0, 0
 	}
-	now := s.opts.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Sub(s.expired) >= expireEvery {
-		s.expired = now
-		s.table.Expire(now)
-		s.count()
+	return s.table.Digest(), s.opts.Clock.Now().Sub(s.table.ChangedAt())
+}
+
+// Expire forgets what is over. First tells whether this gateway is the first to keep a
+// record, which then goes from the archive, too.
+func (s *Service) Expire(first func(f quarantine.Fingerprint) bool) {
+	if s.known.Load() == 0 {
+		return
+	}
+	s.mu.Lock()
+	over := s.table.Expire(s.opts.Clock.Now())
+	s.count()
+	s.mu.Unlock()
+	var drop []quarantine.Fingerprint
+	for _, r := range over {
+		if len(r.Deaths) >= quarantine.Enough && first(r.Request) {
+			drop = append(drop, r.Request)
+		}
 	}
-	return s.table.Digest(), now.Sub(s.table.ChangedAt())
+	s.change(change{drop: drop})
 }
 
 // count keeps known right; mu is held.
