--- a/modules/clock/clock.go
+++ b/modules/clock/clock.go
@@ -15,17 +15,19 @@
 	Now() time.Time
 	// After returns a channel that gets the time once d has passed.
 	After(d time.Duration) <-chan time.Time
+	// AfterFunc calls a function in its own goroutine once d has passed.
+	AfterFunc(d time.Duration, f func()) Timer
+}
+
+// Timer is a call that has been put off.
+type Timer interface {
+	// Stop takes the call back; it reports false where it has been made, or is being made.
+	Stop() bool
 }
 
 // System is the machine's clock.
 type System struct{}
 
-// Now implements Clock.
-func (System) Now() time.Time { return time.Now() }
-
-// After implements Clock.
-func (System) After(d time.Duration) <-chan time.Time { return time.After(d) }
-
 // Fake is a clock that moves only when it is told to.
 type Fake struct {
 	mu     sync.Mutex
@@ -34,8 +36,25 @@
 }
 
 type fakeTimer struct {
-	at time.Time
-	ch chan time.Time
+	at   time.Time
+	ch   chan time.Time // ch is nil where there is a call.
+	call *fakeCall
+}
+
+// fakeCall is a call that has been put off.
+type fakeCall struct {
+	clock *Fake
+	f     func()
+	done  bool // done tells that it was made or taken back.
+}
+
+// Stop implements Timer.
+func (c *fakeCall) Stop() bool {
+	c.clock.mu.Lock()
+	defer c.clock.mu.Unlock()
+	was := c.done
+	c.done = true
+	return !was
 }
 
 // NewFake returns a fake clock at a fixed time.
@@ -57,24 +76,46 @@
 		ch <- f.now
 		return ch
 	}
-	f.timers = append(f.timers, fakeTimer{f.now.Add(d), ch})
+	f.timers = append(f.timers, fakeTimer{at: f.now.Add(d), ch: ch})
 	return ch
 }
 
+// AfterFunc implements Clock; the call is made by Advance.
+func (f *Fake) AfterFunc(d time.Duration, call func()) Timer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := &fakeCall{clock: f, f: call}
+	f.timers = append(f.timers, fakeTimer{at: f.now.Add(d), call: c})
+	return c
+}
+
 // Advance moves the clock and fires the timers that are due.
 func (f *Fake) Advance(d time.Duration) {
+	for _, c := range f.advance(d) {
+		c.f()
+	}
+}
+
+// advance moves the clock and returns the calls that are due.
+func (f *Fake) advance(d time.Duration) []*fakeCall {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.now = f.now.Add(d)
+	var due []*fakeCall
 	kept := f.timers[:0]
 	for _, t := range f.timers {
-		if t.at.After(f.now) {
+		switch {
+		case t.at.After(f.now):
 			kept = append(kept, t)
-			continue
+		case t.call == nil:
+			t.ch <- f.now
+		case !t.call.done:
+			t.call.done = true
+			due = append(due, t.call)
 		}
-		t.ch <- f.now
 	}
 	f.timers = kept
+	return due
 }
 
 // Waiting returns how many timers have not fired yet.
