router, forward, member, follow: What a standstill makes old is not believed

Cause: after a machine was suspended, or a process stopped, its gateway went on as if no time had passed: deadlines, idle connections, the age of what it knows, placements under way; and it took all members for silent. Change: all spans that are believed are of the clock that counts suspension. A place older than a second is not sent to, checked beside the first byte. An answer of the store that lay in a buffer is as old as its call.

--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -195,6 +195,9 @@
 	return now.Sub(w.freshAt) > longSilence || !w.backAt.IsZero() && now.Sub(w.backAt) < settleTime
 }
 
+// FreshSince tells whether what is known was all there was at some time after t.
+func (w *Watch) FreshSince(t time.Time) bool { return w.freshAt.After(t) }
+
 // Age returns how old the knowledge is; it is very old where nothing is known.
 func (w *Watch) Age(now time.Time) time.Duration {
 	if w.freshAt.IsZero() {
--- a/handlers/gateway/gateway.go
+++ b/handlers/gateway/gateway.go
@@ -42,6 +42,9 @@
 	Follow    *follow.Service
 	Forward   *forward.Service
 	MaxBodies int64 // MaxBodies bounds the bytes of all bodies that are held at once.
+	// Unsettled tells that the process has stood still and has not heard anew what holds;
+	// nil where that is not watched.
+	Unsettled func() bool
 }
 
 // Handler serves callers.
@@ -119,6 +122,9 @@
 	if x == nil {
 		return nil, result.New(result.NotReady, "no configuration is known").After(notReadyAfter)
 	}
+	if h.opts.Unsettled != nil && h.opts.Unsettled() {
+		return nil, result.New(result.NotReady, "the process stood still and has not heard anew what holds").After(notReadyAfter)
+	}
 	if over(r.Header, x.Configuration.Limits.MaxHeaderBytes) {
 		return nil, result.New(result.HeaderTooLarge, "over %d bytes", x.Configuration.Limits.MaxHeaderBytes)
 	}
@@ -171,7 +177,7 @@
 		return nil, result.New(result.QueueFull, "too many bytes are held").After(notReadyAfter)
 	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(deadline)
+	_ = control.SetReadDeadline(time.Now().Add(deadline.Sub(h.opts.Clock.Now())))
 	reader := io.Reader(r.Body)
 	if limits.MaxBodyBytes > 0 {
 		reader = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
--- a/modules/clock/system.go
+++ b/modules/clock/system.go
@@ -176,7 +176,9 @@
 }
 
 // AfterFunc implements Clock.
-func (System) AfterFunc(d time.Duration, f func()) Timer { return stopper{machine, machine.afterFunc(d, f)} }
+func (System) AfterFunc(d time.Duration, f func()) Timer {
+	return stopper{machine, machine.afterFunc(d, f)}
+}
 
 // Check reads the machine's clock for time in suspension that a step of the time of day may
 // hide from Now; whoever watches for standstills calls it.
--- a/modules/lateness/lateness.go
+++ b/modules/lateness/lateness.go
@@ -4,7 +4,8 @@
 // Package lateness measures how late a process comes to what it is sent. A byte
 // goes through a pipe at regular times; how long after its time it is read tells
 // what a request or an answer waits for timers, the poller and the run queue,
-// whether the processor is short, given in portions, or stood still.
+// whether the processor is short, given in portions, or stood still, or the machine was
+// suspended.
 package lateness
 
 import (
@@ -13,6 +14,8 @@
 	"time"
 
 	"gopkg.in/tomb.v2"
+
+	"madderway/modules/clock"
 )
 
 // calm is the lateness up to which a process is in time. After calmSamples of those in a
@@ -44,12 +47,15 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Probe{t: t, every: every, report: report, reader: reader, writer: writer, due: make(chan time.Time, 1), start: time.Now()}
+	p := &Probe{t: t, every: every, report: report, reader: reader, writer: writer, due: make(chan time.Time, 1), start: now()}
 	t.Go(p.send)
 	t.Go(p.receive)
 	return p, nil
 }
 
+// now returns the time with that in suspension counted, which is a lateness like any other.
+func now() time.Time { return clock.System{}.Now() }
+
 // Overdue returns how late the byte that is under way already is, 0 where none is. A
 // process that is late by seconds has no sample in all that time.
 func (p *Probe) Overdue(now time.Time) time.Duration {
@@ -63,8 +69,8 @@
 // send writes a byte at each time, unless the last one has not been read yet.
 func (p *Probe) send() error {
 	defer p.writer.Close()
-	due := time.Now().Add(p.pause())
-	timer := time.NewTimer(time.Until(due))
+	due := now().Add(p.pause())
+	timer := time.NewTimer(due.Sub(now()))
 	defer timer.Stop()
 	for {
 		select {
@@ -80,8 +86,8 @@
 			}
 		default:
 		}
-		due = time.Now().Add(p.pause())
-		timer.Reset(time.Until(due))
+		due = now().Add(p.pause())
+		timer.Reset(due.Sub(now()))
 	}
 }
 
@@ -110,7 +116,7 @@
 		}
 		due := <-p.due
 		p.unread.CompareAndSwap(int64(due.Sub(p.start)), 0) // the next byte may be under way
-		lateness := max(time.Since(due), 0)
+		lateness := max(now().Sub(due), 0)
 		p.note(lateness)
 		p.report(lateness)
 	}
--- a/modules/peernet/link.go
+++ b/modules/peernet/link.go
@@ -13,6 +13,7 @@
 	"github.com/libp2p/go-yamux/v5"
 	"gopkg.in/tomb.v2"
 
+	"madderway/modules/clock"
 	"madderway/modules/netopt"
 	"madderway/modules/ring"
 	"madderway/modules/wire"
@@ -72,6 +73,9 @@
 	return l
 }
 
+// now returns the time with that in suspension counted.
+func now() time.Time { return clock.System{}.Now() }
+
 // Send queues a frame; it is dropped where the ring is full.
 func (l *Link) Send(f *wire.Frame) bool { return l.frames.TryPut(f) }
 
@@ -110,13 +114,13 @@
 			return nil
 		case f := <-l.frames.Out():
 			stream = l.deliver(stream, f)
-			used = time.Now()
+			used = now()
 			if unused == nil && l.idle > 0 {
 				unused = time.After(l.idle)
 			}
 		case <-unused:
 			unused = nil
-			if left := l.idle - time.Since(used); left > 0 {
+			if left := l.idle - now().Sub(used); left > 0 {
 				unused = time.After(left)
 				continue
 			}
@@ -186,14 +190,14 @@
 	if l.blocked {
 		return nil, ErrHandshake{"the link is cut"}
 	}
-	if now := time.Now(); now.Before(l.retryAt) {
+	if now().Before(l.retryAt) {
 		return nil, l.lastErr
 	}
 	session, err := l.dial()
 	l.renewal.failing.Store(err != nil)
 	if err != nil {
 		l.lastErr = err
-		l.retryAt = time.Now().Add(l.backoff)
+		l.retryAt = now().Add(l.backoff)
 		l.backoff = min(2*l.backoff, redialMax)
 		return nil, err
 	}
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -81,8 +81,10 @@
 	pool     *upstream.Pool
 	guard    *forward.Guard
 	probe    atomic.Pointer[lateness.Probe]
-	forward  *forward.Service
-	handler  *gateway.Handler
+	// standstill is the last time at which the process had not run for long.
+	standstill standstill
+	forward    *forward.Service
+	handler    *gateway.Handler
 
 	callers   *gateway.Server
 	readiness *http.Server
@@ -115,7 +117,7 @@
 	g.assemble()
 	g.serve(listeners[1:])
 	peernet.NewCarryingServer(&g.t, log.New("peer").With(s.ID), peernet.NewSharedKey(s.ID, s.PeerKey), g.meter, listeners[0], g.loop, relay.NewServer(log.New("relay").With(s.ID), g.handler))
-	probe, err := lateness.Start(&g.t, probeEvery, g.guard.Late)
+	probe, err := lateness.Start(&g.t, probeEvery, g.late)
 	if err != nil {
 		g.log.Error(err, "No probe of lateness; overload is not noticed.")
 	}
@@ -185,7 +187,7 @@
 	})
 	g.handler = gateway.New(gateway.Options{
 		Clock: g.clock, Dialect: platform.Dialect{}, Follow: g.follow, Forward: g.forward,
-		MaxBodies: int64(bodyShare * float64(s.MemoryMB<<20)),
+		MaxBodies: int64(bodyShare * float64(s.MemoryMB<<20)), Unsettled: g.unsettled,
 	})
 }
 
@@ -304,7 +306,7 @@
 
 // Ready tells whether the gateway takes requests.
 func (g *Gateway) Ready() bool {
-	return !g.isDraining() && g.follow.Index() != nil && len(g.follow.Targets().Targets) > 0
+	return !g.isDraining() && !g.unsettled() && g.follow.Index() != nil && len(g.follow.Targets().Targets) > 0
 }
 
 func (g *Gateway) isDraining() bool {
--- a/router/gatewaystate.go
+++ b/router/gatewaystate.go
@@ -15,6 +15,7 @@
 
 	"madderway/core/cell"
 	"madderway/core/quarantine"
+	"madderway/modules/clock"
 	"madderway/services/mesh"
 )
 
@@ -89,6 +90,8 @@
 	gauge("targets_age_seconds", d.Mesh.Versions.TargetsAge.Seconds())
 	gauge("watches_store", boolNumber(d.Mesh.Watches))
 	gauge("store_calls_total", d.StoreCalls)
+	gauge("standstills_total", g.standstill.count.Load())
+	gauge("suspended_seconds_total", clock.Suspended().Seconds())
 	gauge("peer_fetches_total", d.PeerFetches)
 	gauge("target_connections_total", d.Dials)
 	gauge("placements_pending", d.Mesh.Pending)
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -269,5 +269,5 @@
 
 // detached returns a context that ends with the router, not with the caller.
 func (s *Service) detached(j *job) (context.Context, context.CancelFunc) {
-	return context.WithDeadline(s.t.Context(context.Background()), time.Now().Add(j.deadline.Sub(s.opts.Clock.Now())))
+	return clock.WithDeadline(s.t.Context(context.Background()), s.opts.Clock, j.deadline)
 }
--- a/services/dispatch/once.go
+++ b/services/dispatch/once.go
@@ -12,6 +12,7 @@
 
 	core "madderway/core/claim"
 	"madderway/models/result"
+	"madderway/modules/clock"
 	"madderway/modules/ident"
 	"madderway/services/claim"
 )
@@ -28,7 +29,7 @@
 		Attempt: ident.New(attemptIDTag), Digest: digestOf(c), Router: s.opts.RouterID,
 		Incarnation: s.opts.Incarnation, RequestID: j.requestID, Expires: s.opts.Clock.Now().Add(s.opts.ClaimKept),
 	}
-	wait, cancel := context.WithDeadline(ctx, time.Now().Add(j.deadline.Sub(s.opts.Clock.Now())))
+	wait, cancel := clock.WithDeadline(ctx, s.opts.Clock, j.deadline)
 	defer cancel()
 	outcome := s.opts.Claims.Acquire(wait, claim.Key(j.account.Name, c.IdempotencyKey), row)
 	if outcome.Held == nil {
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -32,6 +32,10 @@
 	// answerTime is how old the store's answer may be when it comes. A call that
 	// waits for changes tells of the end of its wait, not of its beginning.
 	answerTime = 200 * time.Millisecond
+	// answerMost is how long a call may take that waits for changes, with room for a slow
+	// store. One that took longer was answered while this process stood still, perhaps at
+	// its beginning.
+	answerMost = watch.Wait + time.Second
 )
 
 // Options are the parts of a Service.
@@ -154,7 +158,7 @@
 		revision, err := step(ctx, all, since)
 		switch {
 		case err == nil:
-			s.answered(w, later(began, s.opts.Clock.Now().Add(-answerTime)))
+			s.answered(w, answeredAt(began, s.opts.Clock.Now()))
 			all, since, pause = false, revision, 0
 			if lost {
 				lost = false
@@ -290,9 +294,19 @@
 	})
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+// answeredAt returns a time at which what the store has answered was all there was.
+func answeredAt(began, now time.Time) time.Time {
+	at := now.Add(-answerTime)
+	if at.Before(began) || now.Sub(began) > answerMost {
+		return began
 	}
-	return b
+	return at
+}
+
+// FreshSince tells whether the configuration and the targets that are known here are those
+// of a later time.
+func (s *Service) FreshSince(t time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watchConfiguration.FreshSince(t) && s.watchTargets.FreshSince(t)
 }
--- a/services/follow/follow_test.go
+++ b/services/follow/follow_test.go
@@ -284,3 +284,21 @@
 		t.Errorf("%+v after the store's return, want b held and a gone", set.Targets)
 	}
 }
+
+// What the store answers to a call that waits may lie in a buffer while this process stands
+// still: it is as old as the call then. Otherwise it is as old as the answer.
+func TestAnswerReadAfterAStandstillIsOld(t *testing.T) {
+	began := time.Unix(1_700_000_000, 0)
+	for took, age := range map[time.Duration]time.Duration{
+		10 * time.Millisecond:        10 * time.Millisecond,
+		900 * time.Millisecond:       answerTime,
+		answerMost:                   answerTime,
+		answerMost + time.Nanosecond: answerMost + time.Nanosecond,
+		8 * time.Second:              8 * time.Second,
+	} {
+		now := began.Add(took)
+		if got := now.Sub(answeredAt(began, now)); got != age {
+			t.Errorf("an answer after %v is %v old, want %v", took, got, age)
+		}
+	}
+}
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
 
 	"madderway/core/attempt"
+	"madderway/modules/clock"
 	"madderway/services/upstream"
 )
 
@@ -32,6 +34,11 @@
 	defer impatient.Stop()
 	j.broken, j.refusal = false, nil
 	a, err := j.s.opts.Client.Send(ctx, p.target(), j.sendRequest(p.target()))
+	if errors.Is(err, errStalePlace) {
+		j.reason = err.Error()
+		j.history.Unsent++
+		return j.ended(p, attempt.NotSent), nil
+	}
 	if j.refusal != nil {
 		p.canceled()
 		return attempt.NotSent, nil
@@ -60,12 +67,12 @@
 // watch cancels the attempt where its first part takes too long, another target
 // may try and the retry budget has a repeat for it. The repeat is taken before
 // the attempt is cut: one that is cut for nothing would be lost.
-func (j *job) watch(p place, cancel func()) *time.Timer {
+func (j *job) watch(p place, cancel func()) clock.Timer {
 	patience := p.patience()
 	if patience == 0 || !j.r.Route.MayRepeat() || j.history.Sent+1 >= j.r.Route.MaxAttempts {
-		return time.AfterFunc(time.Until(j.r.Deadline)+time.Second, cancel)
+		return j.s.opts.Clock.AfterFunc(j.r.Deadline.Sub(j.s.opts.Clock.Now())+time.Second, cancel)
 	}
-	return time.AfterFunc(patience, func() {
+	return j.s.opts.Clock.AfterFunc(patience, func() {
 		if j.repeat() {
 			j.reserved.Store(true)
 			cancel()
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -101,7 +101,7 @@
 // Serve answers a request. It returns ErrAborted where the connection must end,
 // and a numbered error where nothing has been written yet.
 func (s *Service) Serve(ctx context.Context, w http.ResponseWriter, r *Request) error {
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, cancel := clock.WithDeadline(ctx, s.opts.Clock, r.Deadline)
 	defer cancel()
 	j := &job{s: s, ctx: ctx, w: w, r: r, lastEvent: r.Call.LastEvent, history: attempt.History{Route: r.Route}}
 	j.repeat = func() bool { return s.repeat(r.Service.Name) }
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -43,6 +43,7 @@
 	number    mesh.RequestID
 	reason    string
 	broken    bool // broken tells that the last target ended its answer or connection early.
+	placedAt  time.Time
 	sentAt    time.Time
 	refusal   error // refusal is why the request may not be sent to a target.
 	past      past
@@ -81,7 +82,7 @@
 		if err != nil {
 			return j.notPlaced(err)
 		}
-		j.target = p.target().ID
+		j.target, j.placedAt = p.target().ID, j.s.opts.Clock.Now()
 		outcome, answer := j.exchange(p)
 		if outcome == 0 {
 			j.passed()
--- a/services/forward/quarantine.go
+++ b/services/forward/quarantine.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"errors"
+	"time"
 
 	"madderway/core/attempt"
 	"madderway/core/quarantine"
@@ -71,11 +73,22 @@
 	return refusal
 }
 
-// checkAtSend looks once more when a connection is there: while the request waited for a
-// place, another gateway may have seen a target end under it.
+// placeHolds is how long a place may be old when the request is sent. A connect takes 400 ms
+// at most, so that after longer this process stood still or its machine was suspended, and
+// the target may have left, been evacuated or begun another life meanwhile.
+const placeHolds = time.Second
+
+// errStalePlace tells that a request was not sent since its place may no longer hold.
+var errStalePlace = errors.New("the place was too old to send to")
+
+// checkAtSend looks once more when a connection is there: while the request waited for one,
+// another gateway may have seen a target end under it, or this process stood still.
 func (j *job) checkAtSend() error {
-	j.refusal = j.mayBeSent()
 	j.sentAt = j.s.opts.Clock.Now()
+	if j.sentAt.Sub(j.placedAt) > placeHolds {
+		return errStalePlace
+	}
+	j.refusal = j.mayBeSent()
 	return j.refusal
 }
 
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -11,6 +11,7 @@
 
 	"madderway/core/attempt"
 	"madderway/models/routing"
+	"madderway/modules/clock"
 	"madderway/services/upstream"
 )
 
@@ -30,7 +31,7 @@
 
 // pump passes the events of a stream on as they come. On a route whose streams
 // may be resumed only whole events go out, so that another target can go on.
-func (j *job) pump(p place, a *upstream.Answer, impatient *time.Timer) attempt.Outcome {
+func (j *job) pump(p place, a *upstream.Answer, impatient clock.Timer) attempt.Outcome {
 	flusher := http.NewResponseController(j.w)
 	chunk := make([]byte, streamChunk)
 	var held []byte // held are the bytes of an event that is not whole yet.
--- a/services/forward/watch_test.go
+++ b/services/forward/watch_test.go
@@ -29,7 +29,7 @@
 
 func impatientJob(repeat func() bool) *job {
 	route := &routing.Route{Repeat: routing.RepeatSafe, MaxAttempts: 2}
-	return &job{r: &Request{Route: route, Deadline: time.Now().Add(time.Hour)}, history: attempt.History{Route: route}, repeat: repeat}
+	return &job{s: &Service{opts: Options{Clock: clock.System{}}}, r: &Request{Route: route, Deadline: time.Now().Add(time.Hour)}, history: attempt.History{Route: route}, repeat: repeat}
 }
 
 // An attempt is not cut for its slowness where the retry budget is spent: there
--- a/services/upstream/ended.go
+++ b/services/upstream/ended.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -45,14 +44,14 @@
 	e := &c.endings
 	e.mu.Lock()
 	f := e.findings[t.ID]
-	if f != nil && !f.fresh(time.Now()) {
+	if f != nil && !f.fresh(c.pool.clock.Now()) {
 		f = nil
 	}
 	if f == nil {
 		f = &finding{done: make(chan struct{})}
-		e.forget(time.Now())
+		e.forget(c.pool.clock.Now())
 		e.findings[t.ID] = f
-		go f.find(c.pool.dialer, t.Address)
+		go f.find(c.pool, t.Address)
 	}
 	e.mu.Unlock()
 	select {
@@ -63,16 +62,16 @@
 	}
 }
 
-func (f *finding) find(d *net.Dialer, address string) {
+func (f *finding) find(p *Pool, address string) {
 	defer close(f.done)
 	ctx, cancel := context.WithTimeout(context.Background(), endedTime)
 	defer cancel()
-	conn, err := d.DialContext(ctx, "tcp4", address)
+	conn, err := p.dialer.DialContext(ctx, "tcp4", address)
 	if err == nil {
 		_ = conn.Close()
 	}
 	f.ended = errors.Is(err, syscall.ECONNREFUSED)
-	f.at = time.Now()
+	f.at = p.clock.Now()
 }
 
 // fresh tells whether a finding is under way or still holds.
--- a/services/upstream/exchange.go
+++ b/services/upstream/exchange.go
@@ -109,7 +109,8 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
-	_ = connection.SetDeadline(r.Deadline)
+	// The context ends it earlier where the machine is suspended meanwhile.
+	_ = connection.SetDeadline(time.Now().Add(r.Deadline.Sub(c.pool.clock.Now())))
 	a := &Answer{client: c, target: t.ID, conn: connection, stop: stop}
 	if err := a.write(c.head(r), r.Body); err != nil {
 		a.Close()
--- a/services/upstream/pool.go
+++ b/services/upstream/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"madderway/models/routing"
+	"madderway/modules/clock"
 	"madderway/modules/netopt"
 )
 
@@ -37,6 +38,7 @@
 // Pool holds the idle connections to all targets.
 type Pool struct {
 	dialer  *net.Dialer
+	clock   clock.Clock
 	traffic *netopt.Traffic
 
 	mu      sync.Mutex
@@ -48,7 +50,7 @@
 // NewPool returns a pool that keeps at most maxIdle connections for each target, whose
 // bytes are counted.
 func NewPool(dialTimeout time.Duration, maxIdle int, traffic *netopt.Traffic) *Pool {
-	return &Pool{dialer: netopt.Dialer(dialTimeout), traffic: traffic, idle: map[string][]*conn{}, maxIdle: maxIdle}
+	return &Pool{dialer: netopt.Dialer(dialTimeout), clock: clock.System{}, traffic: traffic, idle: map[string][]*conn{}, maxIdle: maxIdle}
 }
 
 // SetMaxIdle changes how many idle connections are kept for each target.
@@ -73,6 +75,19 @@
 	}
 }
 
+// CloseIdle closes all idle connections: after a standstill of the process the other ends
+// may have forgotten them, and a request that must not run twice would be lost.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, conns := range p.idle {
+		for _, c := range conns {
+			_ = c.Close()
+		}
+		delete(p.idle, id)
+	}
+}
+
 // Dials returns how many connections were opened.
 func (p *Pool) Dials() uint64 {
 	p.mu.Lock()
@@ -87,7 +102,7 @@
 		if c == nil {
 			return p.dial(ctx, t)
 		}
-		if time.Since(c.idleSince) < min(maxIdleTime, c.keep) && quiet(c) {
+		if p.clock.Now().Sub(c.idleSince) < min(maxIdleTime, c.keep) && quiet(c) {
 			c.reused = true
 			return c, nil
 		}
@@ -120,7 +135,7 @@
 }
 
 func (p *Pool) put(id string, c *conn) {
-	c.idleSince = time.Now()
+	c.idleSince = p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[id]
