--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -103,7 +103,6 @@
 			j.s.counters.repeats.Inc()
 			continue
 		case attempt.Deliver:
-			j.passed()
 			return j.deliver(answer)
 		case attempt.Refuse:
 			return result.New(result.TargetRefused, "%s", j.reason).After(soonAfter)
--- a/services/forward/quarantine.go
+++ b/services/forward/quarantine.go
@@ -99,25 +99,48 @@
 	}
 }
 
-// passed notes that a target has answered the request and lives on.
+// passed notes that a target has run the request to its end. A failure tells nothing: a target
+// can give one before it begins to run a request.
 func (j *job) passed() {
 	if j.past.known || j.s.opts.Requests.Knows(j.r.identity()) {
 		j.s.opts.Requests.Passed(j.fingerprint())
 	}
 }
 
+// endWait is how long a request waits to know whether its target has ended before it goes on
+// at another one. A target that has ended says so within a few milliseconds; what is cut off
+// says nothing, and the request must not wait for that.
+const endWait = 60 * time.Millisecond
+
 // lookAtEnd finds out whether the target of an attempt that broke off has ended under it,
-// and remembers the request if so. One that was to leave accuses nobody.
+// and remembers the request if so.
 func (j *job) lookAtEnd(t *routing.Target, o attempt.Outcome) targetEnd {
 	if !j.broken || o != attempt.Unknown && o != attempt.Cut {
 		return targetEnd{}
 	}
 	// The end of this request's time must not hide the target's end from later ones.
-	if !j.s.opts.Client.HasEnded(context.WithoutCancel(j.ctx), t) {
-		return targetEnd{looked: true}
+	ctx := context.WithoutCancel(j.ctx)
+	soon, cancel := context.WithTimeout(ctx, endWait)
+	defer cancel()
+	ended, known := j.s.opts.Client.HasEnded(soon, t)
+	if !known {
+		id, sentAt := j.r.identity(), j.sentAt
+		go func() {
+			if ended, _ := j.s.opts.Client.HasEnded(ctx, t); ended {
+				j.s.accuse(id, t, sentAt)
+			}
+		}()
 	}
-	if now := j.s.opts.Follow.Targets().Find(t.ID); now != nil && now.TakesWork() {
-		j.s.opts.Requests.Ended(j.r.identity(), t.ID, j.sentAt)
+	if !ended {
+		return targetEnd{looked: known}
 	}
+	j.s.accuse(j.r.identity(), t, j.sentAt)
 	return targetEnd{looked: true, ended: true, request: j.fingerprint()}
 }
+
+// accuse remembers the request under which a target has ended, unless that was to leave.
+func (s *Service) accuse(id quarantine.Identity, t *routing.Target, sentAt time.Time) {
+	if now := s.opts.Follow.Targets().Find(t.ID); now != nil && now.TakesWork() {
+		s.opts.Requests.Ended(id, t.ID, sentAt)
+	}
+}
--- a/services/upstream/ended.go
+++ b/services/upstream/ended.go
@@ -39,8 +39,9 @@
 
 // HasEnded tells whether a target whose answer broke off has ended: a target that has only
 // lost a connection, or cuts its answers, still takes connects, and one that has ended
-// refuses them. It is asked after a failure only.
-func (c *Client) HasEnded(ctx context.Context, t *routing.Target) bool {
+// refuses them. Known is false where the context ended first. It is asked after a failure
+// only.
+func (c *Client) HasEnded(ctx context.Context, t *routing.Target) (ended, known bool) {
 	e := &c.endings
 	e.mu.Lock()
 	f := e.findings[t.ID]
@@ -56,9 +57,9 @@
 	e.mu.Unlock()
 	select {
 	case <-f.done:
-		return f.ended
+		return f.ended, true
 	case <-ctx.Done():
-		return false
+		return false, false
 	}
 }
 
