--- a/handlers/gateway/callerconn.go
+++ b/handlers/gateway/callerconn.go
@@ -165,7 +165,7 @@
 		return nil
 	}
 	c.early = false
-	return c.SetReadDeadline(time.Now().Add(headerTime(c.limits)))
+	return c.SetReadDeadline(netopt.In(headerTime(c.limits)))
 }
 
 // refuse reads the rest of a request and answers it.
@@ -177,7 +177,7 @@
 	if _, err := c.counted.Write(answer); err != nil {
 		return err
 	}
-	return c.SetReadDeadline(time.Now().Add(idleTime(c.limits)))
+	return c.SetReadDeadline(netopt.In(idleTime(c.limits)))
 }
 
 // drop reads so many bytes that nobody looks at.
@@ -185,7 +185,7 @@
 	if rest == 0 {
 		return nil
 	}
-	if err := c.SetReadDeadline(time.Now().Add(headerTime(c.limits))); err != nil {
+	if err := c.SetReadDeadline(netopt.In(headerTime(c.limits))); err != nil {
 		return err
 	}
 	buffer := earlyBuffers.Get().(*[earlyBuffer]byte)
--- a/handlers/gateway/gateway.go
+++ b/handlers/gateway/gateway.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"time"
 
+	"madderway/modules/netopt"
+
 	"madderway/handlers/api"
 	"madderway/models/result"
 	"madderway/models/routing"
@@ -177,7 +179,7 @@
 		return nil, result.New(result.QueueFull, "too many bytes are held").After(notReadyAfter)
 	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(deadline.Sub(h.opts.Clock.Now())))
+	_ = control.SetReadDeadline(netopt.In(deadline.Sub(h.opts.Clock.Now())))
 	reader := io.Reader(r.Body)
 	if limits.MaxBodyBytes > 0 {
 		reader = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
--- a/handlers/gateway/relay.go
+++ b/handlers/gateway/relay.go
@@ -9,6 +9,9 @@
 	"net"
 	"time"
 
+	"madderway/modules/clock"
+	"madderway/modules/netopt"
+
 	"madderway/services/relay"
 )
 
@@ -21,6 +24,9 @@
 	handOverTime = 1500 * time.Millisecond
 )
 
+// now returns the time with that in suspension counted.
+func now() time.Time { return clock.System{}.Now() }
+
 // Relay hands requests over to other gateways.
 type Relay interface {
 	// Send hands a request over. The first relay.HeadSize bytes of the buffer are free, the
@@ -63,9 +69,9 @@
 func (c *callerConn) handOver(begun []byte, rest int64, j Judgement) handedOver {
 	c.server.relaying.Add(1)
 	defer c.server.relaying.Add(-1)
-	start, to := time.Now(), HandedTo{}
+	start, to := now(), HandedTo{}
 	defer func() {
-		to.After = time.Since(start)
+		to.After = now().Sub(start)
 		c.server.early.Told(j, to)
 	}()
 	handed, err := c.send(begun, rest)
@@ -93,7 +99,7 @@
 	if to.Lost && !c.gone {
 		_, _ = c.counted.Write(c.server.early.Lost(j.ID))
 	}
-	if !whole || c.gone || c.SetReadDeadline(time.Now().Add(idleTime(c.limits))) != nil {
+	if !whole || c.gone || c.SetReadDeadline(netopt.In(idleTime(c.limits))) != nil {
 		return ended
 	}
 	return answered
@@ -108,7 +114,7 @@
 	buffer := *pooled
 	held := relay.HeadSize + copy(buffer[relay.HeadSize:], begun)
 	if rest > 0 {
-		err := c.SetReadDeadline(time.Now().Add(headerTime(c.limits)))
+		err := c.SetReadDeadline(netopt.In(headerTime(c.limits)))
 		if err == nil {
 			_, err = io.ReadFull(c.counted, buffer[held:size])
 		}
@@ -132,7 +138,7 @@
 
 // await waits until an answer is over, the caller has left, or it is time to give up.
 func (c *callerConn) await(handed *relay.Handed, end time.Time) {
-	if c.SetReadDeadline(end) != nil {
+	if c.SetReadDeadline(netopt.In(end.Sub(now()))) != nil {
 		c.gone = true
 		handed.Cancel()
 		return
@@ -165,11 +171,12 @@
 }
 
 func (c *callerConn) awaitOver(handed *relay.Handed, end time.Time) {
-	late := time.NewTimer(time.Until(end))
-	defer late.Stop()
+	late := make(chan struct{})
+	timer := clock.System{}.AfterFunc(end.Sub(now()), func() { close(late) })
+	defer timer.Stop()
 	select {
 	case <-handed.Done():
-	case <-late.C:
+	case <-late:
 		handed.Cancel()
 	}
 }
--- a/modules/peernet/auth.go
+++ b/modules/peernet/auth.go
@@ -17,6 +17,8 @@
 	"os"
 	"time"
 
+	"madderway/modules/netopt"
+
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"madderway/modules/wire"
@@ -102,7 +104,7 @@
 	} else {
 		tc = tls.Server(conn, a.tls)
 	}
-	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	_ = conn.SetDeadline(netopt.In(handshakeTimeout))
 	if err := tc.Handshake(); err != nil {
 		return nil, ErrHandshake{err.Error()}
 	}
@@ -139,7 +141,7 @@
 
 // dial exchanges hellos with the peer that was dialled and returns its ID.
 func (a *Auth) dial(conn net.Conn) (string, error) {
-	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	_ = conn.SetDeadline(netopt.In(handshakeTimeout))
 	defer conn.SetDeadline(time.Time{})
 	mine, err := a.hello(protocolVersion)
 	if err != nil {
@@ -159,7 +161,7 @@
 // accept exchanges hellos with a peer that has dialled. It returns the peer's ID and
 // whether the connection carries requests.
 func (a *Auth) accept(conn net.Conn) (id string, carries bool, err error) {
-	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	_ = conn.SetDeadline(netopt.In(handshakeTimeout))
 	defer conn.SetDeadline(time.Time{})
 	r := newByteReader(conn)
 	theirs, err := readHello(r)
--- a/modules/peernet/server.go
+++ b/modules/peernet/server.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"madderway/modules/netopt"
+
 	"gopkg.in/tomb.v2"
 
 	"madderway/modules/log"
@@ -196,7 +198,7 @@
 	case streamFrames:
 		s.readFrames(peer, r)
 	case streamCall:
-		_ = stream.SetDeadline(time.Now().Add(callTimeout))
+		_ = stream.SetDeadline(netopt.In(callTimeout))
 		call := &wire.Call{}
 		if readMessage(r, call) == nil {
 			_ = writeMessage(stream, s.handler.HandleCall(peer, call))
--- a/modules/peernet/session.go
+++ b/modules/peernet/session.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"madderway/modules/netopt"
+
 	"github.com/libp2p/go-yamux/v5"
 )
 
@@ -61,7 +63,7 @@
 // all: yamux's writes return before anything is sent, and the end of a session drops
 // what waits.
 func closeAfterLast(stream *yamux.Stream) {
-	if stream.CloseWrite() != nil || stream.SetReadDeadline(time.Now().Add(closeTime)) != nil {
+	if stream.CloseWrite() != nil || stream.SetReadDeadline(netopt.In(closeTime)) != nil {
 		return
 	}
 	_, _ = io.Copy(io.Discard, stream)
--- a/services/control/loop.go
+++ b/services/control/loop.go
@@ -135,9 +135,9 @@
 }
 
 func (l *Loop) timed(work func()) {
-	start := time.Now()
+	start := l.opts.Clock.Now()
 	work()
-	l.busy.Add(int64(time.Since(start)))
+	l.busy.Add(int64(l.opts.Clock.Now().Sub(start)))
 }
 
 func (l *Loop) tickAfter() time.Duration {
--- a/services/dispatch/chat.go
+++ b/services/dispatch/chat.go
@@ -177,7 +177,7 @@
 	}()
 	st.events, st.outputs, st.usage, st.bytes = nil, 0, nil, 0
 	streamID := fmt.Sprintf("%s.%d", j.requestID, st.attempt)
-	started := time.Now()
+	started := st.s.opts.Clock.Now()
 	resp, err := s.opts.Engine.StartStream(ctx, target.Address, target.Name, st.header(streamID), st.chat.Body)
 	if err != nil {
 		return st.startFailed(target, err, &fin)
--- a/services/dispatch/plain.go
+++ b/services/dispatch/plain.go
@@ -121,10 +121,10 @@
 		}
 		return a, "", 0, err
 	}
-	started := time.Now()
+	started := s.opts.Clock.Now()
 	fin := admit.Finished{ID: id}
 	defer func() {
-		fin.Cost = float64(time.Since(started).Milliseconds()) * j.pool.MilliWeight
+		fin.Cost = float64(s.opts.Clock.Now().Sub(started).Milliseconds()) * j.pool.MilliWeight
 		if outcome == outcomeNotRun {
 			fin.Cost = 0
 		} else {
--- a/services/dispatch/pump.go
+++ b/services/dispatch/pump.go
@@ -147,7 +147,7 @@
 
 func (p *pump) measure(ev engine.Event) {
 	st := p.st
-	now := time.Now()
+	now := p.st.s.opts.Clock.Now()
 	if ev.Done() {
 		return
 	}
--- a/services/relay/serve.go
+++ b/services/relay/serve.go
@@ -13,7 +13,8 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"time"
+
+	"madderway/modules/netopt"
 
 	"madderway/modules/log"
 )
@@ -168,7 +169,7 @@
 func (f *farEnd) write(b []byte) error {
 	f.writing.Lock()
 	defer f.writing.Unlock()
-	err := f.conn.SetWriteDeadline(time.Now().Add(frameTime))
+	err := f.conn.SetWriteDeadline(netopt.In(frameTime))
 	if err == nil {
 		_, err = f.conn.Write(b)
 	}
--- a/services/relay/tunnel.go
+++ b/services/relay/tunnel.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"madderway/modules/netopt"
+
 	"madderway/modules/clock"
 )
 
@@ -93,7 +95,7 @@
 func (t *tunnel) write(b []byte) error {
 	t.writing.Lock()
 	defer t.writing.Unlock()
-	err := t.conn.SetWriteDeadline(time.Now().Add(frameTime))
+	err := t.conn.SetWriteDeadline(netopt.In(frameTime))
 	if err == nil {
 		_, err = t.conn.Write(b)
 	}
@@ -258,7 +260,7 @@
 func (h *Handed) write(b []byte) (int, error) {
 	if h.bytes+int64(len(b)) > freeBytes {
 		h.timed = true
-		if err := h.caller.SetWriteDeadline(time.Now().Add(pieceTime)); err != nil {
+		if err := h.caller.SetWriteDeadline(netopt.In(pieceTime)); err != nil {
 			return 0, err
 		}
 	}
@@ -281,7 +283,7 @@
 		b := h.kept
 		h.kept = nil
 		h.mu.Unlock()
-		err := h.caller.SetWriteDeadline(time.Now().Add(keptTime))
+		err := h.caller.SetWriteDeadline(netopt.In(keptTime))
 		n := 0
 		if err == nil {
 			n, err = h.caller.Write(b)
--- a/services/upstream/exchange.go
+++ b/services/upstream/exchange.go
@@ -14,6 +14,8 @@
 	"strings"
 	"time"
 
+	"madderway/modules/netopt"
+
 	"madderway/models/routing"
 )
 
@@ -110,7 +112,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	// The context ends it earlier where the machine is suspended meanwhile.
-	_ = connection.SetDeadline(time.Now().Add(r.Deadline.Sub(c.pool.clock.Now())))
+	_ = connection.SetDeadline(netopt.In(r.Deadline.Sub(c.pool.clock.Now())))
 	a := &Answer{client: c, target: t.ID, conn: connection, stop: stop}
 	if err := a.write(c.head(r), r.Body); err != nil {
 		a.Close()
