standin, fleet: A cut stream has sent its events; routers of the lab on numbers of their own

Change: the stand-in flushes before it cuts, as its fault says; each fleet of the lab listens on loopback numbers of its own, as the platform's stand-in does.

--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -10,9 +10,10 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"madderway/client"
@@ -40,7 +41,7 @@
 	Dispatch  string
 	Tune      func(*setting.Settings) // Tune changes a router's settings before it starts.
 	VMLag     time.Duration
-	FirstPort int // FirstPort fixes the ports; 0 takes free ones.
+	FirstPort int // FirstPort fixes the ports; 0 gives each router a loopback number of its own.
 }
 
 // Node is one router of the fleet.
@@ -55,6 +56,7 @@
 // Fleet is a platform, targets and routers.
 type Fleet struct {
 	opts    Options
+	number  int // number is the fleet's own in this process.
 	Table   *standin.Table
 	Objects *standin.Objects
 	VMs     *standin.VMs
@@ -77,7 +79,7 @@
 		o.Region = "region-1"
 	}
 	f := &Fleet{
-		opts: o, Table: standin.NewTable(), Objects: standin.NewObjects(), VMs: standin.NewVMs(o.VMLag),
+		opts: o, number: int(fleets.Add(1)), Table: standin.NewTable(), Objects: standin.NewObjects(), VMs: standin.NewVMs(o.VMLag),
 		Engines: map[string]*standin.Engine{}, Plains: map[string]*standin.Plain{}, targets: map[string]*standin.Server{},
 	}
 	for i, h := range []interface{ Handler() http.Handler }{f.Table, f.Objects, f.VMs} {
@@ -179,10 +181,7 @@
 	}
 	s := setting.Default()
 	s.Router = setting.Router{ID: fmt.Sprintf("router-%d", i+1), DataHall: f.Hall(i), Region: f.opts.Region}
-	ports, err := f.ports(i)
-	if err != nil {
-		return nil, err
-	}
+	ports := f.ports(i)
 	s.Caller.Listen, s.Operator.Listen, s.Peer.Listen = ports[0], ports[1], ports[2]
 	sum := sha256.Sum256([]byte(OperatorToken))
 	s.Operator.TokenSHA256 = []string{hex.EncodeToString(sum[:])}
@@ -197,24 +196,29 @@
 	return s, s.Check()
 }
 
-const listenersOfRouter = 3
+const (
+	listenersOfRouter = 3
+	// firstListener is the first port of a router on a loopback number of its own. It lies
+	// below those that the system gives to outgoing connections.
+	firstListener = 8101
+)
 
-// ports returns the addresses of a router's listeners.
-func (f *Fleet) ports(i int) ([]string, error) {
+// fleets counts the fleets of this process.
+var fleets atomic.Int64
+
+// ports returns the addresses of a router's listeners. Each fleet of each process has loopback
+// numbers of its own: a port that was free a moment ago may be another process's by now.
+func (f *Fleet) ports(i int) []string {
+	const most = 250
 	out := make([]string, listenersOfRouter)
 	for p := range out {
 		if f.opts.FirstPort > 0 {
 			out[p] = fmt.Sprintf("127.0.0.1:%d", f.opts.FirstPort+listenersOfRouter*i+p)
 			continue
 		}
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		out[p] = l.Addr().String()
-		_ = l.Close()
+		out[p] = fmt.Sprintf("127.%d.%d.%d:%d", 1+os.Getpid()%most, f.number%most, 1+i, firstListener+p)
 	}
-	return out, nil
+	return out
 }
 
 // Nodes returns the routers.
--- a/lab/standin/enginestream.go
+++ b/lab/standin/enginestream.go
@@ -95,6 +95,7 @@
 		events, done, grown := s.after(offset)
 		for _, data := range events {
 			if cutAt > 0 && sent == cutAt {
+				_ = flush.Flush() // what was sent before the cut arrives
 				cut()
 			}
 			offset++
