--- /dev/null
+++ b/lab/fleet/ending_test.go
@@ -0,0 +1,62 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package fleet
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"madderway/models/result"
+)
+
+// Routers forgot what a request had done when its answer was over, as gateways did: one that
+// ended each target which began to run it ended 24 and more in 24 tries. Under three of them it is
+// refused, at any router, and other requests go on.
+func TestRoutersSendNoFurtherWhatEndsTargets(t *testing.T) {
+	bad := chatBody(5, true)
+	bad["messages"] = []map[string]string{{"role": "user", "content": EndsTarget}}
+	for _, c := range []struct {
+		name, path string
+		body       any
+		most       int // most is how many targets may end: three, and three that were under way.
+	}{
+		{"a stream", "/v1/chat/completions", bad, 3 + 3},
+		// There is one target; what ends again within a second of its last end counts once.
+		{"a plain call", "/services/samples/look", EndsTarget, 2 * (3 + 3)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			endTargets(t, c.path, c.body, c.most)
+		})
+	}
+}
+
+func endTargets(t *testing.T, path string, body any, most int) {
+	const enough, rounds = 3, 8
+	f := small(t, 3, time.Millisecond)
+	refusals := 0
+	for range rounds {
+		for _, n := range f.Nodes() {
+			resp, answer := send(t, n, "POST", path, "alder", "", body)
+			refusals++
+			if resp.StatusCode != http.StatusServiceUnavailable || errorOf(t, answer).Code != result.EndsTargets {
+				refusals = 0
+			}
+			if err := f.RestartEnded(); err != nil {
+				t.Fatal(err)
+			}
+			waitFor(t, "another request is served", func() bool {
+				resp, _ := send(t, n, "POST", "/v1/chat/completions", "birch", "", chatBody(5, false))
+				return resp.StatusCode == http.StatusOK
+			})
+		}
+	}
+	if n := f.Endings(); n < enough || n > most {
+		t.Errorf("%d targets ended under one request, want %d to %d", n, enough, most)
+	}
+	if refusals < 3 {
+		t.Errorf("the last %d tries were refused", refusals)
+	}
+}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -63,11 +63,14 @@
 	Engines map[string]*standin.Engine
 	Plains  map[string]*standin.Plain
 
-	mu      sync.Mutex
-	nodes   []*Node
-	servers []*standin.Server
-	targets map[string]*standin.Server
-	urls    [3]string
+	mu       sync.Mutex
+	nodes    []*Node
+	servers  []*standin.Server
+	targets  map[string]*standin.Server
+	handlers map[string]http.Handler // handlers are those of the targets.
+	ended    []string                // ended are the targets that requests have ended and that are not back.
+	endings  int                     // endings counts all of them.
+	urls     [3]string
 }
 
 // New starts the platform's stand-ins.
@@ -80,7 +83,7 @@
 	}
 	f := &Fleet{
 		opts: o, number: int(fleets.Add(1)), Table: standin.NewTable(), Objects: standin.NewObjects(), VMs: standin.NewVMs(o.VMLag),
-		Engines: map[string]*standin.Engine{}, Plains: map[string]*standin.Plain{}, targets: map[string]*standin.Server{},
+		Engines: map[string]*standin.Engine{}, Plains: map[string]*standin.Plain{}, targets: map[string]*standin.Server{}, handlers: map[string]http.Handler{},
 	}
 	for i, h := range []interface{ Handler() http.Handler }{f.Table, f.Objects, f.VMs} {
 		s, err := standin.Serve("127.0.0.1:0", h.Handler())
@@ -112,12 +115,13 @@
 }
 
 func (f *Fleet) addTarget(name, pool, hall string, slots int, h http.Handler) (conf.Target, error) {
+	h = f.endable(name, h)
 	s, err := standin.Serve("127.0.0.1:0", h)
 	if err != nil {
 		return conf.Target{}, err
 	}
 	f.mu.Lock()
-	f.targets[name] = s
+	f.targets[name], f.handlers[name] = s, h
 	f.mu.Unlock()
 	t := conf.Target{Name: name, Pool: pool, Address: s.Address, DataHall: hall, Region: f.opts.Region, Slots: slots, ChecksOrders: true}
 	f.VMs.Set(vm.VM{ID: name, Role: vm.RoleTarget, Address: s.Address, DataHall: hall, Region: f.opts.Region, State: vm.StateLive})
