--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzRegister -fuzztime 60s ./platform
 	$(GO) test -run '^$$' -fuzz FuzzGateway -fuzztime 60s ./modules/setting
 	$(GO) test -run '^$$' -fuzz FuzzMesh -fuzztime 60s ./services/mesh
+	$(GO) test -run '^$$' -fuzz FuzzRecords -fuzztime 60s ./services/peerwire
 	$(GO) test -run '^$$' -fuzz FuzzAnswer -fuzztime 60s ./services/upstream
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 60s ./modules/httphead
 	$(GO) test -run '^$$' -fuzz FuzzDecoder -fuzztime 60s ./services/relay
--- /dev/null
+++ b/services/peerwire/records_test.go
@@ -0,0 +1,144 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package peerwire
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"madderway/core/member"
+	core "madderway/core/quarantine"
+	"madderway/modules/clock"
+	"madderway/modules/log"
+	"madderway/modules/wire"
+	"madderway/services/quarantine"
+)
+
+func TestMain(m *testing.M) {
+	log.Setup(io.Discard, 0)
+	m.Run()
+}
+
+// node is one process that exchanges records, without the connections between processes.
+type node struct {
+	id      string
+	clock   *clock.Fake
+	members *member.List
+	out     *Outbox
+	records *Records
+	service *quarantine.Service
+}
+
+func newNode(id string, c *clock.Fake, others ...string) *node {
+	n := &node{id: id, clock: c, out: NewOutbox(0), members: member.New(member.DefaultConfig(), member.Record{ID: id, Incarnation: 1, Address: "a"})}
+	n.service = quarantine.New(log.New("quarantine"), quarantine.Options{Clock: c, Figures: "test", Tell: func(r core.Record) { n.records.Tell(c.Now(), r, "") }})
+	n.records = NewRecords(id, n.service, n.members, n.out)
+	for _, other := range others {
+		n.members.Step(c.Now(), member.HeartbeatSeen{From: member.Record{ID: other, Incarnation: 1, State: member.StateAlive, Address: "a"}})
+	}
+	return n
+}
+
+func bad() core.Identity { return core.Identity{Account: "a", Method: "POST", URI: "/p", Body: []byte("x")} }
+
+// end lets targets end under a request as one process sees it.
+func (n *node) end(targets ...string) {
+	for _, target := range targets {
+		n.clock.Advance(2 * time.Second)
+		n.service.Ended(bad(), target, n.clock.Now().Add(-time.Second))
+	}
+}
+
+func (n *node) standing() core.Standing {
+	s, _ := n.service.Judge(bad().Fingerprint())
+	return s
+}
+
+// deliver takes what each process has for the others until nothing is left.
+func deliver(nodes ...*node) {
+	for moved := true; moved; {
+		moved = false
+		for _, from := range nodes {
+			from.out.Flush(from.clock.Now(), func(to string, f *wire.Frame) {
+				for _, n := range nodes {
+					if n.id == to {
+						moved = true
+						n.records.Take(n.clock.Now(), from.id, f)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Ends that three processes have seen add up at all of them; one that starts anew, or was cut
+// off, learns of them from the first digest that it hears, and tells what it knows itself.
+func TestRecordsReachAll(t *testing.T) {
+	c := clock.NewFake()
+	a, b, d := newNode("a", c, "b", "d"), newNode("b", c, "a", "d"), newNode("d", c, "a", "b")
+	a.end("t1")
+	deliver(a, b, d)
+	b.end("t2")
+	deliver(a, b, d)
+	d.end("t3")
+	deliver(a, b, d)
+	for _, n := range []*node{a, b, d} {
+		if got := n.standing(); got != core.Quarantined {
+			t.Errorf("%s takes the request for %v", n.id, got)
+		}
+	}
+	late := newNode("e", c, "a")
+	a.members.Step(c.Now(), member.HeartbeatSeen{From: member.Record{ID: "e", Incarnation: 1, State: member.StateAlive, Address: "a"}})
+	c.Advance(2 * recordsSettled)
+	a.records.Compare(c.Now(), "e", late.records.Digest())
+	deliver(a, late)
+	if got := late.standing(); got != core.Quarantined || late.records.Digest() != a.records.Digest() {
+		t.Errorf("the one that starts late takes the request for %v", got)
+	}
+}
+
+// Tables whose digests stay different are not sent to a peer again and again.
+func TestDifferentTablesAreSentSeldom(t *testing.T) {
+	c := clock.NewFake()
+	a := newNode("a", c, "b")
+	a.end("t1", "t2")
+	a.out.Flush(c.Now(), func(string, *wire.Frame) {})
+	sent := 0
+	for range 60 {
+		c.Advance(recordsSettled)
+		a.records.Compare(c.Now(), "b", 7)
+		a.out.Flush(c.Now(), func(string, *wire.Frame) { sent++ })
+	}
+	if most := int(60*recordsSettled/recordsAgain) + 1; sent == 0 || sent > most {
+		t.Errorf("sent %d times in a minute, %d at most are wanted", sent, most)
+	}
+}
+
+// Whatever a peer sends, its records are taken or dropped; nothing ends, and the table stays
+// within its bounds.
+func FuzzRecords(f *testing.F) {
+	now := time.Unix(1_700_000_000, 0)
+	request := bad().Fingerprint()
+	seed, err := proto.Marshal(&wire.Frame{RequestRecords: []*wire.RequestRecord{{
+		Request: request[:], Outline: 7, Account: "a", Deaths: []*wire.TargetDeath{{Target: "t", AgeMs: 5}, {Target: "t", AgeMs: 5000, Forgiven: true}},
+	}}, RequestRecordsAsk: true})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, content []byte) {
+		frame := &wire.Frame{}
+		if proto.Unmarshal(content, frame) != nil {
+			return
+		}
+		n := newNode("a", clock.NewFake(), "b")
+		n.records.Take(now, "b", frame)
+		n.records.Compare(now, "b", 1)
+		n.records.Tick(now)
+		n.out.Flush(now, func(string, *wire.Frame) {})
+	})
+}
