--- a/services/peerwire/records_test.go
+++ b/services/peerwire/records_test.go
@@ -43,7 +43,9 @@
 	return n
 }
 
-func bad() core.Identity { return core.Identity{Account: "a", Method: "POST", URI: "/p", Body: []byte("x")} }
+func bad() core.Identity {
+	return core.Identity{Account: "a", Method: "POST", URI: "/p", Body: []byte("x")}
+}
 
 // end lets targets end under a request as one process sees it.
 func (n *node) end(targets ...string) {
