--- a/router/handover_test.go
+++ b/router/handover_test.go
@@ -41,7 +41,8 @@
 	}
 	stop := make(chan struct{})
 	var reporter, callers sync.WaitGroup
-	reporter.Go(func() { beShort(site.Gateway(0), stop) }) // gateway 3 stands in the same hall
+	short := func(g *router.Gateway) time.Duration { return time.Duration(g.Streams()) * 15 * time.Millisecond }
+	reporter.Go(func() { beLate(site.Gateway(0), short, stop) }) // gateway 3 stands in the same hall
 	const each, atOnce = 10, 16
 	var served atomic.Int64
 	for c := range atOnce {
@@ -64,9 +65,9 @@
 	}
 }
 
-// beShort has a gateway be late by 15 ms for each stream that it serves itself, so that it
-// has time for one.
-func beShort(g *router.Gateway, stop <-chan struct{}) {
+// beLate has a gateway be late by so much. One that is late by 15 ms for each stream that it
+// serves itself has time for one.
+func beLate(g *router.Gateway, by func(g *router.Gateway) time.Duration, stop <-chan struct{}) {
 	tick := time.NewTicker(time.Millisecond)
 	defer tick.Stop()
 	for {
@@ -74,7 +75,7 @@
 		case <-stop:
 			return
 		case <-tick.C:
-			g.ReportLateness(time.Duration(g.Streams()) * 15 * time.Millisecond)
+			g.ReportLateness(by(g))
 		}
 	}
 }
--- a/router/quarantine_test.go
+++ b/router/quarantine_test.go
@@ -48,7 +48,7 @@
 	site := endingSite(t, 6)
 	stop := make(chan struct{})
 	var reporter sync.WaitGroup
-	reporter.Go(func() { beLate(site.Gateway(0), stop) }) // gateway 3 stands in the same hall
+	reporter.Go(func() { beLate(site.Gateway(0), func(*router.Gateway) time.Duration { return time.Second }, stop) }) // gateway 3 stands in the same hall
 	sendEnding(t, site, 1, platform.Kinds()[0])
 	close(stop)
 	reporter.Wait()
@@ -135,17 +135,3 @@
 		t.Error(b)
 	}
 }
-
-// beLate has a gateway be so late that it serves nothing itself.
-func beLate(g *router.Gateway, stop <-chan struct{}) {
-	tick := time.NewTicker(time.Millisecond)
-	defer tick.Stop()
-	for {
-		select {
-		case <-stop:
-			return
-		case <-tick.C:
-			g.ReportLateness(time.Second)
-		}
-	}
-}
