quarantine: An outline holds samples of the body

Cause: an account's requests often have one path and one length: after any crash each of them would pay for a digest of its whole body. Change: 32 bytes of its beginning, middle and end are in the outline.

--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -55,8 +55,12 @@
 	return f
 }
 
-// Outline is a cheap hash of a request without the content of its body. Where no record
-// has it the request is none of those remembered, and no fingerprint is needed.
+// sampleSize is how much of a body an outline holds, at its beginning, middle and end each.
+const sampleSize = 32
+
+// Outline is a cheap hash of a request with samples of its body only. Where no record has it
+// the request is none of those remembered, and no fingerprint is needed: an account's requests
+// often have the same path and length.
 func (i Identity) Outline() uint64 {
 	var d xxhash.Digest
 	d.Reset()
@@ -66,5 +70,9 @@
 	var size [8]byte
 	binary.LittleEndian.PutUint64(size[:], uint64(len(i.Body)))
 	_, _ = d.Write(size[:])
+	for _, at := range []int{0, len(i.Body) / 2, len(i.Body) - sampleSize} {
+		at = max(at, 0)
+		_, _ = d.Write(i.Body[at:min(at+sampleSize, len(i.Body))])
+	}
 	return d.Sum64()
 }
--- a/core/quarantine/fingerprint_test.go
+++ b/core/quarantine/fingerprint_test.go
@@ -13,6 +13,8 @@
 	return quarantine.Identity{Account: "a", Method: "POST", Host: "h", URI: "/p?q=1", Body: []byte("body")}
 }
 
+const sample = 32
+
 // Whatever makes a request another one changes its fingerprint; parts do not run together.
 func TestFingerprintTellsRequestsApart(t *testing.T) {
 	seen := map[quarantine.Fingerprint]int{}
@@ -34,6 +36,17 @@
 		}
 		seen[i.Fingerprint()] = n
 	}
+	for n, size := range []int{0, 1, sample - 1, sample, 3 * sample, 10 * sample} {
+		i := identity()
+		i.Body = make([]byte, size)
+		if size > 0 {
+			other := i
+			other.Body = append([]byte("x"), i.Body[1:]...)
+			if i.Outline() == other.Outline() {
+				t.Errorf("size %d (%d): the outline does not tell bodies apart that differ at once", size, n)
+			}
+		}
+	}
 	one, same := identity(), identity()
 	if one.Fingerprint() != same.Fingerprint() || one.Outline() != same.Outline() {
 		t.Error("the same request has two fingerprints or outlines")
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -256,8 +256,8 @@
 	}
 }
 
-// update changes a record and keeps the digest right. A record that still tells nothing is
-// dropped.
+// update changes a record and keeps the digest right; it reports whether that told anything
+// new.
 func (t *Table) update(now time.Time, r *Record, change func() bool) bool {
 	if r.IsShared() {
 		t.digest ^= r.digest()
