clock: What was suspended before the clock could be read is not counted

Cause: read in the code: where the machine's clock could not be read at the start and can be later, all time in suspension since the machine's start would have been taken for new. Change: the first reading that can be had is the one to compare with; a test. Figures: TestClockThatCanBeReadLateCountsFromThen.

--- a/modules/clock/system.go
+++ b/modules/clock/system.go
@@ -38,7 +38,7 @@
 	failed atomic.Bool
 
 	mu     sync.Mutex
-	first  reading
+	first  *reading            // first is the reading that others are compared with; nil where none could be had.
 	timers map[*timer]struct{} // timers are those that have not fired.
 }
 
@@ -51,11 +51,7 @@
 
 func newSuspension(read func() (reading, error), report func(error)) *suspension {
 	s := &suspension{read: read, report: report, epoch: time.Now(), timers: map[*timer]struct{}{}}
-	first, err := read()
-	if err != nil {
-		s.fail(err)
-	}
-	s.first = first
+	s.check()
 	return s
 }
 
@@ -118,6 +114,9 @@
 		return
 	}
 	s.mu.Lock()
+	if s.first == nil {
+		s.first = &r
+	}
 	total := (r.boot - s.first.boot) - (r.steady - s.first.steady)
 	if total <= time.Duration(s.total.Load())+jumpLeast/2 {
 		s.mu.Unlock()
--- a/modules/clock/system_test.go
+++ b/modules/clock/system_test.go
@@ -66,6 +66,23 @@
 	}
 }
 
+// Where the machine's clock could not be read at the start, what was suspended before it can be
+// is not counted.
+func TestClockThatCanBeReadLateCountsFromThen(t *testing.T) {
+	m := &fakeMachine{r: reading{steady: time.Hour, boot: 9 * time.Hour}, err: errors.New("not yet")}
+	s := newSuspension(m.read, func(error) {})
+	m.err = nil
+	s.check()
+	if total := time.Duration(s.total.Load()); total != 0 {
+		t.Errorf("%v are counted", total)
+	}
+	m.suspend(time.Minute)
+	s.check()
+	if total := time.Duration(s.total.Load()); total != time.Minute {
+		t.Errorf("%v are counted, want a minute", total)
+	}
+}
+
 // A timer fires when its time is over, also where that passed in suspension; it fires once,
 // and not after it was stopped.
 func TestTimersCountSuspension(t *testing.T) {
