--- a/handlers/gateway/gateway.go
+++ b/handlers/gateway/gateway.go
@@ -16,12 +16,11 @@
 	"sync/atomic"
 	"time"
 
-	"madderway/modules/netopt"
-
 	"madderway/handlers/api"
 	"madderway/models/result"
 	"madderway/models/routing"
 	"madderway/modules/clock"
+	"madderway/modules/netopt"
 	"madderway/services/follow"
 	"madderway/services/forward"
 	"madderway/services/relay"
--- a/modules/peernet/auth.go
+++ b/modules/peernet/auth.go
@@ -17,10 +17,9 @@
 	"os"
 	"time"
 
-	"madderway/modules/netopt"
-
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"madderway/modules/netopt"
 	"madderway/modules/wire"
 )
 
--- a/modules/peernet/server.go
+++ b/modules/peernet/server.go
@@ -10,11 +10,10 @@
 	"sync"
 	"time"
 
-	"madderway/modules/netopt"
-
 	"gopkg.in/tomb.v2"
 
 	"madderway/modules/log"
+	"madderway/modules/netopt"
 	"madderway/modules/wire"
 )
 
--- a/modules/peernet/session.go
+++ b/modules/peernet/session.go
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
-	"madderway/modules/netopt"
-
 	"github.com/libp2p/go-yamux/v5"
+
+	"madderway/modules/netopt"
 )
 
 const (
--- a/services/relay/serve.go
+++ b/services/relay/serve.go
@@ -14,9 +14,8 @@
 	"strconv"
 	"sync"
 
-	"madderway/modules/netopt"
-
 	"madderway/modules/log"
+	"madderway/modules/netopt"
 )
 
 const (
--- a/services/relay/tunnel.go
+++ b/services/relay/tunnel.go
@@ -10,9 +10,8 @@
 	"sync/atomic"
 	"time"
 
-	"madderway/modules/netopt"
-
 	"madderway/modules/clock"
+	"madderway/modules/netopt"
 )
 
 const (
--- a/services/upstream/exchange.go
+++ b/services/upstream/exchange.go
@@ -14,9 +14,8 @@
 	"strings"
 	"time"
 
-	"madderway/modules/netopt"
-
 	"madderway/models/routing"
+	"madderway/modules/netopt"
 )
 
 const (
