--- a/router/gateway.go
+++ b/router/gateway.go
@@ -42,10 +42,6 @@
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 30 * time.Second
 	dialTimeout   = 400 * time.Millisecond
-	// strainedDial is the same while the process is short of time: one that is late by 100 to
-	// 470 ms gave 237 connects up in 12 s that had long been answered, and asked for other
-	// targets again and again. It ends before a place grows too old to send to.
-	strainedDial  = 900 * time.Millisecond
 	idlePerTarget = 8
 	// callerShare is the part of the descriptors that callers' connections may take. Each may
 	// need another one to a target, and each takes some 25 KB: with 0.6, that is 2,460 of them
@@ -161,7 +157,7 @@
 		Start: watch.Start{Seed: len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.Peers), First: s.FirstStart},
 	})
 	store.OnBadRow(g.follow.NoteBadRow)
-	g.pool = upstream.NewPool(g.dialPatience, idlePerTarget, g.traffic)
+	g.pool = upstream.NewPool(dialTimeout, idlePerTarget, g.traffic)
 	members := member.DefaultConfig()
 	members.Interval, members.SuspectAfter, members.DeadAfter = 400*time.Millisecond, 1200*time.Millisecond, 1500*time.Millisecond
 	members.Greet, members.MaxRumors = true, maxRumors
@@ -195,14 +191,6 @@
 	})
 }
 
-// dialPatience returns how long a connect to a target may take.
-func (g *Gateway) dialPatience() time.Duration {
-	if g.guard.Strained() {
-		return strainedDial
-	}
-	return dialTimeout
-}
-
 // crossed returns the bytes that have crossed the machine's link.
 func (g *Gateway) crossed() (sent, received uint64) {
 	sent, received = g.traffic.Bytes()
--- a/services/upstream/exchange_test.go
+++ b/services/upstream/exchange_test.go
@@ -135,7 +135,7 @@
 }
 
 func newClient() (*Client, *Pool) {
-	p := NewPool(func() time.Duration { return time.Second }, 4, &netopt.Traffic{})
+	p := NewPool(time.Second, 4, &netopt.Traffic{})
 	return NewClient(p, plainDialect{}), p
 }
 
--- a/services/upstream/pool.go
+++ b/services/upstream/pool.go
@@ -37,10 +37,9 @@
 
 // Pool holds the idle connections to all targets.
 type Pool struct {
-	dialer   *net.Dialer
-	patience func() time.Duration
-	clock    clock.Clock
-	traffic  *netopt.Traffic
+	dialer  *net.Dialer
+	clock   clock.Clock
+	traffic *netopt.Traffic
 
 	mu      sync.Mutex
 	idle    map[string][]*conn // by target ID, the latest used last
@@ -49,9 +48,9 @@
 }
 
 // NewPool returns a pool that keeps at most maxIdle connections for each target, whose
-// bytes are counted. A connect may take as long as patience says when it begins.
-func NewPool(patience func() time.Duration, maxIdle int, traffic *netopt.Traffic) *Pool {
-	return &Pool{dialer: netopt.Dialer(0), patience: patience, clock: clock.System{}, traffic: traffic, idle: map[string][]*conn{}, maxIdle: maxIdle}
+// bytes are counted.
+func NewPool(dialTimeout time.Duration, maxIdle int, traffic *netopt.Traffic) *Pool {
+	return &Pool{dialer: netopt.Dialer(dialTimeout), clock: clock.System{}, traffic: traffic, idle: map[string][]*conn{}, maxIdle: maxIdle}
 }
 
 // SetMaxIdle changes how many idle connections are kept for each target.
@@ -127,8 +126,6 @@
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, p.patience())
-	defer cancel()
 	raw, err := p.dialer.DialContext(ctx, "tcp4", t.Address)
 	if err != nil {
 		return nil, err
