--- a/router/standstill.go
+++ b/router/standstill.go
@@ -39,8 +39,8 @@
 // stoodStill makes the gateway take nothing for true that it has not heard since: it is not
 // ready and refuses what comes until the configuration and the targets are known to be those
 // of now, and idle connections to targets, which these may have forgotten, are closed. What was
-// placed before is not sent any more (services/forward), members are not suspected for this
-// gateway's own absence (core/member), and timers and deadlines have counted it (modules/clock).
+// placed before is not sent any more (services/forward), and timers and deadlines have counted
+// it (modules/clock).
 func (g *Gateway) stoodStill(d time.Duration) {
 	now := g.clock.Now()
 	g.standstill.endAt.Store(&now)
