targets, cell: A change of the list or of members costs what changed

A change of members made all cells anew and forgot their schedulers; a request's cell walked all cells.

Change: routing.TargetSet is immutable and shares what stays the same (256 buckets by worker name); Changes gives the difference of two sets. follow keeps the changes by revision, so that what a peer lacks is found without a look at all targets, and keeps as many removals as it lists targets (1,024 are passed by a release of 45 % of 9,845). Layout is changed in place: targets go to cells by jump hashing, a request finds its cell through a tree of weighted rendezvous, and only cells whose schedulers a change of members touches compute them anew. Up to 16 cells requests go where they went.

The bound of TestCellsStaySmall is unchanged.

--- a/core/cell/layout.go
+++ b/core/cell/layout.go
@@ -4,48 +4,71 @@
 package cell
 
 import (
+	"cmp"
 	"fmt"
-	"math"
+	"maps"
 	"slices"
 
 	"madderway/core/place"
 	"madderway/models/routing"
 )
 
-// Largest average number of targets in a cell.
-const targetsPerCell = 12
+const (
+	// Largest average number of targets in a cell.
+	targetsPerCell = 12
+	// Number of gateways listed as schedulers of a cell.
+	schedulersPerCell = 3
+)
 
 // Key identifies a cell of a service.
 type Key string
 
 // Layout assigns targets to cells and schedulers to each cell. Each gateway computes it
 // from its own view; while views differ, two schedulers may share a cell, each seeing a
-// part of its load.
+// part of its load. The same targets and gateways give the same layout, whatever came before.
+// It is not safe for concurrent use.
 type Layout struct {
-	cells map[string][]*Group // by service
-	byKey map[Key]*Group
-	nodes []place.Node
+	maxPerCell int
+	services   map[string]*serviceCells
+	byKey      map[Key]*Group
+	targets    *routing.TargetSet
+	nodes      map[string]place.Node
+	nodeList   []place.Node
+}
+
+// serviceCells are the cells of one service.
+type serviceCells struct {
+	groups []*Group
+	picker *picker // of groups, weighted by their targets
 }
 
-// Group is one cell of a layout. It is not safe for concurrent use.
+// Group is one cell of a layout.
 type Group struct {
-	Key        Key
-	Service    string
-	Targets    []*routing.Target
-	layout     *Layout
-	schedulers []string // computed by Schedulers
+	Key     Key
+	Service string
+	Targets []*routing.Target // sorted by ID
+	index   int               // among the cells of the service
+	layout  *Layout
+	// The gateways that rank highest as schedulers, nil until Schedulers is called.
+	ranked     []place.Ranked
+	schedulers []string
 }
 
 // Schedulers returns the gateways that may schedule the cell, in order of preference.
 func (g *Group) Schedulers() []string {
-	if g.schedulers == nil {
-		g.schedulers = place.TopByStrength(g.layout.nodes, string(g.Key), schedulersPerCell)
+	if g.ranked == nil {
+		g.setRanked(place.RankByStrength(g.layout.nodeList, string(g.Key), schedulersPerCell))
 	}
 	return g.schedulers
 }
 
-// Number of gateways listed as schedulers of a cell.
-const schedulersPerCell = 3
+func (g *Group) setRanked(ranked []place.Ranked) {
+	g.ranked = ranked
+	g.schedulers = make([]string, len(ranked))
+	for i, r := range ranked {
+		g.schedulers[i] = r.ID
+	}
+}
 
 // NewLayout divides the targets of each service with an engine into cells.
 func NewLayout(x *routing.Index, targets *routing.TargetSet, nodes []place.Node) *Layout {
@@ -53,51 +76,157 @@
 }
 
 func newLayout(x *routing.Index, targets *routing.TargetSet, nodes []place.Node, maxPerCell int) *Layout {
-	l := &Layout{cells: map[string][]*Group{}, byKey: map[Key]*Group{}, nodes: nodes}
+	l := &Layout{
+		maxPerCell: maxPerCell, services: map[string]*serviceCells{}, byKey: map[Key]*Group{}, targets: routing.NewTargetSet(0),
+		nodes: map[string]place.Node{},
+	}
+	l.SetNodes(nodes)
+	l.SetTargets(x, targets)
+	return l
+}
+
+// SetTargets applies a new configuration and list of targets. It returns the cells whose targets or
+// number of siblings have changed, including those that no longer exist. Its cost depends on the
+// number of changes.
+func (l *Layout) SetTargets(x *routing.Index, targets *routing.TargetSet) map[Key]bool {
+	changed := map[Key]bool{}
 	if x == nil || targets == nil {
-		return l
+		return changed
 	}
+	changes := targets.Changes(l.targets)
+	l.targets = targets
+	for service := range maps.Clone(l.services) {
+		if s := x.Service(service); s == nil || s.Engine == nil {
+			l.divide(service, 0, changed)
+		}
+	}
+	divided := map[string]bool{}
 	for i := range x.Configuration.Services {
 		s := &x.Configuration.Services[i]
 		if s.Engine == nil {
 			continue
 		}
-		l.assignTargets(s.Name, targets.ByService(s.Name), maxPerCell)
+		if n := cellCount(len(targets.ByService(s.Name)), l.maxPerCell); len(l.GroupsOf(s.Name)) != n {
+			l.divide(s.Name, n, changed)
+			divided[s.Name] = true
+		}
 	}
-	return l
+	for _, ch := range changes {
+		if ch.Before != nil && !divided[ch.Before.Service] {
+			l.replace(ch.Before, nil, changed)
+		}
+		if ch.After != nil && !divided[ch.After.Service] {
+			l.replace(nil, ch.After, changed)
+		}
+	}
+	for key := range changed {
+		l.weigh(l.byKey[key])
+	}
+	return changed
+}
+
+// divide divides the targets of a service into n cells.
+func (l *Layout) divide(service string, n int, changed map[Key]bool) {
+	old := l.GroupsOf(service)
+	for _, g := range old[min(n, len(old)):] {
+		delete(l.byKey, g.Key)
+		changed[g.Key] = true
+	}
+	if n == 0 {
+		delete(l.services, service)
+		return
+	}
+	members := make([][]*routing.Target, n)
+	for _, t := range l.targets.ByService(service) {
+		at := place.Bucket(t.ID, n)
+		members[at] = append(members[at], t)
+	}
+	s := &serviceCells{groups: slices.Clone(old[:min(n, len(old))])}
+	for i := len(s.groups); i < n; i++ {
+		g := &Group{Key: Key(fmt.Sprintf("%s/%d", service, i)), Service: service, index: i, layout: l}
+		s.groups = append(s.groups, g)
+		l.byKey[g.Key] = g
+	}
+	names := make([]string, n)
+	for i, g := range s.groups {
+		names[i], g.Targets, changed[g.Key] = string(g.Key), members[i], true
+	}
+	s.picker = newPicker(names)
+	l.services[service] = s
 }
 
-// WithNodes returns a layout with the same cells and other gateways. Its cost depends on
-// the number of cells only: gateways of a large fleet come and go often.
-func (l *Layout) WithNodes(nodes []place.Node) *Layout {
-	out := &Layout{cells: make(map[string][]*Group, len(l.cells)), byKey: make(map[Key]*Group, len(l.byKey)), nodes: nodes}
-	for service, groups := range l.cells {
-		for _, g := range groups {
-			moved := &Group{Key: g.Key, Service: g.Service, Targets: g.Targets, layout: out}
-			out.cells[service] = append(out.cells[service], moved)
-			out.byKey[g.Key] = moved
+// replace removes a target from its cell or adds one.
+func (l *Layout) replace(before, after *routing.Target, changed map[Key]bool) {
+	t := cmp.Or(before, after)
+	groups := l.GroupsOf(t.Service)
+	if len(groups) == 0 {
+		return // the service has no engines
+	}
+	g := groups[place.Bucket(t.ID, len(groups))]
+	at, found := slices.BinarySearchFunc(g.Targets, t.ID, func(t *routing.Target, id string) int { return cmp.Compare(t.ID, id) })
+	switch {
+	case before != nil && found:
+		g.Targets = slices.Delete(g.Targets, at, at+1)
+	case after != nil && found:
+		g.Targets[at] = after
+	case after != nil:
+		g.Targets = slices.Insert(g.Targets, at, after)
+	}
+	changed[g.Key] = true
+}
+
+// weigh makes a cell get requests in proportion to its targets. Cells with only leaving or
+// evacuated targets get none.
+func (l *Layout) weigh(g *Group) {
+	if g == nil {
+		return
+	}
+	weight := 0.0
+	if slices.ContainsFunc(g.Targets, (*routing.Target).AcceptsWork) {
+		weight = float64(len(g.Targets))
+	}
+	l.services[g.Service].picker.setWeight(g.index, weight)
+}
+
+// SetNodes replaces the gateways that may schedule. Only the schedulers of cells that a change
+// touches are computed anew.
+func (l *Layout) SetNodes(nodes []place.Node) {
+	now := make(map[string]place.Node, len(nodes))
+	var added []place.Node
+	for _, n := range nodes {
+		now[n.ID] = n
+		if l.nodes[n.ID] != n {
+			added = append(added, n)
 		}
 	}
-	return out
+	removed := map[string]bool{}
+	for id, n := range l.nodes {
+		if now[id] != n {
+			removed[id] = true
+		}
+	}
+	l.nodes, l.nodeList = now, nodes
+	for _, g := range l.byKey {
+		g.updateSchedulers(added, removed)
+	}
 }
 
-func (l *Layout) assignTargets(service string, targets []*routing.Target, maxPerCell int) {
-	groups := make([]*Group, cellCount(len(targets), maxPerCell))
-	for i := range groups {
-		key := Key(fmt.Sprintf("%s/%d", service, i))
-		groups[i] = &Group{Key: key, Service: service, layout: l}
-		l.byKey[key] = groups[i]
+// updateSchedulers adapts the schedulers, if they are known, to a change of gateways. A gateway
+// that has changed is both removed and added.
+func (g *Group) updateSchedulers(added []place.Node, removed map[string]bool) {
+	if g.ranked == nil {
+		return
 	}
-	for _, t := range targets {
-		best, bestScore := 0, uint64(0)
-		for i := range groups {
-			if score := place.Score(t.ID, uint64(i)); score > bestScore {
-				best, bestScore = i, score
-			}
+	if len(removed) > 0 && slices.ContainsFunc(g.schedulers, func(id string) bool { return removed[id] }) {
+		g.ranked, g.schedulers = nil, nil
+		return
+	}
+	for _, n := range added {
+		r := place.Ranked{ID: n.ID, Score: place.ScoreByStrength(n, string(g.Key))}
+		if len(g.ranked) < schedulersPerCell || r.Score > g.ranked[len(g.ranked)-1].Score {
+			g.setRanked(place.Insert(slices.Clone(g.ranked), r, schedulersPerCell))
 		}
-		groups[best].Targets = append(groups[best].Targets, t)
 	}
-	l.cells[service] = groups
 }
 
 // cellCount returns a power of two, so that the number of cells changes rarely as a
@@ -119,25 +248,19 @@
 // AlternativeTo returns the cell that would serve requests with this affinity if the cell
 // with the given key did not exist, or nil.
 func (l *Layout) AlternativeTo(service string, affinity uint64, except Key) *Group {
-	var best *Group
-	bestScore := math.Inf(-1)
-	for _, g := range l.cells[service] {
-		if g.Key == except || !g.takesWork() {
-			continue
-		}
-		unit := (float64(place.Score(string(g.Key), affinity)>>11) + 0.5) / (1 << 53)
-		score := float64(len(g.Targets)) / -math.Log(unit)
-		if score > bestScore {
-			best, bestScore = g, score
-		}
+	s := l.services[service]
+	if s == nil {
+		return nil
 	}
-	return best
-}
-
-// takesWork reports whether a target of the cell may get requests. Cells with only leaving
-// or evacuated targets are skipped.
-func (g *Group) takesWork() bool {
-	return slices.ContainsFunc(g.Targets, (*routing.Target).AcceptsWork)
+	excluded := noChoice
+	if g := l.byKey[except]; g != nil && g.Service == service {
+		excluded = g.index
+	}
+	picked := s.picker.pick(affinity, excluded)
+	if picked == noChoice {
+		return nil
+	}
+	return s.groups[picked]
 }
 
 // FilterTargets returns the given targets that belong to the cell. Dropping the others
@@ -162,15 +285,13 @@
 func (l *Layout) Groups() map[Key]*Group { return l.byKey }
 
 // GroupsOf returns the cells of a service.
-func (l *Layout) GroupsOf(service string) []*Group { return l.cells[service] }
-
-// Siblings returns the other cells of the same service.
-func (l *Layout) Siblings(g *Group) []*Group {
-	var out []*Group
-	for _, other := range l.cells[g.Service] {
-		if other.Key != g.Key {
-			out = append(out, other)
-		}
+func (l *Layout) GroupsOf(service string) []*Group {
+	s := l.services[service]
+	if s == nil {
+		return nil
 	}
-	return out
+	return s.groups
 }
+
+// SiblingCount returns the number of other cells of the same service.
+func (l *Layout) SiblingCount(g *Group) int { return len(l.GroupsOf(g.Service)) - 1 }
--- a/core/place/rendezvous.go
+++ b/core/place/rendezvous.go
@@ -9,6 +9,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -67,48 +68,69 @@
 // the top places while strong ones exist.
 const strengthPower = 3
 
+// Ranked is a node with its score for a key.
+type Ranked struct {
+	ID    string
+	Score float64
+}
+
 // TopByStrength is like Top, but prefers strong nodes by weighted rendezvous hashing.
 func TopByStrength(nodes []Node, key string, k int) []string {
-	return top(nodes, k, func(n Node) float64 {
-		strength := float64(n.Strength) / wholeCore
-		if n.Strength == 0 {
-			strength = 1
-		}
-		return math.Pow(strength, strengthPower) / -math.Log(unit(hash(n.ID, key)))
-	})
+	return top(nodes, k, func(n Node) float64 { return ScoreByStrength(n, key) })
+}
+
+// RankByStrength returns the nodes that TopByStrength selects, with their scores.
+func RankByStrength(nodes []Node, key string, k int) []Ranked {
+	return rank(nodes, k, func(n Node) float64 { return ScoreByStrength(n, key) })
+}
+
+// ScoreByStrength returns a node's score for a key; the strongest nodes mostly have the highest.
+func ScoreByStrength(n Node, key string) float64 {
+	strength := float64(n.Strength) / wholeCore
+	if n.Strength == 0 {
+		strength = 1
+	}
+	return Weighted(math.Pow(strength, strengthPower), hash(n.ID, key))
+}
+
+// Insert adds a node to the k highest-ranked ones.
+func Insert(ranked []Ranked, r Ranked, k int) []Ranked {
+	at := len(ranked)
+	for at > 0 && ranked[at-1].Score < r.Score {
+		at--
+	}
+	if at >= k {
+		return ranked
+	}
+	ranked = slices.Insert(ranked, at, r)
+	return ranked[:min(len(ranked), k)]
 }
 
 const wholeCore = 100 // percent
 
+// Weighted returns the score of a choice with a weight in a weighted rendezvous hash. Choices get
+// keys in proportion to their weights.
+func Weighted(weight float64, hash uint64) float64 { return weight / -math.Log(unit(hash)) }
+
 // unit maps a hash to the open interval (0, 1).
 func unit(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
 
 // top returns the IDs of the k nodes with the highest score.
 func top(nodes []Node, k int, score func(n Node) float64) []string {
-	type scored struct {
-		id    string
-		score float64
+	ranked := rank(nodes, k, score)
+	ids := make([]string, len(ranked))
+	for i, r := range ranked {
+		ids[i] = r.ID
 	}
-	top := make([]scored, 0, k+1)
+	return ids
+}
+
+func rank(nodes []Node, k int, score func(n Node) float64) []Ranked {
+	ranked := make([]Ranked, 0, k+1)
 	for _, n := range nodes {
-		s := scored{n.ID, score(n)}
-		at := len(top)
-		for at > 0 && top[at-1].score < s.score {
-			at--
-		}
-		if at >= k {
-			continue
-		}
-		top = append(top, scored{})
-		copy(top[at+1:], top[at:])
-		top[at] = s
-		top = top[:min(len(top), k)]
+		ranked = Insert(ranked, Ranked{n.ID, score(n)}, k)
 	}
-	ids := make([]string, len(top))
-	for i, s := range top {
-		ids[i] = s.id
-	}
-	return ids
+	return ranked
 }
 
 func hash(node, key string) uint64 {
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -324,7 +324,7 @@
 
 // Ready reports whether the gateway accepts requests.
 func (g *Gateway) Ready() bool {
-	return !g.isDraining() && !g.resyncing() && g.follow.Index() != nil && len(g.follow.Targets().Targets) > 0
+	return !g.isDraining() && !g.resyncing() && g.follow.Index() != nil && g.follow.Targets().Len() > 0
 }
 
 func (g *Gateway) isDraining() bool {
--- a/router/gatewaystate.go
+++ b/router/gatewaystate.go
@@ -50,7 +50,7 @@
 	calls, fetches := g.follow.CallCounts()
 	return GatewayDump{
 		ID: g.self.ID, Incarnation: g.self.Incarnation, DataHall: g.self.DataHall, Ready: g.Ready(), Draining: g.isDraining(),
-		InFlight: g.inFlight(), HandedOver: g.callers.HandedOver(), CallerConnections: g.callers.Open(), TurnedAway: g.callers.TurnedAway(), Targets: len(g.follow.Targets().Targets), Leaving: g.follow.Targets().LeavingIDs(), Evacuated: g.follow.Evacuated(), StoreCalls: calls, PeerFetches: fetches, TargetConnections: g.pool.Dials(),
+		InFlight: g.inFlight(), HandedOver: g.callers.HandedOver(), CallerConnections: g.callers.Open(), TurnedAway: g.callers.TurnedAway(), Targets: g.follow.Targets().Len(), Leaving: g.follow.Targets().LeavingIDs(), Evacuated: g.follow.Evacuated(), StoreCalls: calls, PeerFetches: fetches, TargetConnections: g.pool.Dials(),
 		Mesh: g.loop.State(), Quarantined: g.quarantine.Standings()[quarantine.Quarantined], Goroutines: runtime.NumGoroutine(), HeapBytes: mem.HeapAlloc,
 	}
 }
--- a/services/follow/cold.go
+++ b/services/follow/cold.go
@@ -37,14 +37,14 @@
 
 func (t *targetTable) toLocalTargets(now time.Time, listed []routing.Target) []routing.Target {
 	for i := range listed {
-		listed[i] = toLocalCold(now, t.known[listed[i].WorkerName()].Target, listed[i])
+		listed[i] = toLocalCold(now, t.known[listed[i].WorkerName()].get(), listed[i])
 	}
 	return listed
 }
 
 func (t *targetTable) toLocalChanges(now time.Time, changes []TargetChange) []TargetChange {
 	for i := range changes {
-		changes[i].Target = toLocalCold(now, t.known[changes[i].ID].Target, changes[i].Target)
+		changes[i].Target = toLocalCold(now, t.known[changes[i].ID].get(), changes[i].Target)
 	}
 	return changes
 }
@@ -62,13 +62,14 @@
 // markCold makes all targets of a data hall cold, as if they had just started. It is used after
 // an outage of the store, during which they may have turned cold unnoticed.
 func (t *targetTable) markCold(now time.Time, hall string, coldStart func(service string) time.Duration) {
-	for id, ch := range t.known {
-		if ch.Target.DataHall != hall {
+	for name, k := range t.known {
+		if k.Target.DataHall != hall {
 			continue
 		}
-		if until := now.Add(coldStart(ch.Target.Service)); until.After(ch.Target.ColdUntil) {
-			ch.Target.ColdUntil = until
-			t.known[id] = ch
+		if until := now.Add(coldStart(k.Target.Service)); until.After(k.Target.ColdUntil) {
+			cold := *k.Target
+			cold.ColdUntil = until
+			t.set(name, k.Revision, cold)
 		}
 	}
 }
--- a/services/follow/evacuate.go
+++ b/services/follow/evacuate.go
@@ -53,14 +53,29 @@
 	return out
 }
 
-// markEvacuated sets Evacuated on all targets and returns the number of evacuated ones.
-func (s *Service) markEvacuated(set *routing.TargetSet) int {
-	n := 0
-	for i := range set.Targets {
-		t := &set.Targets[i]
-		if t.Evacuated = s.halls.evacuated(t.DataHall); t.Evacuated {
+// markEvacuated returns the set with Evacuated set on the targets of evacuated halls, and their
+// number.
+func (s *Service) markEvacuated(set, before *routing.TargetSet) (*routing.TargetSet, int) {
+	if !s.halls.anyEvacuated() {
+		return set, 0
+	}
+	n, e := 0, set.Edit()
+	for t := range set.All() {
+		if s.halls.evacuated(t.DataHall) {
+			marked := *t
+			marked.Evacuated = true
+			e.Put(sharedWith(before, &marked))
 			n++
 		}
 	}
-	return n
+	return e.Done(set.Revision), n
+}
+
+// sharedWith returns the target of an older set if it equals the given one, so that the sets do not
+// differ in it.
+func sharedWith(older *routing.TargetSet, t *routing.Target) *routing.Target {
+	if same := older.FindWorker(t.WorkerName()); same != nil && *same == *t {
+		return same
+	}
+	return t
 }
--- a/services/follow/expired.go
+++ b/services/follow/expired.go
@@ -26,29 +26,39 @@
 // if there is none. before is the previous result; unsettled is set during and shortly after an
 // outage of the store.
 func (h *heldTargets) hold(now time.Time, unsettled bool, before, listed *routing.TargetSet) (*routing.TargetSet, time.Duration) {
-	wait := time.Duration(0)
-	set := &routing.TargetSet{Revision: listed.Revision, Targets: append([]routing.Target(nil), listed.Targets...)}
-	for _, t := range before.Targets {
-		if t.Leaving || listed.FindWorker(t.WorkerName()) != nil {
-			delete(h.until, t.ID)
+	wait, kept := time.Duration(0), map[string]time.Time{}
+	e := listed.Edit()
+	for _, ch := range listed.Changes(before) {
+		if ch.After != nil || ch.Before.Leaving {
 			continue
 		}
-		until, held := h.until[t.ID]
+		until, held := h.until[ch.Before.ID]
 		if !held {
-			if !unsettled {
-				continue
-			}
 			until = now.Add(expiredHold)
-			h.until[t.ID] = until
 		}
-		if !now.Before(until) {
-			delete(h.until, t.ID)
+		if !held && !unsettled || !now.Before(until) {
 			continue
 		}
-		set.Targets = append(set.Targets, t)
+		kept[ch.Before.ID] = until
+		e.Put(withoutEvacuation(ch.Before))
 		if left := until.Sub(now); wait == 0 || left < wait {
 			wait = left
 		}
 	}
-	return set.BuildIndex(), wait
+	h.until = kept
+	if len(kept) == 0 {
+		return listed, 0
+	}
+	return e.Done(listed.Revision), wait
+}
+
+// withoutEvacuation returns a target without the mark of an evacuation, which is set anew for each
+// published set.
+func withoutEvacuation(t *routing.Target) *routing.Target {
+	if !t.Evacuated {
+		return t
+	}
+	plain := *t
+	plain.Evacuated = false
+	return &plain
 }
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -96,7 +96,7 @@
 		t: t, log: logger, opts: o, table: newTargetTable(), halls: newHallTable(), held: newHeldTargets(), peerReports: make(chan peerReport, peerQueueSize), counters: metrics.NewSet(), badRowLog: log.NewRateLimiter(badRowLogInterval, badRowLogBurst),
 		watchConfiguration: watch.New(rand.Float64()), watchTargets: watch.New(rand.Float64()),
 	}
-	s.targets.Store((&routing.TargetSet{}).BuildIndex())
+	s.targets.Store(routing.NewTargetSet(0))
 	wait, now := o.Start.Wait(rand.Float64()), o.Clock.Now()
 	s.watchConfiguration.DelayFirstPoll(now, wait)
 	s.watchTargets.DelayFirstPoll(now, wait)
@@ -304,13 +304,14 @@
 		s.log.Info("Target restarted.", "target", r.Name, "born", r.Born, "previous", r.Previous, "from", from)
 	}
 	listed, leaving := s.table.targetSet()
-	now := s.opts.Clock.Now()
-	set, wait := s.held.hold(now, s.watchTargets.Unsettled(now), s.targets.Load(), listed)
-	evacuated := s.markEvacuated(set)
-	announced, digest := s.markLeaving(set)
+	now, before := s.opts.Clock.Now(), s.targets.Load()
+	set, wait := s.held.hold(now, s.watchTargets.Unsettled(now), before, listed)
+	heldCount := set.Len() - listed.Len()
+	set, evacuated := s.markEvacuated(set, before)
+	set, announced, digest := s.markLeaving(set, before)
 	s.leavingDigest = digest
 	s.targets.Store(set)
-	s.log.Info("Targets changed.", "revision", set.Revision, "from", from, "targets", len(listed.Targets), "leaving", leaving, "leaving_announced", announced, "held", len(set.Targets)-len(listed.Targets), "evacuated", evacuated)
+	s.log.Info("Targets changed.", "revision", set.Revision, "from", from, "targets", listed.Len(), "leaving", leaving, "leaving_announced", announced, "held", heldCount, "evacuated", evacuated)
 	if wait > 0 {
 		s.schedulePublish(wait)
 	}
--- a/services/follow/halls.go
+++ b/services/follow/halls.go
@@ -107,3 +107,12 @@
 }
 
 func (t *hallTable) evacuated(hall string) bool { return t.halls[hall].Evacuated }
+
+func (t *hallTable) anyEvacuated() bool {
+	for _, ch := range t.halls {
+		if ch.Evacuated {
+			return true
+		}
+	}
+	return false
+}
--- a/services/follow/leaving.go
+++ b/services/follow/leaving.go
@@ -50,17 +50,28 @@
 	s.publish(fromAnswer)
 }
 
-// markLeaving marks the leaving targets and returns their number and digest.
-func (s *Service) markLeaving(set *routing.TargetSet) (n int, digest uint64) {
-	for i := range set.Targets {
-		t := &set.Targets[i]
-		if s.opts.LeavingTargets.Leaves(t.ID) {
-			t.Leaving = true
-			digest ^= leaving.Digest(t.ID)
-			n++
+// markLeaving returns the set with Leaving set on the targets that announced it, with their number
+// and digest.
+func (s *Service) markLeaving(set, before *routing.TargetSet) (marked *routing.TargetSet, n int, digest uint64) {
+	announced := s.opts.LeavingTargets.Leaving()
+	if len(announced) == 0 {
+		return set, 0, 0
+	}
+	e := set.Edit()
+	for _, a := range announced {
+		t := set.Find(a.ID)
+		if t == nil || !s.opts.LeavingTargets.Leaves(a.ID) {
+			continue
+		}
+		n++
+		digest ^= leaving.Digest(a.ID)
+		if !t.Leaving {
+			leaves := *t
+			leaves.Leaving = true
+			e.Put(sharedWith(before, &leaves))
 		}
 	}
-	return n, digest
+	return e.Done(set.Revision), n, digest
 }
 
 // mergeLeaving adds a peer's announcements and reports whether any is new; the caller holds mu.
--- a/services/follow/targets.go
+++ b/services/follow/targets.go
@@ -4,28 +4,51 @@
 package follow
 
 import (
+	"cmp"
 	"slices"
-	"sort"
 
 	"madderway/core/leaving"
 	"madderway/models/routing"
 )
 
-// maxRemoved bounds the number of removals that are kept for peers.
-const maxRemoved = 1024
+// minRemoved is the number of removals that are kept for peers in any fleet. A larger one keeps as
+// many as it lists targets, so that a release of most of them does not make every peer that is a
+// moment behind fetch the whole list.
+const minRemoved = 1024
 
 // targetTable is the list of targets with the revision of each change, so that a peer receives
 // only the changes it lacks. It is keyed by worker name and holds the newest incarnation of each
 // worker.
 type targetTable struct {
 	revision  routing.Revision
-	known     map[string]TargetChange
+	known     map[string]knownTarget
 	removed   map[string]routing.Revision
 	compacted routing.Revision // newest removal that is no longer kept
+	listings  history          // of known
+	removals  history          // of removed
 	// Start time of the newest incarnation of each worker, including removed ones; reports of
 	// older incarnations are ignored.
 	born     map[string]int64
-	restarts []restart // since the last takeRestarts
+	restarts []restart          // since the last takeRestarts
+	listed   *routing.TargetSet // known as of the last targetSet
+	unlisted map[string]bool    // workers changed since then
+	leaving  int                // known targets that leave
+	changes  uint64             // changes of any content so far
+}
+
+// knownTarget is the state of a listed worker. The target is shared with published sets, so it is
+// replaced, never changed.
+type knownTarget struct {
+	Revision routing.Revision
+	Target   *routing.Target
+}
+
+// get returns a known worker's target, or an empty one.
+func (k knownTarget) get() routing.Target {
+	if k.Target == nil {
+		return routing.Target{}
+	}
+	return *k.Target
 }
 
 // restart is the start of a new incarnation of a known worker.
@@ -35,7 +58,33 @@
 }
 
 func newTargetTable() *targetTable {
-	return &targetTable{known: map[string]TargetChange{}, removed: map[string]routing.Revision{}, born: map[string]int64{}}
+	return &targetTable{
+		known: map[string]knownTarget{}, removed: map[string]routing.Revision{}, born: map[string]int64{},
+		listed: routing.NewTargetSet(0), unlisted: map[string]bool{},
+	}
+}
+
+// set sets the state of a worker as of a revision.
+func (t *targetTable) set(name string, revision routing.Revision, target routing.Target) {
+	old, found := t.known[name]
+	if !found || old.Revision != revision {
+		t.listings.add(revision, name)
+	}
+	if !found || *old.Target != target {
+		t.countLeaving(old, -1)
+		old.Target = &target
+		t.countLeaving(old, 1)
+		t.unlisted[name] = true
+		t.changes++
+	}
+	t.known[name] = knownTarget{revision, old.Target}
+	delete(t.removed, name)
+}
+
+func (t *targetTable) countLeaving(k knownTarget, by int) {
+	if k.Target != nil && k.Target.Leaving {
+		t.leaving += by
+	}
 }
 
 // resolveIncarnation records the incarnation of a reported target. It returns false if a newer
@@ -68,11 +117,10 @@
 		target, present := t.resolveIncarnation(reported)
 		old, found := t.known[name]
 		listed[name] = present || found
-		if !present || found && old.Target == target {
+		if !present || found && *old.Target == target {
 			continue
 		}
-		t.known[name] = TargetChange{ID: name, Revision: revision, Target: target}
-		delete(t.removed, name)
+		t.set(name, revision, target)
 		changed = true
 	}
 	for id := range t.known {
@@ -119,27 +167,50 @@
 		if ch.Target, present = t.resolveIncarnation(ch.Target); !present {
 			continue
 		}
-		t.known[ch.ID] = ch
-		delete(t.removed, ch.ID)
-		changed = changed || !found || old.Target != ch.Target
+		changed = changed || !found || *old.Target != ch.Target
+		t.set(ch.ID, ch.Revision, ch.Target)
 	}
 	return changed
 }
 
 func (t *targetTable) remove(id string, revision routing.Revision) {
-	delete(t.known, id)
+	if old, found := t.known[id]; found {
+		t.countLeaving(old, -1)
+		t.unlisted[id] = true
+		delete(t.known, id)
+	}
+	if t.removed[id] != revision {
+		t.removals.add(revision, id)
+	}
 	t.removed[id] = revision
-	for len(t.removed) > maxRemoved {
-		oldest := id
-		for other, r := range t.removed {
-			if r < t.removed[oldest] {
-				oldest = other
-			}
+	t.changes++
+	t.compact()
+}
+
+// compact forgets the oldest removals beyond the limit.
+func (t *targetTable) compact() {
+	for len(t.removed) > max(minRemoved, len(t.known)) {
+		oldest := t.removals.takeOldest()
+		if !t.isRemoval(oldest) {
+			continue
 		}
-		t.compacted = max(t.compacted, t.removed[oldest])
-		delete(t.removed, oldest)
-		delete(t.born, oldest)
+		t.compacted = max(t.compacted, oldest.revision)
+		delete(t.removed, oldest.name)
+		delete(t.born, oldest.name)
 	}
+	t.removals.tidy(len(t.removed), t.isRemoval)
+	t.listings.tidy(len(t.known), t.isListing)
+}
+
+// isListing and isRemoval report whether an entry is the latest change of its worker.
+func (t *targetTable) isListing(e historyEntry) bool {
+	k, found := t.known[e.name]
+	return found && k.Revision == e.revision
+}
+
+func (t *targetTable) isRemoval(e historyEntry) bool {
+	revision, found := t.removed[e.name]
+	return found && revision == e.revision
 }
 
 // targetState is the part of a state that a peer fetches about targets.
@@ -150,21 +221,33 @@
 	Leaving  []leaving.Announcement `json:"leaving,omitempty"` // including incarnations that are not listed
 }
 
-// since returns the changes after a revision, or the whole table if they are not all known.
+// since returns what a peer that has the given revision lacks. It looks only at the changes since.
 func (t *targetTable) since(revision routing.Revision) targetState {
 	state := targetState{Revision: t.revision, Whole: revision == 0 || revision < t.compacted || revision.Era() != t.revision.Era()}
-	for _, ch := range t.known {
-		if state.Whole || ch.Revision > revision {
-			state.Changes = append(state.Changes, ch)
+	if state.Whole {
+		for name, k := range t.known {
+			state.Changes = append(state.Changes, TargetChange{ID: name, Revision: k.Revision, Target: *k.Target})
 		}
+	} else {
+		state.Changes = t.changesSince(revision)
 	}
-	for id, r := range t.removed {
-		if !state.Whole && r > revision {
-			state.Changes = append(state.Changes, TargetChange{ID: id, Revision: r, Gone: true})
+	slices.SortFunc(state.Changes, func(a, b TargetChange) int { return cmp.Compare(a.ID, b.ID) })
+	return state
+}
+
+func (t *targetTable) changesSince(revision routing.Revision) []TargetChange {
+	var changes []TargetChange
+	for _, e := range t.listings.since(revision) {
+		if t.isListing(e) {
+			changes = append(changes, TargetChange{ID: e.name, Revision: e.revision, Target: *t.known[e.name].Target})
 		}
 	}
-	sort.Slice(state.Changes, func(i, j int) bool { return state.Changes[i].ID < state.Changes[j].ID })
-	return state
+	for _, e := range t.removals.since(revision) {
+		if t.isRemoval(e) {
+			changes = append(changes, TargetChange{ID: e.name, Revision: e.revision, Gone: true})
+		}
+	}
+	return changes
 }
 
 // merge applies a peer's state and reports whether anything changed.
@@ -204,14 +287,18 @@
 	return newer
 }
 
-// targetSet returns the targets of the table and the number of those that leave.
+// targetSet returns the listed targets and the number of those that leave. Its cost depends on the
+// number of changes since the last call.
 func (t *targetTable) targetSet() (set *routing.TargetSet, leaving int) {
-	set = &routing.TargetSet{Revision: t.revision}
-	for _, ch := range t.known {
-		set.Targets = append(set.Targets, ch.Target)
-		if ch.Target.Leaving {
-			leaving++
+	e := t.listed.Edit()
+	for name := range t.unlisted {
+		if k, found := t.known[name]; found {
+			e.Put(k.Target)
+		} else {
+			e.Remove(name)
 		}
 	}
-	return set.BuildIndex(), leaving
+	clear(t.unlisted)
+	t.listed = e.Done(t.revision)
+	return t.listed, t.leaving
 }
--- a/services/mesh/layout.go
+++ b/services/mesh/layout.go
@@ -12,15 +12,21 @@
 	"madderway/core/entry"
 	"madderway/core/place"
 	"madderway/core/watch"
+	"madderway/models/routing"
 	"madderway/modules/ident"
 	"madderway/services/discover"
 )
 
-// rebuildLayout divides the targets into cells.
-func (l *Loop) rebuildLayout(now time.Time) {
-	l.layout = cell.NewLayout(l.index, l.targets, l.members.Nodes())
+// setRouting applies a new configuration and list of targets. A configuration may change the rules
+// of all cells; otherwise only cells whose targets have changed are told.
+func (l *Loop) setRouting(now time.Time, index *routing.Index, targets *routing.TargetSet) {
+	configured := index != l.index
+	l.index, l.targets = index, targets
+	changed := l.layout.SetTargets(index, targets)
 	for key, s := range l.cells {
-		l.setTargets(now, key, s)
+		if configured || changed[key] {
+			l.setTargets(now, key, s)
+		}
 	}
 	l.stepEntry(now, entry.LayoutSeen{Layout: l.layout})
 }
@@ -41,7 +47,7 @@
 	if l.opts.OnMembers != nil {
 		l.opts.OnMembers(l.members.Others())
 	}
-	l.layout = l.layout.WithNodes(nodes)
+	l.layout.SetNodes(nodes)
 	for key, s := range l.cells {
 		l.updateColdShare(now, key, s)
 	}
@@ -68,7 +74,7 @@
 		return
 	}
 	service := l.index.Service(g.Service)
-	ev := cell.TargetsSeen{Siblings: len(l.layout.Siblings(g)), FairWindow: l.opts.FairWindow, Transfer: service.Engine.Transfer}
+	ev := cell.TargetsSeen{Siblings: l.layout.SiblingCount(g), FairWindow: l.opts.FairWindow, Transfer: service.Engine.Transfer}
 	for _, t := range g.Targets {
 		ev.Targets = append(ev.Targets, cell.TargetInfo{
 			ID: t.ID, Slots: service.Engine.Slots, CacheTokens: service.Engine.CacheTokens, DataHall: t.DataHall, Leaving: t.Leaving,
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -142,7 +142,7 @@
 func NewLoop(t *tomb.Tomb, logger log.Logger, o Options) *Loop {
 	l := &Loop{
 		t: t, log: logger, opts: o, inputs: ring.New[input]("mesh", inputQueueSize), members: member.New(o.Member, o.Self),
-		entry: entry.New(o.Self.ID), cells: map[cell.Key]*cellScheduler{}, undecided: map[cell.Key]*cellScheduler{}, served: map[string]serviceTotals{}, layout: &cell.Layout{},
+		entry: entry.New(o.Self.ID), cells: map[cell.Key]*cellScheduler{}, undecided: map[cell.Key]*cellScheduler{}, served: map[string]serviceTotals{}, layout: cell.NewLayout(nil, nil, nil),
 		decisions: map[cell.RequestID]chan Decision{}, links: map[string]*peernet.Link{}, out: peerwire.NewOutbox(lazyFrameDelay), traffic: newTraffic(), promised: promiseCounters{metrics.NewSet()},
 		handovers: map[cell.Key]receivedHandover{},
 	}
@@ -242,8 +242,7 @@
 	case recordIn:
 		l.records.Share(now, e.record, "")
 	case routingIn:
-		l.index, l.targets = e.index, e.targets
-		l.rebuildLayout(now)
+		l.setRouting(now, e.index, e.targets)
 		l.announce(now)
 	case cachedPartsIn:
 		if s := l.cells[e.key]; s != nil {
--- a/services/mesh/room.go
+++ b/services/mesh/room.go
@@ -24,11 +24,7 @@
 			continue
 		}
 		out[g.Service] = append(out[g.Service], roomToWire(room))
-		for _, other := range l.layout.Siblings(g) {
-			if sibling := l.cells[other.Key]; sibling != nil {
-				l.applyToCell(now, other.Key, sibling, cell.RoomsSeen{Rooms: []cell.Room{room}})
-			}
-		}
+		l.applyToSiblings(now, g, cell.RoomsSeen{Rooms: []cell.Room{room}})
 	}
 	return out
 }
--- a/services/mesh/tally.go
+++ b/services/mesh/tally.go
@@ -74,11 +74,7 @@
 			l.served[g.Service] = serviceTotals{}
 		}
 		l.served[g.Service].add(rows)
-		for _, other := range l.layout.Siblings(g) {
-			if sibling := l.cells[other.Key]; sibling != nil {
-				l.applyToCell(now, other.Key, sibling, cell.SiblingTallySeen{Rows: rows})
-			}
-		}
+		l.applyToSiblings(now, g, cell.SiblingTallySeen{Rows: rows})
 	}
 	rooms := l.tellRooms(now)
 	for service := range rooms {
@@ -93,15 +89,32 @@
 	}
 }
 
+// applyToSiblings applies an event to the other cells of the service that are scheduled here.
+func (l *Loop) applyToSiblings(now time.Time, g *cell.Group, ev cell.Event) {
+	for key, s := range l.cells {
+		if other := l.layout.Group(key); other != nil && other != g && other.Service == g.Service {
+			l.applyToCell(now, key, s, ev)
+		}
+	}
+}
+
+// schedulersOf returns the gateways that schedule cells of a service.
+func (l *Loop) schedulersOf(service string) map[string]bool {
+	ids := map[string]bool{}
+	for _, g := range l.layout.GroupsOf(service) {
+		if schedulers := g.Schedulers(); len(schedulers) > 0 {
+			ids[schedulers[0]] = true
+		}
+	}
+	return ids
+}
+
 // broadcastTally sends a tally to each other gateway that schedules a cell of the service.
 func (l *Loop) broadcastTally(now time.Time, service string, t *wire.EngineTally) {
-	sent := map[string]bool{l.opts.Self.ID: true}
-	for _, g := range l.layout.GroupsOf(service) {
-		if len(g.Schedulers()) == 0 || sent[g.Schedulers()[0]] {
+	for to := range l.schedulersOf(service) {
+		if to == l.opts.Self.ID {
 			continue
 		}
-		to := g.Schedulers()[0]
-		sent[to] = true
 		f := l.out.Frame(now, to, true)
 		f.EngineTallies = append(f.EngineTallies, t)
 	}
@@ -113,12 +126,13 @@
 	for _, row := range t.Rows {
 		ev.Rows = append(ev.Rows, cell.TallyRow{Account: row.Account, Service: row.Service, Before: row.Before})
 	}
-	for _, g := range l.layout.GroupsOf(t.Service) {
-		if s := l.cells[g.Key]; s != nil {
-			l.applyToCell(now, g.Key, s, ev)
-			if len(t.Rooms) > 0 {
-				l.applyToCell(now, g.Key, s, roomsSeen(g.Key, t.Rooms))
-			}
+	for key, s := range l.cells {
+		if g := l.layout.Group(key); g == nil || g.Service != t.Service {
+			continue
+		}
+		l.applyToCell(now, key, s, ev)
+		if len(t.Rooms) > 0 {
+			l.applyToCell(now, key, s, roomsSeen(key, t.Rooms))
 		}
 	}
 }
