cell, mesh: Cells grow with the square root of the targets, tallies with their schedulers

Cause: 12 targets a cell give 1,024 cells for 9,845 engines, more than gateways, with 1.4 requests a second each. All schedulers tell each other, so the exchange grows with the square of the fleet; to hold that down the interval grew to 16 s at 1,024 cells, while the fair window is 4 s.

Change: beyond 32 cells (384 targets) both the number and the size of cells grow with the square root of the targets: 176 cells of 56 at 9,845, 240 of 82 at 19,690. All pairs then grow like the fleet. The interval follows from the number of gateways that schedule, 0.5 s up to 128 of them; the strong ones hold several cells each. Fleets of up to 384 engines have the cells that they had.

--- a/core/cell/layout.go
+++ b/core/cell/layout.go
@@ -7,6 +7,8 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
+	"math/bits"
 	"slices"
 
 	"madderway/core/place"
@@ -14,8 +16,14 @@
 )
 
 const (
-	// Largest average number of targets in a cell.
+	// Largest average number of targets in a cell of a service with few targets.
 	targetsPerCell = 12
+	// Number of cells beyond which cells grow in size as well as in number, both with the square
+	// root of the number of targets. The exchange among all schedulers then grows like the fleet,
+	// instead of like its square, and a decision still looks at few targets.
+	manyCells = 32
+	// Beyond manyCells, the number of cells changes in steps of an eighth.
+	stepsPerDoubling = 8
 	// Number of gateways listed as schedulers of a cell.
 	schedulersPerCell = 3
 )
@@ -229,14 +237,19 @@
 	}
 }
 
-// cellCount returns a power of two, so that the number of cells changes rarely as a
-// service grows; about half of the targets then stay in their cells.
+// cellCount returns the number of cells for a number of targets. Few cells are a power of two, so
+// that their number changes rarely as a service grows.
 func cellCount(targets, maxPerCell int) int {
 	n := 1
-	for targets > n*maxPerCell {
+	for targets > n*maxPerCell && n < manyCells {
 		n *= 2
 	}
-	return n
+	if targets <= n*maxPerCell {
+		return n
+	}
+	exact := manyCells * math.Sqrt(float64(targets)/float64(manyCells*maxPerCell))
+	step := 1 << (bits.Len(uint(exact)) - 1) / stepsPerDoubling
+	return int(math.Ceil(exact/float64(step))) * step
 }
 
 // GroupFor returns the cell that serves requests with this affinity, or nil. It uses
--- a/core/cell/layout_test.go
+++ b/core/cell/layout_test.go
@@ -217,6 +217,15 @@
 	}
 }
 
+// The exchange among all schedulers grows faster than the fleet.
+func TestCellsGrowWithRootOfTargets(t *testing.T) {
+	for _, n := range []int{384, 984, 9_845} {
+		if few, many := cellCount(n, targetsPerCell), cellCount(4*n, targetsPerCell); float64(many) > 2.3*float64(few) {
+			t.Errorf("%d cells for %d targets, %d for four times as many, want about twice as many cells", few, n, many)
+		}
+	}
+}
+
 func BenchmarkLayoutTargetChange(b *testing.B) {
 	for _, n := range []int{984, 9_845, 19_690} {
 		b.Run(fmt.Sprint("targets=", n), func(b *testing.B) {
--- a/services/mesh/tally.go
+++ b/services/mesh/tally.go
@@ -13,16 +13,16 @@
 )
 
 // Schedulers of a service send each other the service they gave to accounts every tallyInterval.
-// Beyond cellsPerTallyInterval cells the interval grows with their number, since each scheduler
-// sends to all others.
+// Beyond schedulersPerTallyInterval of them the interval grows with their number, since each sends
+// to all others.
 const (
-	tallyInterval         = 500 * time.Millisecond
-	cellsPerTallyInterval = 32
+	tallyInterval              = 500 * time.Millisecond
+	schedulersPerTallyInterval = 128
 )
 
-// tallyDelay returns the time between tallies for a number of cells.
-func tallyDelay(cells int) time.Duration {
-	return tallyInterval * time.Duration(max(cells, cellsPerTallyInterval)) / cellsPerTallyInterval
+// tallyDelay returns the time between tallies for a number of gateways that schedule.
+func tallyDelay(schedulers int) time.Duration {
+	return tallyInterval * time.Duration(max(schedulers, schedulersPerTallyInterval)) / schedulersPerTallyInterval
 }
 
 // serviceTotals sums the service given to each account in all cells that this gateway has scheduled.
@@ -60,7 +60,7 @@
 	if now.Before(l.nextTally) {
 		return
 	}
-	l.nextTally = now.Add(tallyDelay(len(l.layout.Groups())))
+	l.nextTally = now.Add(tallyDelay(l.schedulerCount()))
 	for key, s := range l.cells {
 		g := l.layout.Group(key)
 		if g == nil {
@@ -109,6 +109,15 @@
 	return ids
 }
 
+// schedulerCount returns the largest number of schedulers of a service that is scheduled here.
+func (l *Loop) schedulerCount() int {
+	most := 0
+	for service := range l.served {
+		most = max(most, len(l.schedulersOf(service)))
+	}
+	return most
+}
+
 // broadcastTally sends a tally to each other gateway that schedules a cell of the service.
 func (l *Loop) broadcastTally(now time.Time, service string, t *wire.EngineTally) {
 	for to := range l.schedulersOf(service) {
