follow, watch, collector: The start of a large fleet

Cause: every starting gateway had its giver marshal and compress the whole list anew, 62 ms of a core for 10,000 targets, 330 ms on 0.192 of one: three seeds cannot serve 985 within the fetch's second, which is then repeated. Gateways without a copy read the store themselves after 0.1 to 2.7 s (50 pages each), at any size, and all at once after a loss of power. Garbage may take 300 % of the live heap, which grows with the fleet: 30 MB a gateway.

Change: the packed whole list is kept until it changes (a second if it holds times). The wait before the first read of the store grows with the members known, so that the number of readers stays as the fleet grows; a restart waits like a first start.

--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -36,13 +36,13 @@
 	maxBackoff     = time.Second
 	backoffMembers = 30
 	// A starting gateway waits for its peers to send a copy before it reads the store:
-	// fleetStartWait plus up to fleetStartJitter if the whole fleet starts for the first
-	// time, which allows for gossip across 300 gateways; otherwise restartWait plus up to
-	// restartJitter, as running peers answer within milliseconds.
-	fleetStartWait   = 700 * time.Millisecond
-	fleetStartJitter = 2 * time.Second
-	restartWait      = 100 * time.Millisecond
-	restartJitter    = 200 * time.Millisecond
+	// startWait plus up to startJitter. A restarted gateway waits as long as one of a new
+	// fleet, since all may have lost power; running peers answer within milliseconds. The
+	// jitter grows in proportion in fleets of more than startJitterMembers, so that the number
+	// of gateways that read the store themselves does not grow with the fleet.
+	startWait          = 700 * time.Millisecond
+	startJitter        = 2 * time.Second
+	startJitterMembers = 300
 	// After longSilence without an update, entries that their owners renew may have expired.
 	// They may be missing for another settleTime after updates resume.
 	longSilence = 3500 * time.Millisecond
@@ -58,7 +58,7 @@
 	freshAt       time.Time // latest time at which the local copy was complete
 	polledAt      time.Time
 	settlingSince time.Time // end of the last long silence
-	firstPollAt   time.Time // earliest time of a poll without a copy
+	firstPollAt   time.Time // earliest time of a poll without a copy in a small fleet
 	gap           bool      // the local copy may miss changes
 }
 
@@ -81,23 +81,19 @@
 	return min(time.Duration(scale*scale*float64(minBackoff)), longest), longest
 }
 
-// Start describes the circumstances in which a gateway starts.
-type Start struct {
-	Seed       bool // other gateways join through this one
-	FleetStart bool // the whole fleet starts for the first time
-}
-
-// Wait returns how long a starting gateway waits for its peers to send a copy before it
-// reads the store. Seeds do not wait. jitter is between 0 and 1.
-func (s Start) Wait(jitter float64) time.Duration {
-	switch {
-	case s.Seed:
+// StartWait returns how long a starting gateway waits for its peers to send a copy before it reads
+// the store, in a fleet of up to startJitterMembers. Seeds, through which others join, do not wait.
+func StartWait(seed bool, jitter float64) time.Duration {
+	if seed {
 		return 0
-	case s.FleetStart:
-		return fleetStartWait + time.Duration(jitter*float64(fleetStartJitter))
-	default:
-		return restartWait + time.Duration(jitter*float64(restartJitter))
 	}
+	return startWait + time.Duration(jitter*float64(startJitter))
+}
+
+// joinDelay returns the wait beyond StartWait in a larger fleet.
+func (w *Watch) joinDelay(members int) time.Duration {
+	beyond := float64(max(members-startJitterMembers, 0)) / startJitterMembers
+	return time.Duration(w.jitter * beyond * float64(startJitter))
 }
 
 // DelayFirstPoll makes the first poll wait for peers.
@@ -115,7 +111,7 @@
 	case w.gap:
 		return 0
 	case w.freshAt.IsZero():
-		return max(w.firstPollAt.Sub(now), 0)
+		return max(w.firstPollAt.Add(w.joinDelay(members)).Sub(now), 0)
 	}
 	due := w.polledAt.Add(MinPollInterval)
 	if stale := w.freshAt.Add(staleAge(members) + w.staleDelay(members)); !watcher && stale.After(due) {
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -132,37 +132,66 @@
 	}
 }
 
-// Guards against every gateway reading the store when the whole fleet starts.
+// Guards against every gateway reading the store when the whole fleet starts, or more of them the
+// larger the fleet is.
 func TestFleetStartCausesFewPolls(t *testing.T) {
-	const n = 295
-	f := newFleet(0)
-	for i := range n {
-		w := New(float64(i) / n)
-		w.DelayFirstPoll(start, Start{Seed: i < 3, FleetStart: true}.Wait(float64(i)/n))
-		f.watches = append(f.watches, w)
-	}
-	f.run(5 * time.Second)
-	others := 0
-	for i, calls := range f.calls {
-		if i >= Watchers {
-			others += calls
+	for _, c := range []struct {
+		members int
+		spread  time.Duration // until all have a copy; 0 lets it spread by gossip
+	}{{295, 0}, {295, 1200 * time.Millisecond}, {985, 1200 * time.Millisecond}, {1970, 1200 * time.Millisecond}} {
+		f := newFleet(0)
+		for i := range c.members {
+			w := New(float64(i) / float64(c.members))
+			w.DelayFirstPoll(start, StartWait(i < Watchers, float64(i)/float64(c.members)))
+			f.watches = append(f.watches, w)
+		}
+		if c.spread == 0 {
+			f.run(5 * time.Second)
+		} else {
+			f.runStart(c.spread)
+		}
+		others := 0
+		for i, calls := range f.calls {
+			if i >= Watchers {
+				others += calls
+			}
+		}
+		if others > 295/10 {
+			t.Errorf("gateways other than the seeds, %d in all, made %d calls", c.members, others)
 		}
 	}
-	if others > n/10 {
-		t.Errorf("gateways other than the seeds, %d in all, made %d calls", n, others)
+}
+
+// runStart lets a copy reach the gateways one after the other, in a random order.
+func (f *fleet) runStart(spread time.Duration) {
+	n := len(f.watches)
+	order := f.rng.Perm(n)
+	for at := time.Duration(0); at < spread+time.Second; at += 50 * time.Millisecond {
+		f.now = start.Add(at)
+		for i, w := range f.watches {
+			if arrives := time.Duration(float64(spread) * float64(order[i]) / float64(n)); i >= Watchers && at >= arrives {
+				w.ObservePeerAge(f.now, 0)
+			}
+			if w.Due(f.now, i < Watchers, n) {
+				f.calls[i]++
+				w.PollStarted(f.now)
+				w.PollSucceeded(f.now)
+			}
+		}
 	}
 }
 
 // Guards against a starting gateway that waits forever for its peers.
 func TestGatewayWithoutPeersPollsAfterStartWait(t *testing.T) {
-	for _, s := range []Start{{Seed: true}, {FleetStart: true}, {}} {
+	for _, seed := range []bool{true, false} {
 		w := New(0)
-		w.DelayFirstPoll(start, s.Wait(1))
-		if got := w.Due(start, true, 1); got != s.Seed {
-			t.Errorf("%+v: polls at once = %v, want only seeds to do so", s, got)
+		wait := StartWait(seed, 1)
+		w.DelayFirstPoll(start, wait)
+		if got := w.Due(start, true, 1); got != seed {
+			t.Errorf("seed %v: polls at once = %v, want only seeds to do so", seed, got)
 		}
-		if !w.Due(start.Add(s.Wait(1)), false, 1) {
-			t.Errorf("%+v: no poll after %v", s, s.Wait(1))
+		if !w.Due(start.Add(wait), false, 1) || wait > 3*time.Second {
+			t.Errorf("seed %v: no poll after %v", seed, wait)
 		}
 	}
 }
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -20,9 +20,9 @@
 	"madderway/core/member"
 	"madderway/core/place"
 	core "madderway/core/quarantine"
-	"madderway/core/watch"
 	"madderway/handlers/gateway"
 	"madderway/modules/clock"
+	"madderway/modules/collector"
 	"madderway/modules/ident"
 	"madderway/modules/lateness"
 	"madderway/modules/log"
@@ -55,8 +55,6 @@
 	maxRumors = 128
 	// Share of the memory that the runtime aims to stay under.
 	memoryShare = 0.6
-	// Rarer collections than by default: on a fraction of a core, each delays requests.
-	gcPercent = 300
 	// Share of the memory for the bodies of requests in flight.
 	bodyShare = 0.25
 )
@@ -80,6 +78,7 @@
 	pool       *upstream.Pool
 	guard      *forward.Guard
 	probe      atomic.Pointer[lateness.Probe]
+	collector  *collector.Collector // adjusted by the lateness probe
 	standstill standstill
 	forward    *forward.Service
 	handler    *gateway.Handler
@@ -93,9 +92,9 @@
 
 // StartGateway builds a gateway and starts it.
 func StartGateway(s *setting.Gateway) (*Gateway, error) {
-	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
 	g := &Gateway{
+		collector: collector.Start(int64(s.MemoryMB) << 20),
 		clock: clock.System{}, log: log.New("gateway").With(s.ID), meter: &peernet.Meter{}, relayMeter: &peernet.Meter{}, traffic: &netopt.Traffic{},
 		draining: make(chan struct{}),
 	}
@@ -153,7 +152,7 @@
 	g.follow = follow.New(&g.t, log.New("follow").With(s.ID), follow.Options{
 		Source: store, Peers: fetcher{g}, Clock: g.clock, LeavingTargets: g.notices, OnChange: g.applyUpdate, OnNewEra: g.storeRestored,
 		Fleet: func() (bool, int) { return g.loop.Watches(), g.loop.Members() },
-		Start: watch.Start{Seed: len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.Peers), FleetStart: s.FirstStart},
+		Seed:  len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.Peers),
 	})
 	store.OnBadRow(g.follow.ReportBadRow)
 	store.OnEra(g.follow.ObserveEra)
--- a/router/standstill.go
+++ b/router/standstill.go
@@ -34,6 +34,7 @@
 		g.noteStandstill(lateness)
 	}
 	g.guard.ObserveLateness(lateness)
+	g.collector.Adjust(g.clock.Now())
 }
 
 // noteStandstill makes the gateway distrust its state: it refuses requests until configuration and
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -47,8 +47,9 @@
 	// Fleet returns whether this gateway is one of the watchers, which poll all the time, and
 	// the number of gateways.
 	Fleet func() (watcher bool, members int)
-	// Start decides how long the first poll waits for peers to send a copy.
-	Start watch.Start
+	// Seed is set if other gateways join through this one; its first poll does not wait for peers
+	// to send a copy.
+	Seed bool
 	// LeavingTargets is the set of targets that announced that they leave; optional.
 	LeavingTargets LeavingTargets
 	// OnNewEra is called after the store was restored from an older copy and may lack what this
@@ -97,7 +98,7 @@
 		watchConfiguration: watch.New(rand.Float64()), watchTargets: watch.New(rand.Float64()),
 	}
 	s.targets.Store(routing.NewTargetSet(0))
-	wait, now := o.Start.Wait(rand.Float64()), o.Clock.Now()
+	wait, now := watch.StartWait(o.Seed, rand.Float64()), o.Clock.Now()
 	s.watchConfiguration.DelayFirstPoll(now, wait)
 	s.watchTargets.DelayFirstPoll(now, wait)
 	return s
--- a/services/follow/follow_test.go
+++ b/services/follow/follow_test.go
@@ -13,7 +13,6 @@
 
 	"gopkg.in/tomb.v2"
 
-	"madderway/core/watch"
 	"madderway/models/routing"
 	"madderway/modules/clock"
 	"madderway/modules/log"
@@ -107,7 +106,7 @@
 	t.Helper()
 	h := &harness{source: source, clock: clock.NewFake(), changed: make(chan struct{}, 64)}
 	h.Service = New(&h.tomb, log.New("test"), Options{
-		Source: source, Peers: peers, LeavingTargets: leavers, Clock: h.clock, Fleet: func() (bool, int) { return true, 3 }, Start: watch.Start{Seed: true}, OnChange: func() { h.changed <- struct{}{} },
+		Source: source, Peers: peers, LeavingTargets: leavers, Clock: h.clock, Fleet: func() (bool, int) { return true, 3 }, Seed: true, OnChange: func() { h.changed <- struct{}{} },
 	})
 	h.Start()
 	t.Cleanup(func() {
--- a/services/follow/packed.go
+++ b/services/follow/packed.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"time"
 
 	"madderway/models/routing"
 )
@@ -17,12 +18,18 @@
 // minPackSize is the smallest state that is compressed, in bytes.
 const minPackSize = 4 << 10
 
-// packCache compresses states and caches the operator's: up to a hundred gateways fetch the same
-// one within a second, and compressing 400 KB takes milliseconds of CPU.
+// packCache keeps compressed states: at the start of a fleet hundreds of gateways fetch the same
+// ones within seconds, and compressing the list of 10,000 targets takes 60 ms of a core.
 type packCache struct {
 	mu       sync.Mutex
-	versions operatorVersions
-	content  []byte
+	operator packedState
+	targets  packedState // the whole list
+}
+
+type packedState struct {
+	version any // comparable
+	content []byte
+	until   time.Time // zero if the content does not depend on the time
 }
 
 // operatorVersions identifies a state of the operator's settings.
@@ -31,23 +38,45 @@
 	evacuations   routing.Revision
 }
 
-// state returns the state built by plain, compressed if it is large. v identifies it in the cache.
-func (p *packCache) state(want StateRequest, v Versions, plain func() ([]byte, error)) ([]byte, error) {
-	versions := operatorVersions{v.Configuration, v.Evacuations}
+// targetsVersion identifies a whole list of targets.
+type targetsVersion struct {
+	changes   uint64
+	revision  routing.Revision
+	announced int
+}
+
+// maxTimedStateAge bounds the age of a cached list that holds the remaining times of cold targets
+// or the ages of announcements.
+const maxTimedStateAge = time.Second
+
+// get returns the cached state, or the one built and compressed anew. timed reports whether the
+// content depends on the time.
+func (p *packCache) get(now time.Time, cached *packedState, version any, timed bool, plain func() ([]byte, error)) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !want.Targets && p.content != nil && p.versions == versions {
-		return p.content, nil
+	if cached.version == version && (cached.until.IsZero() || now.Before(cached.until)) {
+		return cached.content, nil
 	}
 	content, err := plain()
-	if err != nil || len(content) < minPackSize {
-		return content, err
+	if err == nil {
+		content, err = packLarge(content)
 	}
-	packed, err := pack(content)
-	if err == nil && !want.Targets {
-		p.versions, p.content = versions, packed
+	if err != nil {
+		return nil, err
+	}
+	*cached = packedState{version: version, content: content}
+	if timed {
+		cached.until = now.Add(maxTimedStateAge)
+	}
+	return content, nil
+}
+
+// packLarge compresses a state if it is large.
+func packLarge(content []byte) ([]byte, error) {
+	if len(content) < minPackSize {
+		return content, nil
 	}
-	return packed, err
+	return pack(content)
 }
 
 // maxStateSize bounds a decompressed state of a peer, in bytes. A configuration of 1,500 routes
--- a/services/follow/packed_test.go
+++ b/services/follow/packed_test.go
@@ -51,6 +51,41 @@
 	}
 }
 
+// Each of hundreds of gateways that start makes its giver compress the whole list again, or gets one
+// that lacks a change.
+func TestWholeListIsPackedOncePerChange(t *testing.T) {
+	source := newFakeSource()
+	source.version = 5
+	for i := range 300 {
+		source.targets = append(source.targets, routing.Target{ID: fmt.Sprintf("w%04d", i), Service: "s", Address: "10.0.0.1:80"})
+	}
+	h := start(t, source, nil)
+	h.await()
+	h.nextWatch()
+	fetch := func() []byte {
+		content, err := h.State(StateRequest{Targets: true, Packed: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return content
+	}
+	first := fetch()
+	h.clock.Advance(time.Hour)
+	if again := fetch(); &again[0] != &first[0] {
+		t.Error("the list was packed again without a change")
+	}
+	source.changes <- watchAnswer{revision: 6, changes: []TargetChange{{ID: "w0000", Revision: 6, Target: routing.Target{ID: "w0000", ColdFor: time.Minute}}}}
+	h.await()
+	cold := fetch()
+	if &cold[0] == &first[0] {
+		t.Error("the list lacks a change")
+	}
+	h.clock.Advance(maxTimedStateAge)
+	if later := fetch(); &later[0] == &cold[0] {
+		t.Error("the remaining time of a cold target is not updated")
+	}
+}
+
 // Guards against malformed or oversized state of a peer.
 func TestUnpackRejectsBadState(t *testing.T) {
 	whole, err := pack(bytes.Repeat([]byte("state "), 1000))
--- a/services/follow/peers.go
+++ b/services/follow/peers.go
@@ -186,7 +186,30 @@
 	if !want.Packed {
 		return s.plainState(want)
 	}
-	return s.packCache.state(want, s.Versions(), func() ([]byte, error) { return s.plainState(want) })
+	plain := func() ([]byte, error) { return s.plainState(want) }
+	now := s.opts.Clock.Now()
+	if !want.Targets {
+		v := s.Versions()
+		return s.packCache.get(now, &s.packCache.operator, operatorVersions{v.Configuration, v.Evacuations}, false, plain)
+	}
+	version, timed, whole := s.wholeList(now, want.Since)
+	if whole {
+		return s.packCache.get(now, &s.packCache.targets, version, timed, plain)
+	}
+	content, err := plain()
+	if err != nil {
+		return nil, err
+	}
+	return packLarge(content)
+}
+
+// wholeList reports whether a peer that has the list as of a revision needs the whole list, with
+// the version of that list and whether it holds times.
+func (s *Service) wholeList(now time.Time, since routing.Revision) (version targetsVersion, timed, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	version = targetsVersion{s.table.changes, s.table.revision, len(s.opts.LeavingTargets.Leaving())}
+	return version, version.announced > 0 || s.table.lastCold.After(now), s.table.needsWhole(since)
 }
 
 func (s *Service) plainState(want StateRequest) ([]byte, error) {
--- a/services/follow/targets.go
+++ b/services/follow/targets.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"madderway/core/leaving"
 	"madderway/models/routing"
@@ -34,6 +35,7 @@
 	unlisted map[string]bool    // workers changed since then
 	leaving  int                // known targets that leave
 	changes  uint64             // changes of any content so far
+	lastCold time.Time          // end of the last cold period
 }
 
 // knownTarget is the state of a listed worker. The target is shared with published sets, so it is
@@ -76,6 +78,9 @@
 		t.countLeaving(old, 1)
 		t.unlisted[name] = true
 		t.changes++
+		if target.ColdUntil.After(t.lastCold) {
+			t.lastCold = target.ColdUntil
+		}
 	}
 	t.known[name] = knownTarget{revision, old.Target}
 	delete(t.removed, name)
@@ -223,7 +228,7 @@
 
 // since returns what a peer that has the given revision lacks. It looks only at the changes since.
 func (t *targetTable) since(revision routing.Revision) targetState {
-	state := targetState{Revision: t.revision, Whole: revision == 0 || revision < t.compacted || revision.Era() != t.revision.Era()}
+	state := targetState{Revision: t.revision, Whole: t.needsWhole(revision)}
 	if state.Whole {
 		for name, k := range t.known {
 			state.Changes = append(state.Changes, TargetChange{ID: name, Revision: k.Revision, Target: *k.Target})
@@ -235,6 +240,11 @@
 	return state
 }
 
+// needsWhole reports whether a peer that has the given revision needs the whole list.
+func (t *targetTable) needsWhole(revision routing.Revision) bool {
+	return revision == 0 || revision < t.compacted || revision.Era() != t.revision.Era()
+}
+
 func (t *targetTable) changesSince(revision routing.Revision) []TargetChange {
 	var changes []TargetChange
 	for _, e := range t.listings.since(revision) {
