member, mesh: Joining and rotating contacts of a large fleet

Cause: a seed answered each newcomer with all members (985 squared at three seeds, which held 280 to 370 MB), every newcomer met all three seeds, and all members that started together sent their rotating heartbeat to the same member in the same second. Views were hashed over all members and the schedulers' inputs rebuilt at each batch of changes.

Change: full syncs are limited to 20,000 records a second, then samples of 64; a newcomer meets one seed first; each member's rotation starts at its own successor; the view is kept up to date; membership changes are applied at most every 0.1 ms a member.

--- a/core/cell/layout_test.go
+++ b/core/cell/layout_test.go
@@ -113,6 +113,20 @@
 	return ""
 }
 
+// A moved request goes back to the cell that it is to leave, in a service of many cells.
+func TestAlternativeIsAnotherCell(t *testing.T) {
+	for _, targets := range []int{20, 984, 9_845} {
+		x, set := testService(targets)
+		l := NewLayout(x, set, nil)
+		for i := range uint64(2000) {
+			first := l.GroupFor("s", i<<32)
+			if other := l.AlternativeTo("s", i<<32, first.Key); other == nil || other == first {
+				t.Fatalf("%d targets: the alternative to %s is %v", targets, first.Key, other)
+			}
+		}
+	}
+}
+
 // Gateways with the same targets and members compute different layouts, as they learned of them in
 // another order.
 func TestLayoutDependsOnlyOnTargetsAndNodes(t *testing.T) {
--- a/core/member/event.go
+++ b/core/member/event.go
@@ -124,6 +124,9 @@
 	// EnableFullSync sends all records to a member on first contact, so that a list grows
 	// from a few seeds, and synchronizes members whose views keep differing.
 	EnableFullSync bool
+	// SyncRecordsPerSecond limits the records in full syncs, 0 for no limit. Beyond it, a member
+	// gets a sample, from whose members it gets the rest.
+	SyncRecordsPerSecond int
 }
 
 // DefaultConfig returns the default settings, without full sync.
--- a/core/member/fleet_test.go
+++ b/core/member/fleet_test.go
@@ -16,17 +16,18 @@
 	lists     map[string]*List
 	partition map[string]int // side of a network partition by member ID
 	bytes     int            // records sent
+	received  map[string]int // heartbeats by member ID
 }
 
 func fleetConfig() Config {
 	cfg := DefaultConfig()
 	cfg.Interval, cfg.SuspectAfter, cfg.DeadAfter, cfg.EnableFullSync = 400*time.Millisecond, 1200*time.Millisecond, 1500*time.Millisecond, true
-	cfg.MaxRumors = 128
+	cfg.MaxRumors, cfg.SyncRecordsPerSecond = 128, 20_000
 	return cfg
 }
 
 func newFleet(n int) *fleet {
-	f := &fleet{now: start, lists: map[string]*List{}, partition: map[string]int{}}
+	f := &fleet{now: start, lists: map[string]*List{}, partition: map[string]int{}, received: map[string]int{}}
 	for i := range n {
 		id := fmt.Sprintf("m%04d", i)
 		f.ids = append(f.ids, id)
@@ -53,6 +54,7 @@
 			continue
 		}
 		f.bytes += 1 + len(hb.Rumors)
+		f.received[hb.To]++
 		f.deliver(hb.To, f.lists[hb.To].Step(f.now, HeartbeatSeen{From: hb.From, Rumors: hb.Rumors, View: hb.View, RequestSync: hb.RequestSync, Probe: hb.Probe}))
 	}
 }
@@ -95,6 +97,23 @@
 	}
 }
 
+// Members that started together all send heartbeats to the same member at a time.
+func TestRotatingContactsAreSpread(t *testing.T) {
+	const n = 300
+	f := newFleet(n)
+	f.contactSeeds(f.ids)
+	f.run(8 * time.Second)
+	for range 5 {
+		clear(f.received)
+		f.run(time.Second)
+		for id, heartbeats := range f.received {
+			if heartbeats > 30 {
+				t.Fatalf("%s gets %d heartbeats in a second, want at most 30 in a fleet of any size", id, heartbeats)
+			}
+		}
+	}
+}
+
 // Guards against members that stay dead or unknown to others after a partition heals.
 func TestLargeFleetConvergesAfterPartition(t *testing.T) {
 	const n = 300
@@ -114,3 +133,28 @@
 		t.Errorf("smallest view has %d of %d members 8 s after the partition", got, n)
 	}
 }
+
+// When a fleet of twice the largest size starts at once, a seed sends every member all records: the
+// square of the fleet.
+func TestSeedSendsBoundedRecordsAtFleetStart(t *testing.T) {
+	const n, seconds = 1970, 2
+	cfg := fleetConfig()
+	seed := New(cfg, Record{ID: "seed", Incarnation: 1, Address: "a"})
+	records, unanswered := 0, 0
+	for i := range n {
+		now := start.Add(time.Duration(i) * seconds * time.Second / n)
+		answered := 0
+		for _, a := range seed.Step(now, HeartbeatSeen{From: Record{ID: fmt.Sprintf("m%04d", i), Incarnation: 1, State: StateAlive, Address: "a"}}) {
+			if hb, ok := a.(SendHeartbeat); ok {
+				answered += len(hb.Rumors)
+			}
+		}
+		records += answered
+		if answered < min(i, syncSample) {
+			unanswered++
+		}
+	}
+	if most := (seconds+1)*cfg.SyncRecordsPerSecond + n*syncSample; records > most || unanswered > 0 {
+		t.Errorf("a seed sends %d records to %d members, want at most %d; %d of them learn of too few others", records, n, most, unanswered)
+	}
+}
--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -15,8 +15,7 @@
 	to := slices.Clone(l.monitors)
 	if len(l.sorted) > 0 && !now.Before(l.nextContact) {
 		l.nextContact = now.Add(l.cfg.ContactEvery)
-		l.contactIndex++
-		if contact := l.sorted[l.contactIndex%len(l.sorted)]; !slices.Contains(to, contact) {
+		if contact := l.nextInRotation(); !slices.Contains(to, contact) {
 			to = append(to, contact)
 		}
 	}
@@ -26,6 +25,15 @@
 	}
 }
 
+// nextInRotation returns the next member to contact. Each member starts with its successor, so that
+// members that started together do not all contact the same one.
+func (l *List) nextInRotation() string {
+	own, _ := slices.BinarySearch(l.sorted, l.self.ID)
+	contact := l.sorted[(own+l.contactIndex)%len(l.sorted)]
+	l.contactIndex++
+	return contact
+}
+
 func (l *List) broadcastHeartbeat() {
 	for _, id := range l.sorted {
 		l.actions = append(l.actions, SendHeartbeat{To: id, From: l.self, View: l.view()})
@@ -79,6 +87,39 @@
 	return out
 }
 
+// syncSample is the number of records sent in place of all of them if there were too many full
+// syncs lately. It is enough for a new member to have monitors and to hear of the others.
+const syncSample = 64
+
+// answerSync returns the full sync that a member asks for, or a sample if too many records were
+// sent lately: when a whole fleet starts, all its members meet the same few seeds.
+func (l *List) answerSync(now time.Time, to string) SendHeartbeat {
+	out := SendHeartbeat{}
+	if l.sync.takeRecords(now, len(l.sorted), l.cfg.SyncRecordsPerSecond) {
+		out = l.FullSync()
+	} else {
+		out = SendHeartbeat{From: l.self, Rumors: l.sample(to), View: l.view()}
+	}
+	out.To = to
+	return out
+}
+
+// sample returns the records of some members that are not dead, different ones for each receiver.
+func (l *List) sample(to string) []Record {
+	var out []Record
+	first := int(digestOf(Record{ID: to}) % uint64(max(len(l.sorted), 1)))
+	for i := range l.sorted {
+		m := l.members[l.sorted[(first+i)%len(l.sorted)]]
+		if m.Incarnation != 0 && m.State != StateDead {
+			out = append(out, m.Record)
+		}
+		if len(out) == syncSample {
+			break
+		}
+	}
+	return out
+}
+
 // maxSyncRecords bounds the records in a full sync and thereby the size of its message.
 const maxSyncRecords = 4096
 
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -84,7 +84,7 @@
 	}
 	if l.changed {
 		l.monitorsStale = true
-		l.sync.invalidate(now)
+		l.sync.changedAt = now
 		l.actions = append(l.actions, MembersChanged{})
 	}
 	return l.actions
@@ -140,6 +140,7 @@
 func (l *List) add(m *memberState) {
 	l.changed = true
 	l.members[m.ID] = m
+	l.sync.include(m)
 	at, _ := slices.BinarySearch(l.sorted, m.ID)
 	l.sorted = slices.Insert(l.sorted, at, m.ID)
 	for i := range l.rings {
@@ -150,6 +151,7 @@
 
 func (l *List) deleteMember(id string) {
 	l.changed = true
+	l.sync.exclude(l.members[id])
 	delete(l.members, id)
 	delete(l.suspectOrDead, id)
 	delete(l.pendingRumors, id)
@@ -187,9 +189,7 @@
 		}
 	}
 	if l.cfg.EnableFullSync && (firstContact || e.RequestSync) {
-		full := l.FullSync()
-		full.To = e.From.ID
-		l.actions = append(l.actions, full)
+		l.actions = append(l.actions, l.answerSync(now, e.From.ID))
 	}
 	if e.Probe {
 		l.actions = append(l.actions, SendHeartbeat{To: e.From.ID, From: l.self, View: l.view()})
@@ -227,7 +227,9 @@
 	restarted := m.Incarnation != 0 && r.Incarnation != m.Incarnation
 	oldIncarnation := m.Incarnation
 	oldState := m.State
+	l.sync.exclude(m)
 	m.Record = r
+	l.sync.include(m)
 	l.recordChanged(m)
 	if r.State == StateSuspect && oldState != StateSuspect {
 		m.suspectAt = now
@@ -249,7 +251,9 @@
 	if m.State == s {
 		return
 	}
+	l.sync.exclude(m)
 	m.State = s
+	l.sync.include(m)
 	l.recordChanged(m)
 	l.changed = true
 }
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -30,31 +30,54 @@
 	Digest uint64 // XOR over the members
 }
 
-// viewSync holds the cached view of a list and the state of its synchronization.
+// viewSync holds the view of a list and the state of its synchronization.
 type viewSync struct {
-	view      View
-	valid     bool // view is up to date
+	others    View // without this member
 	changedAt time.Time
 	askedAt   time.Time // last request for a full sync
 	refutedAt time.Time // last preventive refutation, see answerDead
+	// Records that full syncs may send without a wait, as of allowedAt.
+	allowed   float64
+	allowedAt time.Time
 }
 
-func (v *viewSync) invalidate(now time.Time) { v.valid, v.changedAt = false, now }
+// takeRecords reports whether a full sync may send n records, and counts them. A second's worth may
+// be sent at once.
+func (v *viewSync) takeRecords(now time.Time, n, perSecond int) bool {
+	if perSecond <= 0 {
+		return true
+	}
+	if v.allowedAt.IsZero() {
+		v.allowed = float64(perSecond)
+	} else {
+		v.allowed = min(v.allowed+now.Sub(v.allowedAt).Seconds()*float64(perSecond), float64(perSecond))
+	}
+	v.allowedAt = now
+	if v.allowed < float64(min(n, perSecond)) {
+		return false
+	}
+	v.allowed -= float64(n)
+	return true
+}
 
-// view returns the summary of this list, from the cache if it is valid.
+// view returns the summary of this list.
 func (l *List) view() View {
-	if l.sync.valid {
-		return l.sync.view
+	return View{Count: l.sync.others.Count + 1, Digest: l.sync.others.Digest ^ digestOf(l.self)}
+}
+
+// include and exclude add a member to the view or take it out, before and after its record changes.
+func (v *viewSync) include(m *memberState) {
+	if m.State != StateDead {
+		v.others.Count++
+		v.others.Digest ^= digestOf(m.Record)
 	}
-	v := View{Count: 1, Digest: digestOf(l.self)}
-	for _, m := range l.members {
-		if m.State != StateDead {
-			v.Count++
-			v.Digest ^= digestOf(m.Record)
-		}
+}
+
+func (v *viewSync) exclude(m *memberState) {
+	if m.State != StateDead {
+		v.others.Count--
+		v.others.Digest ^= digestOf(m.Record)
 	}
-	l.sync.view, l.sync.valid = v, true
-	return v
 }
 
 func digestOf(r Record) uint64 {
@@ -89,7 +112,7 @@
 		return
 	}
 	if l.changed {
-		l.sync.invalidate(now)
+		l.sync.changedAt = now
 	}
 	mine := l.view()
 	if e.View == mine {
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -53,6 +53,9 @@
 	// Limit on the records of a heartbeat, about 80 bytes each: enough to spread the loss of 150
 	// machines within two seconds.
 	maxRumors = 128
+	// Limit on the records of full syncs, 1.6 MB a second: hundreds of gateways join within a few
+	// seconds, and each passes on what it has learned.
+	maxSyncRecordsPerSecond = 20_000
 	// Share of the memory that the runtime aims to stay under.
 	memoryShare = 0.6
 	// Share of the memory for the bodies of requests in flight.
@@ -95,7 +98,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
 	g := &Gateway{
 		collector: collector.Start(int64(s.MemoryMB) << 20),
-		clock: clock.System{}, log: log.New("gateway").With(s.ID), meter: &peernet.Meter{}, relayMeter: &peernet.Meter{}, traffic: &netopt.Traffic{},
+		clock:     clock.System{}, log: log.New("gateway").With(s.ID), meter: &peernet.Meter{}, relayMeter: &peernet.Meter{}, traffic: &netopt.Traffic{},
 		draining: make(chan struct{}),
 	}
 	g.settings.Store(s)
@@ -159,7 +162,7 @@
 	g.pool = upstream.NewPool(dialTimeout, idlePerTarget, g.traffic)
 	members := member.DefaultConfig()
 	members.Interval, members.SuspectAfter, members.DeadAfter = 400*time.Millisecond, 1200*time.Millisecond, 1500*time.Millisecond
-	members.EnableFullSync, members.MaxRumors = true, maxRumors
+	members.EnableFullSync, members.MaxRumors, members.SyncRecordsPerSecond = true, maxRumors, maxSyncRecordsPerSecond
 	g.quarantine = quarantine.New(log.New("quarantine").With(s.ID), quarantine.Options{
 		Clock: g.clock, MetricsPrefix: "madderway_gateway", Share: func(r core.Record) { g.loop.ShareRecord(r) },
 	})
--- a/services/mesh/layout.go
+++ b/services/mesh/layout.go
@@ -31,12 +31,16 @@
 	l.stepEntry(now, entry.LayoutSeen{Layout: l.layout})
 }
 
-// applyMembers applies membership changes, once per batch of inputs.
+// applyInterval is the least time between two applications of membership changes for each member.
+// They cost in proportion to the members, so the share of the processor stays the same.
+const applyInterval = 100 * time.Microsecond
+
+// applyMembers applies membership changes, once per batch of inputs or less often.
 func (l *Loop) applyMembers(now time.Time) {
-	if !l.membersChanged {
+	if !l.membersChanged || now.Before(l.nextMembers) {
 		return
 	}
-	l.membersChanged = false
+	l.membersChanged, l.nextMembers = false, now.Add(time.Duration(l.members.Count())*applyInterval)
 	l.settle(now, now)
 	nodes := l.members.Nodes()
 	l.log.Info("Members changed.", "alive", len(nodes))
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -115,6 +115,7 @@
 	seeds         []*peernet.Link
 	seedAddresses []string        // addresses of seeds and discovered gateways
 	discovered    []*peernet.Link // contacted while no other gateway is known
+	contacted     bool            // a seed was contacted
 	out           *peerwire.Outbox
 	traffic       traffic
 	promised      promiseCounters
@@ -122,6 +123,7 @@
 	nextSeed,
 	nextTally,
 	nextHandover,
+	nextMembers,
 	nextTick,
 	tickDue time.Time // later ticks count as lag of this process
 	startedAt time.Time
--- a/services/mesh/seeds.go
+++ b/services/mesh/seeds.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"madderway/core/member"
+	"madderway/core/place"
 	"madderway/modules/wire"
 )
 
@@ -31,9 +32,16 @@
 	alone := l.members.Count() == 0
 	l.nextSeed = now.Add(seedDelay(l.members.Count()))
 	links := l.seeds
-	if alone {
+	switch {
+	case alone && !l.contacted && len(links) > 0:
+		// One seed is enough if it is alive. All gateways of a fleet that starts would otherwise
+		// connect to each of them.
+		first := int(place.Score(l.opts.Self.ID, 0) % uint64(len(links)))
+		links = links[first : first+1]
+	case alone:
 		links = slices.Concat(l.seeds, l.discovered)
 	}
+	l.contacted = true
 	heartbeat := &wire.Frame{}
 	l.addHeartbeat(heartbeat, member.SendHeartbeat{From: l.members.Self()})
 	for _, link := range links {
