follow, collector, peernet: Less memory while a fleet starts

Connections of peers beyond the limit of open ones were closed silently: they are counted and logged.

--- a/modules/collector/collector.go
+++ b/modules/collector/collector.go
@@ -15,6 +15,8 @@
 const (
 	// maxPercent is the garbage allowed in percent of the live heap, if memory permits.
 	maxPercent = 300
+	// startPercent applies until the live heap is known.
+	startPercent = 100
 	// minPercent bounds the processor time of collections.
 	minPercent = 50
 	// garbageShare is the part of the memory that garbage may take.
@@ -34,7 +36,7 @@
 // Start sets the collector up for a process with this memory.
 func Start(memoryBytes int64) *Collector {
 	c := &Collector{
-		maxGarbage: garbageShare * float64(memoryBytes), percent: maxPercent,
+		maxGarbage: garbageShare * float64(memoryBytes), percent: startPercent,
 		sample: []metrics.Sample{{Name: "/gc/heap/live:bytes"}},
 	}
 	debug.SetGCPercent(c.percent)
@@ -59,7 +61,7 @@
 
 func percentFor(live, maxGarbage float64) int {
 	if live <= 0 {
-		return maxPercent
+		return startPercent
 	}
 	percent := int(100*maxGarbage/live) / percentStep * percentStep
 	return min(max(percent, minPercent), maxPercent)
--- a/modules/peernet/server.go
+++ b/modules/peernet/server.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -51,6 +52,9 @@
 	conns        map[net.Conn]string // value: peer ID, "" before the handshake
 	blocked      map[string]bool
 	refusedCount uint64 // failed handshakes
+
+	turnedAway    atomic.Uint64
+	turnedAwayLog *log.RateLimiter
 }
 
 // NewServer starts a server on the listener; it ends with the tomb.
@@ -63,6 +67,7 @@
 	s := &Server{
 		t: t, log: logger, auth: auth, meter: meter, handler: h, relay: relay, listener: l,
 		slots: make(chan struct{}, maxConnections), conns: map[net.Conn]string{}, blocked: map[string]bool{},
+		turnedAwayLog: log.NewRateLimiter(turnedAwayLogInterval, 1),
 	}
 	t.Go(s.accept)
 	t.Go(s.closeOnDying)
@@ -76,6 +81,18 @@
 	return s.refusedCount
 }
 
+// TurnedAway returns the number of connections that were closed as too many were open.
+func (s *Server) TurnedAway() uint64 { return s.turnedAway.Load() }
+
+const turnedAwayLogInterval = time.Second
+
+func (s *Server) countTurnedAway() {
+	total := s.turnedAway.Add(1)
+	if ok, suppressed := s.turnedAwayLog.Allow(now()); ok {
+		s.log.Warn("Connection of a peer turned away: too many are open.", "open", maxConnections, "turned_away_total", total, "suppressed", suppressed)
+	}
+}
+
 func (s *Server) connections() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,6 +125,7 @@
 		case s.slots <- struct{}{}:
 		default:
 			_ = conn.Close()
+			s.countTurnedAway()
 			continue
 		}
 		s.track(conn, "")
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -86,6 +86,7 @@
 	forward    *forward.Service
 	handler    *gateway.Handler
 
+	peers     *peernet.Server
 	callers   *gateway.Server
 	readiness *http.Server
 	operators *http.Server // nil without an address for metrics
@@ -115,8 +116,8 @@
 		return nil, err
 	}
 	g.assemble()
+	g.peers = peernet.NewRelayServer(&g.t, log.New("peer").With(s.ID), peernet.NewSharedKey(s.ID, s.PeerKey), g.meter, listeners[0], g.loop, relay.NewServer(log.New("relay").With(s.ID), g.handler))
 	g.serve(listeners[1:])
-	peernet.NewRelayServer(&g.t, log.New("peer").With(s.ID), peernet.NewSharedKey(s.ID, s.PeerKey), g.meter, listeners[0], g.loop, relay.NewServer(log.New("relay").With(s.ID), g.handler))
 	probe, err := lateness.Start(&g.t, probeInterval, g.noteLateness)
 	if err != nil {
 		g.log.Error(err, "No lateness probe; overload is not detected.")
--- a/router/gatewaystate.go
+++ b/router/gatewaystate.go
@@ -102,6 +102,7 @@
 	gauge("requests_at_engines", d.Mesh.Running)
 	gauge("control_seconds_total", d.Mesh.Busy.Seconds())
 	gauge("peer_bytes_sent_total", g.meter.Sent.Load())
+	gauge("peer_connections_turned_away_total", g.peers.TurnedAway())
 	gauge("peer_bytes_received_total", g.meter.Received.Load())
 	for _, c := range d.Mesh.Cells {
 		for name, n := range map[string]uint64{"asked": c.Counts.Asked, "placed": c.Counts.Placed, "refused": c.Counts.Refused} {
--- a/services/follow/peers.go
+++ b/services/follow/peers.go
@@ -128,16 +128,13 @@
 	}
 }
 
-func (s *Service) fetch(peer string, targets bool, since routing.Revision, into any) bool {
+func (s *Service) fetch(peer string, targets bool, since routing.Revision, decode func(*json.Decoder) error) bool {
 	ctx, cancel := context.WithTimeout(s.t.Context(context.Background()), fetchTimeout)
 	defer cancel()
 	s.fetches.Add(1)
 	content, err := s.opts.Peers.FetchState(ctx, peer, StateRequest{Targets: targets, Since: since, Packed: true})
-	if err == nil && !isJSON(content) {
-		content, err = unpack(content)
-	}
 	if err == nil {
-		err = json.Unmarshal(content, into)
+		err = decode(stateDecoder(content))
 	}
 	if err != nil {
 		s.log.Warn("Could not fetch state from a peer.", "peer", peer, "targets", targets, "error", err)
@@ -153,7 +150,7 @@
 
 func (s *Service) fetchOperator(peer string) {
 	state := operatorState{Configuration: &routing.Configuration{}}
-	if !s.fetch(peer, false, 0, &state) {
+	if !s.fetch(peer, false, 0, func(d *json.Decoder) error { return d.Decode(&state) }) {
 		return
 	}
 	s.changeHalls(peer, func(time.Time) []HallChange { return s.halls.apply(state.Halls) })
@@ -164,7 +161,7 @@
 
 func (s *Service) fetchTargets(peer string, since routing.Revision) {
 	var state targetState
-	if !s.fetch(peer, true, since, &state) {
+	if !s.fetch(peer, true, since, state.decode) {
 		return
 	}
 	s.mu.Lock()
@@ -178,9 +175,6 @@
 	}
 }
 
-// isJSON reports whether a state is uncompressed: each state is a JSON object.
-func isJSON(content []byte) bool { return len(content) > 0 && content[0] == '{' }
-
 // State returns the requested state as JSON, compressed if the request allows it.
 func (s *Service) State(want StateRequest) ([]byte, error) {
 	if !want.Packed {
--- a/services/follow/targets.go
+++ b/services/follow/targets.go
@@ -270,7 +270,7 @@
 	if state.Revision <= t.revision {
 		return t.apply(t.newerIncarnations(state.Changes))
 	}
-	var targets []routing.Target
+	targets := make([]routing.Target, 0, len(state.Changes))
 	for _, ch := range state.Changes {
 		targets = append(targets, ch.Target)
 	}
