follow: Return the memory of a fetched list

Change: after a fetch of a thousand changes and more the process collects and returns what it does not use.

--- a/modules/collector/collector.go
+++ b/modules/collector/collector.go
@@ -56,6 +56,10 @@
 	}
 }
 
+// Release returns memory that is not in use to the system. It is meant for the end of rare work that
+// takes many times the memory of its result, as it costs a whole collection.
+func Release() { debug.FreeOSMemory() }
+
 // percentStep is the granularity of the percentage, as each change stops the process for a moment.
 const percentStep = 25
 
--- a/services/follow/peers.go
+++ b/services/follow/peers.go
@@ -10,10 +10,14 @@
 
 	"madderway/core/watch"
 	"madderway/models/routing"
+	"madderway/modules/collector"
 )
 
 const (
-	fetchTimeout  = time.Second
+	fetchTimeout = time.Second
+	// A fetch of this many changes takes megabytes. They are not kept for the next one: after a
+	// loss of power all gateways of a fleet fetch the list at the same time.
+	largeFetch    = 1000
 	peerQueueSize = 64
 )
 
@@ -164,6 +168,9 @@
 	if !s.fetch(peer, true, since, state.decode) {
 		return
 	}
+	if len(state.Changes) >= largeFetch {
+		defer collector.Release()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.opts.Clock.Now()
