--- a/core/cell/layout.go
+++ b/core/cell/layout.go
@@ -103,6 +103,23 @@
 	}
 	changes := targets.Changes(l.targets)
 	l.targets = targets
+	divided := l.divideServices(x, changed)
+	for _, ch := range changes {
+		if ch.Before != nil && !divided[ch.Before.Service] {
+			l.remove(ch.Before, changed)
+		}
+		if ch.After != nil && !divided[ch.After.Service] {
+			l.add(ch.After, changed)
+		}
+	}
+	for key := range changed {
+		l.weigh(l.byKey[key])
+	}
+	return changed
+}
+
+// divideServices divides the services whose number of cells changes, and returns them.
+func (l *Layout) divideServices(x *routing.Index, changed map[Key]bool) map[string]bool {
 	for service := range maps.Clone(l.services) {
 		if s := x.Service(service); s == nil || s.Engine == nil {
 			l.divide(service, 0, changed)
@@ -114,29 +131,19 @@
 		if s.Engine == nil {
 			continue
 		}
-		if n := cellCount(len(targets.ByService(s.Name)), l.maxPerCell); len(l.GroupsOf(s.Name)) != n {
+		if n := cellCount(len(l.targets.ByService(s.Name)), l.maxPerCell); len(l.GroupsOf(s.Name)) != n {
 			l.divide(s.Name, n, changed)
 			divided[s.Name] = true
 		}
 	}
-	for _, ch := range changes {
-		if ch.Before != nil && !divided[ch.Before.Service] {
-			l.replace(ch.Before, nil, changed)
-		}
-		if ch.After != nil && !divided[ch.After.Service] {
-			l.replace(nil, ch.After, changed)
-		}
-	}
-	for key := range changed {
-		l.weigh(l.byKey[key])
-	}
-	return changed
+	return divided
 }
 
-// divide divides the targets of a service into n cells.
+// divide divides the targets of a service into n cells, 0 to drop the service.
 func (l *Layout) divide(service string, n int, changed map[Key]bool) {
 	old := l.GroupsOf(service)
-	for _, g := range old[min(n, len(old)):] {
+	kept := min(n, len(old))
+	for _, g := range old[kept:] {
 		delete(l.byKey, g.Key)
 		changed[g.Key] = true
 	}
@@ -144,43 +151,61 @@
 		delete(l.services, service)
 		return
 	}
-	members := make([][]*routing.Target, n)
-	for _, t := range l.targets.ByService(service) {
-		at := place.Bucket(t.ID, n)
-		members[at] = append(members[at], t)
-	}
-	s := &serviceCells{groups: slices.Clone(old[:min(n, len(old))])}
-	for i := len(s.groups); i < n; i++ {
+	groups := slices.Clone(old[:kept])
+	for i := kept; i < n; i++ {
 		g := &Group{Key: Key(fmt.Sprintf("%s/%d", service, i)), Service: service, index: i, layout: l}
-		s.groups = append(s.groups, g)
+		groups = append(groups, g)
 		l.byKey[g.Key] = g
 	}
 	names := make([]string, n)
-	for i, g := range s.groups {
-		names[i], g.Targets, changed[g.Key] = string(g.Key), members[i], true
+	for i, g := range groups {
+		names[i], g.Targets, changed[g.Key] = string(g.Key), nil, true
 	}
-	s.picker = newPicker(names)
-	l.services[service] = s
+	for _, t := range l.targets.ByService(service) {
+		g := groups[place.Bucket(t.ID, n)]
+		g.Targets = append(g.Targets, t)
+	}
+	l.services[service] = &serviceCells{groups, newPicker(names)}
 }
 
-// replace removes a target from its cell or adds one.
-func (l *Layout) replace(before, after *routing.Target, changed map[Key]bool) {
-	t := cmp.Or(before, after)
-	groups := l.GroupsOf(t.Service)
-	if len(groups) == 0 {
-		return // the service has no engines
+// add adds a target to its cell, unless its service has no engines.
+func (l *Layout) add(t *routing.Target, changed map[Key]bool) {
+	g := l.groupOf(t)
+	if g == nil {
+		return
 	}
-	g := groups[place.Bucket(t.ID, len(groups))]
-	at, found := slices.BinarySearchFunc(g.Targets, t.ID, func(t *routing.Target, id string) int { return cmp.Compare(t.ID, id) })
-	switch {
-	case before != nil && found:
-		g.Targets = slices.Delete(g.Targets, at, at+1)
-	case after != nil && found:
-		g.Targets[at] = after
-	case after != nil:
-		g.Targets = slices.Insert(g.Targets, at, after)
+	changed[g.Key] = true
+	at, found := g.search(t.ID)
+	if found {
+		g.Targets[at] = t
+		return
+	}
+	g.Targets = slices.Insert(g.Targets, at, t)
+}
+
+// remove removes a target from its cell, unless its service has no engines.
+func (l *Layout) remove(t *routing.Target, changed map[Key]bool) {
+	g := l.groupOf(t)
+	if g == nil {
+		return
 	}
 	changed[g.Key] = true
+	if at, found := g.search(t.ID); found {
+		g.Targets = slices.Delete(g.Targets, at, at+1)
+	}
+}
+
+// groupOf returns the cell that a target belongs to, or nil if its service has none.
+func (l *Layout) groupOf(t *routing.Target) *Group {
+	groups := l.GroupsOf(t.Service)
+	if len(groups) == 0 {
+		return nil
+	}
+	return groups[place.Bucket(t.ID, len(groups))]
+}
+
+func (g *Group) search(id string) (at int, found bool) {
+	return slices.BinarySearchFunc(g.Targets, id, func(t *routing.Target, id string) int { return cmp.Compare(t.ID, id) })
 }
 
 // weigh makes a cell get requests in proportion to its targets. Cells with only leaving or
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -36,7 +36,7 @@
 	changedAt time.Time
 	askedAt   time.Time // last request for a full sync
 	refutedAt time.Time // last preventive refutation, see answerDead
-	// Records that full syncs may send without a wait, as of allowedAt.
+	// Number of records that full syncs may still send, as of allowedAt.
 	allowed   float64
 	allowedAt time.Time
 }
--- a/services/follow/decode.go
+++ b/services/follow/decode.go
@@ -82,7 +82,7 @@
 func (s *targetState) decodeChanges(d *json.Decoder) error {
 	start, err := d.Token()
 	if err != nil || start == nil {
-		return err // null: no changes
+		return err // no changes are encoded as null
 	}
 	if start != json.Delim('[') {
 		return errMalformedState
