mesh, control, collector: Two races at the end of a process and in a test

Change: Do tells whether the function has run, and callers use nothing otherwise; the collector has a lock. TestFetchFailsWhileLoopStops and TestAdjustIsSafeForConcurrentUse fail before.

--- a/modules/collector/collector.go
+++ b/modules/collector/collector.go
@@ -9,6 +9,7 @@
 import (
 	"runtime/debug"
 	"runtime/metrics"
+	"sync"
 	"time"
 )
 
@@ -25,12 +26,14 @@
 	interval = time.Second
 )
 
-// Collector adjusts the garbage collector to the live heap. It is not safe for concurrent use.
+// Collector adjusts the garbage collector to the live heap. It is safe for concurrent use.
 type Collector struct {
 	maxGarbage float64 // bytes
-	percent    int
-	nextAt     time.Time
-	sample     []metrics.Sample
+
+	mu      sync.Mutex // guards the following fields
+	percent int
+	nextAt  time.Time
+	sample  []metrics.Sample
 }
 
 // Start sets the collector up for a process with this memory.
@@ -45,6 +48,8 @@
 
 // Adjust adapts the collector to the present live heap, at most once per interval.
 func (c *Collector) Adjust(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if now.Before(c.nextAt) {
 		return
 	}
--- a/modules/collector/collector_test.go
+++ b/modules/collector/collector_test.go
@@ -3,7 +3,11 @@
 
 package collector
 
-import "testing"
+import (
+	"sync"
+	"testing"
+	"time"
+)
 
 // Guards against garbage that takes a multiple of the live heap in a large fleet, and against
 // frequent collections in a small one.
@@ -25,3 +29,13 @@
 		}
 	}
 }
+
+// Guards against a race of two goroutines that both adjust the collector.
+func TestAdjustIsSafeForConcurrentUse(t *testing.T) {
+	c := Start(1 << 30)
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() { c.Adjust(time.Unix(int64(i), 0)) })
+	}
+	wg.Wait()
+}
--- a/services/control/api.go
+++ b/services/control/api.go
@@ -85,15 +85,18 @@
 // Finish records that a started request no longer uses its target.
 func (l *Loop) Finish(f admit.Finished) { l.put(admitIn{f}) }
 
-// Do runs a function on the loop's goroutine, between two inputs, and waits for it.
-func (l *Loop) Do(run func()) {
+// Do runs a function on the loop's goroutine and waits for it. It returns false if the loop ends
+// first: then the function may still run, so the caller must not use what it sets.
+func (l *Loop) Do(run func()) bool {
 	done := make(chan struct{})
 	if !l.put(doIn{run, done}) {
-		return
+		return false
 	}
 	select {
 	case <-done:
+		return true
 	case <-l.t.Dying():
+		return false
 	}
 }
 
--- a/services/control/outbox.go
+++ b/services/control/outbox.go
@@ -50,7 +50,9 @@
 // Link returns the link to a member, or nil if the member is unknown.
 func (l *Loop) Link(id string) *peernet.Link {
 	var link *peernet.Link
-	l.Do(func() { link = l.link(id) })
+	if !l.Do(func() { link = l.link(id) }) {
+		return nil
+	}
 	return link
 }
 
--- a/services/control/state.go
+++ b/services/control/state.go
@@ -36,7 +36,7 @@
 // State returns the current state.
 func (l *Loop) State() State {
 	st := State{Members: []MemberState{}, Rings: []ring.State{}}
-	l.Do(func() {
+	done := l.Do(func() {
 		st.Self = memberState(l.members.Self())
 		for _, m := range l.members.Others() {
 			st.Members = append(st.Members, memberState(m))
@@ -49,6 +49,9 @@
 			st.Rings = append(st.Rings, link.State())
 		}
 	})
+	if !done {
+		return State{Members: []MemberState{}, Rings: []ring.State{}}
+	}
 	st.BusyMS = l.Busy().Milliseconds()
 	st.Sent, st.Received = l.opts.Meter.Sent.Load(), l.opts.Meter.Received.Load()
 	return st
--- a/services/mesh/api.go
+++ b/services/mesh/api.go
@@ -57,7 +57,9 @@
 // IsMember implements discover.Peers.
 func (l *Loop) IsMember(id string) bool {
 	known := false
-	l.Do(func() { _, known = l.members.Lookup(id) })
+	if !l.Do(func() { _, known = l.members.Lookup(id) }) {
+		return false
+	}
 	return known
 }
 
@@ -130,14 +132,17 @@
 	l.put(entryIn{entry.Ended{ID: id, Outcome: o}})
 }
 
-// Do runs a function on the loop's goroutine, between two inputs, and waits for it.
-func (l *Loop) Do(run func()) {
+// Do runs a function on the loop's goroutine and waits for it. It returns false if the loop ends
+// first: then the function may still run, so the caller must not use what it sets.
+func (l *Loop) Do(run func()) bool {
 	done := make(chan struct{})
 	if !l.put(doIn{run, done}) {
-		return
+		return false
 	}
 	select {
 	case <-done:
+		return true
 	case <-l.t.Dying():
+		return false
 	}
 }
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -296,7 +296,9 @@
 // FetchState implements follow.Peers.
 func (l *Loop) FetchState(ctx context.Context, peer string, want follow.StateRequest) ([]byte, error) {
 	var link *peernet.Link
-	l.Do(func() { link = l.link(peer) })
+	if !l.Do(func() { link = l.link(peer) }) {
+		return nil, ErrStopped
+	}
 	if link == nil {
 		return nil, fmt.Errorf("no link to %s", peer)
 	}
--- a/services/mesh/loop_test.go
+++ b/services/mesh/loop_test.go
@@ -4,12 +4,15 @@
 package mesh
 
 import (
+	"errors"
 	"testing"
 	"time"
 
 	"google.golang.org/protobuf/proto"
+	"gopkg.in/tomb.v2"
 
 	"madderway/core/cell"
+	"madderway/modules/ring"
 	"madderway/modules/wire"
 	"madderway/services/follow"
 )
@@ -91,3 +94,25 @@
 		c.Step(now.Add(time.Minute), cell.Tick{})
 	})
 }
+
+// A fetch uses what the loop may still be setting while the gateway stops.
+func TestFetchFailsWhileLoopStops(t *testing.T) {
+	l := &Loop{t: &tomb.Tomb{}, inputs: ring.New[input]("mesh", 1)}
+	l.t.Go(func() error {
+		<-l.t.Dying()
+		return nil
+	})
+	fetched := make(chan error)
+	go func() {
+		_, err := l.FetchState(t.Context(), "peer", follow.StateRequest{})
+		fetched <- err
+	}()
+	pending := <-l.inputs.Out()
+	l.t.Kill(nil)
+	if err := <-fetched; !errors.Is(err, ErrStopped) {
+		t.Errorf("fetching from a loop that has not run the call: %v, want ErrStopped", err)
+	}
+	if _, ok := pending.(doIn); !ok {
+		t.Errorf("input %T, want the call", pending)
+	}
+}
--- a/services/mesh/state.go
+++ b/services/mesh/state.go
@@ -32,8 +32,9 @@
 
 // State returns the current state.
 func (l *Loop) State() State {
-	st := State{Self: l.opts.Self.ID, Watches: l.Watches(), Versions: l.opts.Follow.Versions(), Busy: l.Busy()}
-	l.Do(func() {
+	summary := State{Self: l.opts.Self.ID, Watches: l.Watches(), Versions: l.opts.Follow.Versions(), Busy: l.Busy()}
+	st := summary
+	done := l.Do(func() {
 		now := l.opts.Clock.Now()
 		for _, m := range l.members.Others() {
 			st.Members = append(st.Members, MemberState{ID: m.ID, State: m.State.String(), DataHall: m.DataHall})
@@ -46,5 +47,8 @@
 			st.Cells = append(st.Cells, state)
 		}
 	})
+	if !done {
+		return summary
+	}
 	return st
 }
