origin, forward, platform: Tell software versions and streams that continue

The entry of a target names the version of its software, and a caller that takes a stream up names the attempt that began it; both were dropped when they were decoded. They are read now, and nothing decides by them:

- `Attempt failed.`, `Request served.` and their kin name the target's software, and of a stream that continues the attempt that began it and its last event; each request that takes a stream up is logged.

--- a/models/routing/target.go
+++ b/models/routing/target.go
@@ -21,6 +21,9 @@
 	Service  string `json:"service"`
 	Address  string `json:"address"`
 	DataHall string `json:"data_hall"`
+	// Software is the version of the worker's software. A stream may continue only at targets of
+	// the version that began it.
+	Software string `json:"software,omitempty"`
 	Slots    int    `json:"slots"`
 	Leaving  bool   `json:"leaving"`
 	// ColdFor is the remaining time as a cold target when the entry was read. It is sent
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -35,6 +35,7 @@
 	"madderway/services/forward"
 	"madderway/services/mesh"
 	"madderway/services/notice"
+	"madderway/services/origin"
 	"madderway/services/quarantine"
 	"madderway/services/relay"
 	"madderway/services/upstream"
@@ -78,6 +79,7 @@
 	relay      *relay.Service
 	quarantine *quarantine.Service
 	notices    *notice.Service
+	origins    *origin.Service
 	pool       *upstream.Pool
 	guard      *forward.Guard
 	probe      atomic.Pointer[lateness.Probe]
@@ -152,6 +154,7 @@
 	s := g.settings.Load()
 	auth := peernet.NewSharedKey(s.ID, s.PeerKey)
 	store := platform.NewStore(s.Store, s.StoreCall.Duration)
+	g.origins = origin.New(log.New("origin").With(s.ID), origin.Options{Clock: g.clock})
 	g.notices = notice.New(log.New("notice").With(s.ID), notice.Options{Clock: g.clock, MetricsPrefix: "madderway_gateway", OnLeaving: func() { g.follow.LeavingChanged() }})
 	g.follow = follow.New(&g.t, log.New("follow").With(s.ID), follow.Options{
 		Source: store, Peers: fetcher{g}, Clock: g.clock, LeavingTargets: g.notices, OnChange: g.applyUpdate, OnNewEra: g.storeRestored,
@@ -294,6 +297,7 @@
 // applyUpdate applies a new configuration or list of targets.
 func (g *Gateway) applyUpdate() {
 	targets := g.follow.Targets()
+	g.origins.SetTargets(targets)
 	g.pool.Prune(targets)
 	g.forward.SetRouting(g.follow.Index(), targets)
 	g.loop.SetRouting(g.follow.Index(), targets)
--- a/services/follow/decode.go
+++ b/services/follow/decode.go
@@ -116,7 +116,7 @@
 	if c.Target.ID == c.ID {
 		c.Target.ID = c.ID
 	}
-	for _, s := range []*string{&c.Target.Service, &c.Target.DataHall} {
+	for _, s := range []*string{&c.Target.Service, &c.Target.DataHall, &c.Target.Software} {
 		if same, found := kept[*s]; found {
 			*s = same
 		} else {
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -69,6 +69,7 @@
 		return j.readFailure(p, a)
 	}
 	if j.r.Route.Stream {
+		j.countContinued()
 		return j.forwardStream(p, a, slowTimer), nil
 	}
 	return j.forwardWhole(p, a), nil
--- a/services/forward/requestlog.go
+++ b/services/forward/requestlog.go
@@ -39,7 +39,7 @@
 		s.log.Request("Response late.", append(j.logValues(), "objective", j.r.Route.Objective, "max_pause", j.r.Route.Pause)...)
 	case j.plainLate():
 		s.log.Request("Response late.", append(j.logValues(), "objective", j.r.Route.Objective)...)
-	case j.history.Sent > 1 || j.history.Unsent > 0 || sampled(j.r.Call.ID):
+	case j.history.Sent > 1 || j.history.Unsent > 0 || j.r.Call.Resuming || sampled(j.r.Call.ID):
 		s.log.Request("Request served.", j.logValues()...)
 	}
 }
@@ -76,6 +76,9 @@
 		"id", j.r.Call.ID, "number", j.number, "target", j.targetID, "outcome", o, "next", next,
 		"sent", j.history.Sent, "unsent", j.history.Unsent, "may_have_run", j.history.MayHaveRun, "reason", j.reason,
 	}
+	if j.r.Route.Stream {
+		values = append(values, "software", j.target.Software, "last_event", j.lastEvent)
+	}
 	if death.checked {
 		values = append(values, "target_died", death.died)
 	}
@@ -99,5 +102,11 @@
 	if j.crosses() {
 		values = append(values, "crosses", true)
 	}
+	if j.r.Route.Stream && j.target != nil {
+		values = append(values, "software", j.target.Software)
+	}
+	if j.r.Call.Resuming {
+		values = append(values, "resumes", j.r.Call.Resumes, "from_event", j.r.Call.LastEvent)
+	}
 	return values
 }
--- a/services/upstream/dialect.go
+++ b/services/upstream/dialect.go
@@ -21,6 +21,10 @@
 	Key       string        // the client account's key, may be empty
 	Timeout   time.Duration // 0 if the caller sets none
 	LastEvent string        // resume the stream after this event, may be empty
+	// Resuming reports that the caller has a part of the stream; Resumes is the ID of the attempt
+	// that brought its first event, empty if unknown.
+	Resuming bool
+	Resumes  string
 	Prompt    *routing.Prompt
 }
 
