router, lab: Streams that continue hold events of two software versions (red)

The lab's workers name their version in each event, workers can stop in the middle of a stream, and callers take streams up again; the ledger reports a stream of two versions.

--- a/lab/platform/client.go
+++ b/lab/platform/client.go
@@ -4,7 +4,6 @@
 package platform
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -47,6 +46,7 @@
 	rng          *rand.Rand
 	http         *http.Client
 	sent         int
+	stream       *readStream // what the caller has of its stream
 	answerHeader http.Header // headers of the last answer
 }
 
@@ -66,13 +66,17 @@
 
 func anyBody(c *client) string { return strings.Repeat("x", 50+c.rng.IntN(200)) }
 
-// sendWithRetry sends a request, retries it once if it is refused with a short Retry-After, and
-// counts the outcome.
+// sendWithRetry sends a request, continues a resumable stream once if it breaks off, retries once if
+// it is refused with a short Retry-After, and counts the outcome.
 func (c *client) sendWithRetry(ctx context.Context) {
 	started := time.Now()
+	c.stream = &readStream{}
 	ctx, cancel := context.WithTimeout(ctx, c.kind.Deadline)
 	defer cancel()
 	result, retryAfter := c.attempt(ctx, started)
+	if result == outcomeFailed && c.kind.Resumable && c.stream.begun() {
+		result, retryAfter = c.attempt(ctx, started)
+	}
 	if result == outcomeRefused && retryAfter < c.kind.Deadline/3 {
 		select {
 		case <-time.After(retryAfter):
@@ -131,6 +135,9 @@
 		req.Header.Set("Token-Usage", fmt.Sprintf("%d,%d", c.kind.SharedTokens+own, 64))
 		req.Header.Set("Prompt-Prefix", fmt.Sprintf("%s%x:%d,%s:%d", c.kind.Name, c.rng.IntN(c.kind.Prefixes), c.kind.SharedTokens, id, own))
 	}
+	if c.kind.Stream {
+		c.stream.setHeaders(req.Header)
+	}
 	c.site.ledger.AddRequest(id, c.account, c.kind.Method, uri, body, c.kind.Repeatable || c.kind.Resumable)
 	resp, err := c.http.Do(req)
 	if err != nil {
@@ -178,34 +185,3 @@
 	}
 	return outcomeServed
 }
-
-func (c *client) checkStream(id, worker string, resp *http.Response, started time.Time) (outcome, time.Duration) {
-	if resp.Header.Get("Response-Signature") != Signature(worker, id, "") {
-		c.site.ledger.AddViolation("stream of request %s is signed %q", id, resp.Header.Get("Response-Signature"))
-	}
-	result, n, of := outcome(0), 0, Events(id)
-	lines := bufio.NewScanner(resp.Body)
-	for lines.Scan() {
-		if result == 0 {
-			result = c.servedOutcome(started)
-		}
-		data, ok := strings.CutPrefix(lines.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		if data != EventData(id, n+1, of) {
-			if lines.Scan(); lines.Err() == nil && n < of {
-				c.site.ledger.AddViolation("stream of request %s has %q after event %d", id, data, n)
-			}
-			return outcomeFailed, 0
-		}
-		n++
-	}
-	if lines.Err() != nil {
-		return outcomeFailed, 0
-	}
-	if n != of {
-		c.site.ledger.AddViolation("stream of request %s ended without an error after %d of %d events", id, n, of)
-	}
-	return result, 0
-}
--- a/lab/platform/single.go
+++ b/lab/platform/single.go
@@ -38,7 +38,10 @@
 // Ask sends one request of a kind to a gateway, on a new connection.
 func (s *Site) Ask(ctx context.Context, gateway int, kind Kind, account string, seed uint64) Answer {
 	c := s.newSingleClient(gateway, kind, account, kind.Path+"item", seed)
-	result, after := c.sendOnce(ctx)
+	return c.answer(c.sendOnce(ctx))
+}
+
+func (c *client) answer(result outcome, after time.Duration) Answer {
 	worker, _, _ := strings.Cut(c.answerHeader.Get("Response-Signature"), ".")
 	return Answer{Served: result == outcomeServed || result == outcomeLate, Refused: result == outcomeRefused, After: after, Worker: worker}
 }
@@ -61,7 +64,13 @@
 
 // RestartWorker restarts a worker under the same ID and returns its new incarnation.
 func (s *Site) RestartWorker(old *Worker) (*Worker, error) {
-	w, err := old.Restart()
+	return s.UpgradeWorker(old, old.cfg.Software)
+}
+
+// UpgradeWorker restarts a worker under the same ID with another version of its software, and
+// returns its new incarnation.
+func (s *Site) UpgradeWorker(old *Worker, software string) (*Worker, error) {
+	w, err := old.Upgrade(software)
 	if err != nil {
 		return nil, err
 	}
@@ -88,6 +97,7 @@
 // newSingleClient returns a client for one request to a given gateway.
 func (s *Site) newSingleClient(gateway int, kind Kind, account, uri string, seed uint64) *client {
 	c := newClient(s, kind, account, s.keys[account][0], seed)
+	c.stream = &readStream{}
 	c.address = func(*client) string { return s.gateways[gateway].setting.Callers }
 	c.uri = func(*client) string { return uri }
 	return c
@@ -171,3 +181,6 @@
 
 // Violations returns the violations that the ledger found.
 func (s *Site) Violations() []string { return s.ledger.Violations() }
+
+// GatewayCount returns the number of gateways, including killed ones.
+func (s *Site) GatewayCount() int { return len(s.gateways) }
--- a/lab/platform/site.go
+++ b/lab/platform/site.go
@@ -185,7 +185,10 @@
 }
 
 // AddWorker starts another model worker or plain worker.
-func (s *Site) AddWorker(model bool) error {
+func (s *Site) AddWorker(model bool) error { return s.AddWorkerOf(model, "") }
+
+// AddWorkerOf starts another worker of a software version.
+func (s *Site) AddWorkerOf(model bool, software string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextID++
@@ -193,6 +196,7 @@
 	if model {
 		cfg = WorkerConfig{Service: modelService, Slots: 16, Queue: 16, Model: true, PrefillRate: 40_000, Step: 8 * time.Millisecond, CacheTokens: 40_000, CopyRate: copyRate, PeerAt: s.workerAt}
 	}
+	cfg.Software = software
 	cfg.Hall, cfg.OnCrash = fmt.Sprint("hall-", s.nextID%3), s.recordCrash
 	w, err := StartWorker(fmt.Sprint("worker-", s.nextID), cfg, s.store, s.ledger, s.opts.Seed+uint64(s.nextID))
 	if err == nil {
--- a/lab/platform/worker.go
+++ b/lab/platform/worker.go
@@ -29,12 +29,14 @@
 	FaultCut          // closes the connection in the middle of an answer
 	FaultExtra        // sends a second answer after the first
 	FaultRefuse       // refuses all requests as not run
+	FaultStall        // stops in the middle of a stream until the connection closes
 )
 
 // WorkerConfig configures a worker.
 type WorkerConfig struct {
 	Service     string
 	Hall        string
+	Software    string // version, "v1" if empty
 	Slots       int
 	Queue       int
 	Model       bool
@@ -99,12 +101,20 @@
 
 // Restart crashes the worker and starts a new incarnation under the same ID and address, with an
 // empty cache.
-func (w *Worker) Restart() (*Worker, error) {
+func (w *Worker) Restart() (*Worker, error) { return w.Upgrade(w.cfg.Software) }
+
+// Upgrade is like Restart; the new incarnation runs another version of the software.
+func (w *Worker) Upgrade(software string) (*Worker, error) {
 	w.Crash()
-	return startWorker(w.ID, w.cfg, w.store, w.ledger, w.seed+1, w.listener.Addr().String(), max(time.Now().UnixMilli(), w.incarnation+1))
+	cfg := w.cfg
+	cfg.Software = software
+	return startWorker(w.ID, cfg, w.store, w.ledger, w.seed+1, w.listener.Addr().String(), max(time.Now().UnixMilli(), w.incarnation+1))
 }
 
 func startWorker(id string, cfg WorkerConfig, store *Store, ledger *Ledger, seed uint64, address string, incarnation int64) (*Worker, error) {
+	if cfg.Software == "" {
+		cfg.Software = "v1"
+	}
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
@@ -134,7 +144,7 @@
 	w.state = state
 	w.mu.Unlock()
 	w.store.Put("servers", w.ID, map[string]any{
-		"service": w.cfg.Service, "address": w.listener.Addr().String(), "zone": w.cfg.Hall, "version": "v1",
+		"service": w.cfg.Service, "address": w.listener.Addr().String(), "zone": w.cfg.Hall, "version": w.cfg.Software,
 		"slots": w.cfg.Slots, "state": state, "coldRemainingMs": 0, "seq": 1, "born": w.incarnation,
 	})
 }
@@ -350,8 +360,12 @@
 	if !pause(r, w.copyCached(r.Header.Get("Kv-Fetch"), r.Header.Get("Prompt-Prefix"))) || !pause(r, w.prefill(r.Header.Get("Prompt-Prefix"))) {
 		panic(http.ErrAbortHandler)
 	}
-	events := Events(id)
-	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	content, from := id, 0
+	if r.Header.Get("Resumes") != "" {
+		content = r.Header.Get("Resumes")
+	}
+	from, _ = strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	events := Events(content)
 	w.setHeaders(rw, id, "")
 	rw.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(rw)
@@ -361,24 +375,17 @@
 			_ = flusher.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", n, EventData(id, n, events))
+		if fault == FaultStall && n > events/2 {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", n, EventData(content, w.cfg.Software, n, events))
 		if fault == FaultLost && n == 1 || flusher.Flush() != nil || !pause(r, w.cfg.Step) {
 			panic(http.ErrAbortHandler)
 		}
 	}
 }
 
-// Events returns the number of events in the stream of a request.
-func Events(id string) int { return 3 + int(hash(id)%8) }
-
-// EventData returns the data of event n; the last event is marked.
-func EventData(id string, n, of int) string {
-	if n == of {
-		return fmt.Sprintf("%s last %d", id, n)
-	}
-	return fmt.Sprintf("%s part %d", id, n)
-}
-
 // Signature returns a worker's signature of an answer.
 func Signature(worker, id, content string) string {
 	return fmt.Sprintf("%s.%x", worker, hash(worker+"/"+id+"/"+content))
