follow: A cold target outlasts the clock of its test

The harness advances the fake clock in a busy loop while it waits for a change, by minutes if the goroutine that applies the change is late; the target was cold for one minute and warm by then.

--- a/services/follow/packed_test.go
+++ b/services/follow/packed_test.go
@@ -75,7 +75,8 @@
 	if again := fetch(); &again[0] != &first[0] {
 		t.Error("the list was packed again without a change")
 	}
-	source.changes <- watchAnswer{revision: 6, changes: []TargetChange{{ID: "w0000", Revision: 6, Target: routing.Target{ID: "w0000", ColdFor: time.Minute}}}}
+	const coldFor = 100 * time.Hour // longer than await may advance the clock
+	source.changes <- watchAnswer{revision: 6, changes: []TargetChange{{ID: "w0000", Revision: 6, Target: routing.Target{ID: "w0000", ColdFor: coldFor}}}}
 	h.await()
 	cold := fetch()
 	if &cold[0] == &first[0] {
