origin, forward, cell: A stream continues at the software version that began it

Cause: the version in a target's entry was dropped when it was decoded, and so was the attempt that a caller names when it takes a stream up. Neither a gateway nor a scheduler could tell targets apart, within an answer or over attempts. Class: a statement of a peer that nobody reads, and "another target" taken for "any".

Change: - Targets have their software version in lists and at schedulers; a request that continues a stream is bound to one version, from the choice of the cell to the check right before its first byte. Where no target of it takes work it is refused at once. - A gateway records where it sends the attempts that begin streams, before their first events. While a service has several versions, or had them for as long as a stream may come back, the records go to three gateways in different halls, found by the hash of the attempt; those are asked at a return. Records of streams that began earlier go out when the second version is listed. - What is not known is not guessed: gateways tell each other of versions that are no longer listed; one that has just started, or is out of contact, asks; unknown streams are refused (2012, origin_unknown). Where workers restart under their names the list is confirmed by the store first.

Why this holds: the record is out before the caller has an event; the loss of three gateways at once loses it, and then the stream is refused, not mixed.

With one version no record is sent and nobody is asked (TestOneVersionCostsNothing); heartbeats carry four bytes more.

--- a/core/cell/account.go
+++ b/core/cell/account.go
@@ -113,6 +113,9 @@
 	if w.ask.Rank != other.ask.Rank {
 		return w.ask.Rank < other.ask.Rank
 	}
+	if w.ask.Bound != other.ask.Bound {
+		return w.ask.Bound // its caller has a part of the stream, and fewer targets can serve it
+	}
 	if w.prospect.turn != other.prospect.turn {
 		return w.prospect.turn
 	}
--- a/core/cell/choose.go
+++ b/core/cell/choose.go
@@ -142,7 +142,7 @@
 	crossing := c.crossingCost(&w.ask)
 	for i := range c.views {
 		v := &c.views[i]
-		if !v.usable || slices.Contains(w.ask.Deny, v.target.info.ID) {
+		if !v.usable || !w.ask.mayUse(&v.target.info) {
 			continue
 		}
 		missing := v.target.engine.UncachedTokens(p)
--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -14,6 +14,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"madderway/core/batch"
@@ -36,6 +37,14 @@
 	DataHall  string   // of the entry gateway
 	BodyBytes int
 	Remaining time.Duration // time to the caller's deadline, 0 if unknown
+	// Bound restricts the request to targets of one software version: it continues a stream.
+	Bound    bool
+	Software string
+}
+
+// mayUse reports whether a target may serve the request, as far as the request decides that.
+func (a *Ask) mayUse(t *TargetInfo) bool {
+	return !slices.Contains(a.Deny, t.ID) && (!a.Bound || a.Software == t.Software)
 }
 
 // Held is a running request in an entry gateway's inventory.
@@ -57,6 +66,7 @@
 	// The target gets no requests, but its cached parts may be copied.
 	Evacuated bool
 	ColdUntil time.Time // until then the target gets at most TargetsSeen.ColdRate
+	Software  string    // version
 }
 
 // Event is an input of a Cell.
--- a/core/cell/layout.go
+++ b/core/cell/layout.go
@@ -301,6 +301,30 @@
 	return s.groups[picked]
 }
 
+// GroupForSoftware returns a cell, other than except, with a target of a software version that
+// accepts work, or nil: the one for the affinity if it has such a target, else that of the target
+// with the highest hash. Few requests need one, so it looks at all targets of the service.
+func (l *Layout) GroupForSoftware(service, software string, affinity uint64, except Key) *Group {
+	var best *Group
+	bestScore, home := uint64(0), l.AlternativeTo(service, affinity, except)
+	for _, t := range l.targets.ByService(service) {
+		if t.Software != software || !t.AcceptsWork() {
+			continue
+		}
+		g := l.groupOf(t)
+		if g == nil || g.Key == except {
+			continue
+		}
+		if g == home {
+			return home
+		}
+		if score := place.Score(t.ID, affinity); best == nil || score > bestScore {
+			best, bestScore = g, score
+		}
+	}
+	return best
+}
+
 // FilterTargets returns the given targets that belong to the cell. Dropping the others
 // keeps messages to its scheduler small.
 func (g *Group) FilterTargets(ids []string) []string {
--- a/core/cell/refuse.go
+++ b/core/cell/refuse.go
@@ -3,10 +3,7 @@
 
 package cell
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Least retry time for a request that no target of the cell may serve: new targets are
 // listed within about a second of their start.
@@ -67,12 +64,12 @@
 	return late
 }
 
-// unservable reports whether every target of the cell is leaving, evacuated or denied to
-// the request.
+// unservable reports whether every target of the cell is leaving, evacuated or not for the
+// request.
 func (c *Cell) unservable(w *waiter) bool {
 	for i := range c.views {
 		t := &c.views[i].target.info
-		if !t.Leaving && !t.Evacuated && !slices.Contains(w.ask.Deny, t.ID) {
+		if !t.Leaving && !t.Evacuated && w.ask.mayUse(t) {
 			return false
 		}
 	}
--- a/core/entry/machine.go
+++ b/core/entry/machine.go
@@ -119,7 +119,7 @@
 func (m *Machine) Running() int { return len(m.running) }
 
 func (m *Machine) submit(now time.Time, e Submitted) {
-	g := m.layout.GroupFor(e.Service, e.Ask.Prompt.AffinityKey())
+	g := m.groupFor(e.Service, &e.Ask, "")
 	if g == nil {
 		m.emit(Refuse{e.Ask.ID, m.self, noTargetRetry})
 		return
@@ -133,10 +133,18 @@
 	m.askNext(now, p)
 }
 
+// groupFor returns the cell, other than except, that is to place a request, or nil.
+func (m *Machine) groupFor(service string, a *cell.Ask, except cell.Key) *cell.Group {
+	if a.Bound {
+		return m.layout.GroupForSoftware(service, a.Software, a.Prompt.AffinityKey(), except)
+	}
+	return m.layout.AlternativeTo(service, a.Prompt.AffinityKey(), except)
+}
+
 // release asks for a request that was held back, in the layout of now.
 func (m *Machine) release(now time.Time, p *pending) {
 	p.held = false
-	if g := m.layout.GroupFor(p.service, p.ask.Prompt.AffinityKey()); g != nil {
+	if g := m.groupFor(p.service, &p.ask, ""); g != nil {
 		p.cell = g.Key
 	}
 	m.askNext(now, p)
@@ -247,9 +255,12 @@
 // move asks a second cell to place a request, once: the one that the first cell's scheduler
 // names, else the next by affinity for an account that is below its fair share in the first.
 func (m *Machine) move(now time.Time, p *pending, named cell.Key) bool {
+	if p.ask.Bound {
+		named = "" // it may have no target of the version
+	}
 	other := m.layout.Group(named)
 	if named == "" {
-		other = m.layout.AlternativeTo(p.service, p.ask.Prompt.AffinityKey(), p.cell)
+		other = m.groupFor(p.service, &p.ask, p.cell)
 	}
 	if p.moved || other == nil || other.Service != p.service || p.ask.Objective <= 0 || named != "" && m.refusedLately(now, named) {
 		return false
--- /dev/null
+++ b/core/origin/replicas.go
@@ -0,0 +1,118 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package origin
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"madderway/core/place"
+)
+
+const (
+	// replicas is the number of gateways that hold a record besides the one that serves the
+	// attempt. Of the records, one in eight is lost with half of all gateways.
+	replicas = 3
+	// The gateways that are asked for a record are the first of each data hall and the first of
+	// all. They include the replicas also if the view of the sender lacks a gateway.
+	askedPerHall = 2
+	askedOfAll   = replicas + 2
+	maxAsked     = 12
+	// Records are kept by all gateways of a small fleet, and by a part of a larger one that grows
+	// with its square root: neither the connections of a gateway nor the records of a keeper
+	// then grow like the fleet.
+	allKeep        = 32
+	keepersPerRoot = 4
+	keeperKey      = "stream origins"
+)
+
+// Keepers returns the gateways of a fleet that keep records.
+func Keepers(nodes []place.Node) []place.Node {
+	n := max(allKeep, int(keepersPerRoot*math.Sqrt(float64(len(nodes)))))
+	if len(nodes) <= n {
+		return nodes
+	}
+	chosen := map[string]bool{}
+	for _, id := range place.Top(nodes, keeperKey, n) {
+		chosen[id] = true
+	}
+	return slices.DeleteFunc(slices.Clone(nodes), func(node place.Node) bool { return !chosen[node.ID] })
+}
+
+// ranked is a gateway with its hash for a key.
+type ranked struct {
+	id, dataHall string
+	score        uint64
+}
+
+// Replicas returns the keepers that are to hold the record of a stream, in different data halls if
+// possible.
+func Replicas(keepers []place.Node, self string, k Key) []string {
+	first := firstOfHalls(keepers, self, k, 1)
+	return ids(union(first[:min(len(first), replicas)], firstOfAll(keepers, self, k, replicas), replicas))
+}
+
+// Holders returns the keepers that may hold the record of a stream.
+func Holders(keepers []place.Node, self string, k Key) []string {
+	return ids(union(firstOfAll(keepers, self, k, askedOfAll), firstOfHalls(keepers, self, k, askedPerHall), maxAsked))
+}
+
+// firstOfAll returns the n gateways but self with the highest hash, the highest first.
+func firstOfAll(nodes []place.Node, self string, k Key, n int) []ranked {
+	var out []ranked
+	for _, node := range nodes {
+		out = insert(out, node, self, k, n)
+	}
+	return out
+}
+
+// firstOfHalls returns the n gateways but self of each data hall with the highest hash, the highest
+// first.
+func firstOfHalls(nodes []place.Node, self string, k Key, n int) []ranked {
+	halls := map[string][]ranked{}
+	for _, node := range nodes {
+		halls[node.DataHall] = insert(halls[node.DataHall], node, self, k, n)
+	}
+	var out []ranked
+	for _, hall := range halls {
+		out = append(out, hall...)
+	}
+	slices.SortFunc(out, compare)
+	return out
+}
+
+func compare(a, b ranked) int {
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+}
+
+// insert adds a node, unless it is self, to the n nodes with the highest hash.
+func insert(top []ranked, node place.Node, self string, k Key, n int) []ranked {
+	r := ranked{node.ID, node.DataHall, place.Score(node.ID, uint64(k))}
+	at, _ := slices.BinarySearchFunc(top, r, compare)
+	if at == n || node.ID == self {
+		return top
+	}
+	top = slices.Insert(top, at, r)
+	return top[:min(len(top), n)]
+}
+
+// union returns the elements of both lists, up to most, without repetitions.
+func union(a, b []ranked, most int) []ranked {
+	out := slices.Clone(a)
+	for _, r := range b {
+		if len(out) < most && !slices.Contains(out, r) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func ids(rs []ranked) []string {
+	out := make([]string, len(rs))
+	for i, r := range rs {
+		out[i] = r.id
+	}
+	return out
+}
--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -81,3 +81,70 @@
 	}
 	return out
 }
+
+// Mixed reports whether a service has targets of several versions, or had within the memory:
+// streams that began at each of them may continue.
+func (v *Versions) Mixed(now time.Time, service string, memory time.Duration) bool {
+	n := 0
+	for _, l := range v.services[service] {
+		if l.remembered(now, memory) {
+			n++
+		}
+	}
+	return n > 1
+}
+
+// Only returns the version of all targets of a service, false if there are several or none.
+func (v *Versions) Only(service string) (software string, ok bool) {
+	n := 0
+	for name, l := range v.services[service] {
+		if l.targets > 0 {
+			software, n = name, n+1
+		}
+	}
+	return software, n == 1
+}
+
+// Unlisted is a version of a service whose last target was removed a while ago.
+type Unlisted struct {
+	Service, Software string
+	Age               time.Duration
+}
+
+// Unlisted returns the versions without targets that are within the memory, and drops older ones.
+func (v *Versions) Unlisted(now time.Time, memory time.Duration) []Unlisted {
+	var out []Unlisted
+	for service, versions := range v.services {
+		for software, l := range versions {
+			switch {
+			case !l.remembered(now, memory):
+				delete(versions, software)
+			case l.targets == 0:
+				out = append(out, Unlisted{service, software, now.Sub(l.unlistedAt)})
+			}
+		}
+	}
+	return out
+}
+
+// Learn records that another gateway remembers a version, and reports whether that is news.
+func (v *Versions) Learn(now time.Time, u Unlisted) bool {
+	versions := v.services[u.Service]
+	if versions == nil {
+		versions = map[string]*listing{}
+		v.services[u.Service] = versions
+	}
+	l := versions[u.Software]
+	if l == nil {
+		versions[u.Software] = &listing{unlistedAt: now.Add(-u.Age)}
+		return true
+	}
+	if at := now.Add(-u.Age); l.targets == 0 && at.After(l.unlistedAt) {
+		l.unlistedAt = at
+	}
+	return false
+}
+
+func (l *listing) remembered(now time.Time, memory time.Duration) bool {
+	return l.targets > 0 || now.Sub(l.unlistedAt) < memory
+}
--- a/core/place/rendezvous.go
+++ b/core/place/rendezvous.go
@@ -61,7 +61,7 @@
 
 // Top returns the IDs of the k nodes with the highest hash for a key.
 func Top(nodes []Node, key string, k int) []string {
-	return top(nodes, k, func(n Node) float64 { return unit(hash(n.ID, key)) })
+	return top(nodes, k, func(n Node) float64 { return Unit(hash(n.ID, key)) })
 }
 
 // strengthPower is the exponent of a node's weight. It is above 1 to keep weak nodes out of
@@ -110,10 +110,10 @@
 
 // Weighted returns the score of a choice with a weight in a weighted rendezvous hash. Choices get
 // keys in proportion to their weights.
-func Weighted(weight float64, hash uint64) float64 { return weight / -math.Log(unit(hash)) }
+func Weighted(weight float64, hash uint64) float64 { return weight / -math.Log(Unit(hash)) }
 
-// unit maps a hash to the open interval (0, 1).
-func unit(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
+// Unit maps a hash to the open interval (0, 1).
+func Unit(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
 
 // top returns the IDs of the k nodes with the highest score.
 func top(nodes []Node, k int, score func(n Node) float64) []string {
--- a/handlers/gateway/gateway.go
+++ b/handlers/gateway/gateway.go
@@ -20,6 +20,8 @@
 	"sync/atomic"
 	"time"
 
+	"madderway/core/origin"
+	"madderway/core/place"
 	"madderway/handlers/api"
 	"madderway/models/result"
 	"madderway/models/routing"
@@ -144,7 +146,7 @@
 			return nil, result.New(result.Unauthorized, "unknown key")
 		}
 	}
-	service := index.Service(route.PickService(rand.Float64()))
+	service := index.Service(route.PickService(serviceDraw(&call, route, account)))
 	if service == nil {
 		return nil, result.New(result.NoTarget, "the route has no service").WithRetryAfter(notReadyRetryAfter)
 	}
@@ -171,6 +173,19 @@
 	}, nil
 }
 
+// serviceDraw returns the draw for the service of a request. All attempts of a stream that can be
+// resumed draw alike, as its rest must come from the same service.
+func serviceDraw(call *upstream.Call, route *routing.Route, account *routing.ClientAccount) float64 {
+	if !route.Stream || !route.Resumable || len(route.Split) < 2 {
+		return rand.Float64()
+	}
+	first := call.ID
+	if call.Resuming {
+		first = call.Resumes
+	}
+	return place.Unit(uint64(origin.KeyOf(account.GetName(), first)))
+}
+
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits, deadline time.Time) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
--- a/lab/platform/client.go
+++ b/lab/platform/client.go
@@ -32,7 +32,10 @@
 	Attempts     int     // attempts that a gateway may make
 }
 
-const host = "site.example"
+const (
+	host      = "site.example"
+	maxReason = 1 << 10 // bytes of a refusal's body that are kept
+)
 
 // client sends requests of one kind for one account and checks the answers.
 type client struct {
@@ -48,6 +51,7 @@
 	sent         int
 	stream       *readStream // what the caller has of its stream
 	answerHeader http.Header // headers of the last answer
+	refusal      string      // body of the last refusal
 }
 
 func newClient(s *Site, k Kind, account, key string, seed uint64) *client {
@@ -153,7 +157,8 @@
 	switch resp.StatusCode {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusRequestTimeout:
 		c.site.ledger.AddRefusal(id)
-		_, _ = io.Copy(io.Discard, resp.Body)
+		reason, _ := io.ReadAll(io.LimitReader(resp.Body, maxReason))
+		c.refusal = string(reason)
 		seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 		return outcomeRefused, time.Duration(seconds * float64(time.Second))
 	case http.StatusOK:
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -18,6 +18,7 @@
 	"madderway/core/cell"
 	"madderway/core/drain"
 	"madderway/core/member"
+	streams "madderway/core/origin"
 	"madderway/core/place"
 	core "madderway/core/quarantine"
 	"madderway/handlers/gateway"
@@ -154,7 +155,12 @@
 	s := g.settings.Load()
 	auth := peernet.NewSharedKey(s.ID, s.PeerKey)
 	store := platform.NewStore(s.Store, s.StoreCall.Duration)
-	g.origins = origin.New(log.New("origin").With(s.ID), origin.Options{Clock: g.clock})
+	g.origins = origin.New(log.New("origin").With(s.ID), origin.Options{
+		Clock: g.clock, MetricsPrefix: "madderway_gateway", Sender: uint32(place.Score(s.ID, g.self.Incarnation)), FirstStart: s.FirstStart, InContact: g.inContact,
+		Share:   func(records []streams.Record) { g.loop.ShareOrigins(records) },
+		Ask:     func(k streams.Key) []string { return g.loop.AskOrigin(k) },
+		Confirm: func(ctx context.Context) error { return g.follow.Confirm(ctx) },
+	})
 	g.notices = notice.New(log.New("notice").With(s.ID), notice.Options{Clock: g.clock, MetricsPrefix: "madderway_gateway", OnLeaving: func() { g.follow.LeavingChanged() }})
 	g.follow = follow.New(&g.t, log.New("follow").With(s.ID), follow.Options{
 		Source: store, Peers: fetcher{g}, Clock: g.clock, LeavingTargets: g.notices, OnChange: g.applyUpdate, OnNewEra: g.storeRestored,
@@ -173,7 +179,7 @@
 	client := upstream.NewClient(g.pool, platform.Dialect{}, g.notices.Answered)
 	g.relay = relay.New(&g.t, log.New("relay").With(s.ID), relay.Options{Auth: auth, Meter: g.relayMeter, Clock: g.clock})
 	g.loop = mesh.NewLoop(&g.t, log.New("mesh").With(s.ID), mesh.Options{
-		Self: g.self, Seeds: s.Seeds, Clock: g.clock, Auth: auth, Meter: g.meter, Member: members, Follow: g.follow, Quarantine: g.quarantine, Notices: g.notices,
+		Self: g.self, Seeds: s.Seeds, Clock: g.clock, Auth: auth, Meter: g.meter, Member: members, Follow: g.follow, Quarantine: g.quarantine, Notices: g.notices, Origins: g.origins,
 		FetchCachedParts: client.CachedParts, FairWindow: s.FairWindow.Duration, Scheduling: schedulingOf(s), OnMembers: g.setRelayPeers, OnIncarnationEnd: g.relay.Disconnect,
 	})
 	g.quarantine.RunArchive(&g.t, quarantine.ArchiveOptions{Archive: platform.NewQuarantineArchive(store), IsReader: g.loop.Watches, FirstStart: s.FirstStart})
@@ -188,7 +194,7 @@
 	g.guard = guard
 	g.forward = forward.New(log.New("forward").With(s.ID), forward.Options{
 		DataHall: s.DataHall, Clock: g.clock, Targets: g.follow, Mesh: g.loop, Client: client,
-		Guard: guard, Retry: retryBudget(s), Quarantine: g.quarantine, Notices: g.notices,
+		Guard: guard, Retry: retryBudget(s), Quarantine: g.quarantine, Notices: g.notices, Origins: g.origins,
 		Scheduling: schedulingOf(s), PlainByRecent: s.Scheduling.PlainByRecent,
 		Connections:       func() (int, uint64) { return g.callers.Open(), g.callers.TurnedAway() },
 		TargetConnections: g.pool.LogValues,
@@ -286,6 +292,15 @@
 	}
 }
 
+// maxContactAge is the age of the local state up to which it is as new as that of other gateways.
+const maxContactAge = 3 * time.Second
+
+// inContact reports whether the list of targets is as new as that of the rest of the fleet: it was
+// complete lately, or this gateway is in contact with most others.
+func (g *Gateway) inContact() bool {
+	return g.follow.FreshSince(g.clock.Now().Add(-maxContactAge)) || 2*g.loop.Members() > g.loop.Known()
+}
+
 // fetcher gives follow access to the loop, which is built after it.
 type fetcher struct{ g *Gateway }
 
@@ -302,6 +317,7 @@
 	g.forward.SetRouting(g.follow.Index(), targets)
 	g.loop.SetRouting(g.follow.Index(), targets)
 	if index := g.follow.Index(); index != nil {
+		g.origins.SetConfiguration(index.Configuration)
 		g.callers.SetLimits(index.Configuration.Limits)
 	}
 }
--- a/router/gatewaystate.go
+++ b/router/gatewaystate.go
@@ -73,6 +73,7 @@
 	g.loop.WriteMetrics(w)
 	g.quarantine.WriteMetrics(w)
 	g.notices.WriteMetrics(w)
+	g.origins.WriteMetrics(w)
 	g.pool.WriteMetrics(w)
 	d := g.Dump()
 	gauge := func(name string, v any) { fmt.Fprintf(w, "madderway_gateway_%s %v\n", name, v) }
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -82,10 +82,12 @@
 
 	peerReports chan peerReport
 	packCache   packCache
-	fetches     atomic.Uint64
-	counters    *metrics.Set
-	badRowLog   *log.RateLimiter
-	calls       atomic.Uint64
+
+	confirmations confirmations
+	fetches       atomic.Uint64
+	counters      *metrics.Set
+	badRowLog     *log.RateLimiter
+	calls         atomic.Uint64
 }
 
 // New returns a service; call Start to run it.
--- /dev/null
+++ b/services/forward/bind.go
@@ -0,0 +1,79 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"madderway/core/origin"
+	"madderway/models/result"
+	"madderway/models/routing"
+)
+
+// boundFactor times the objective is the time in which a stream that continues should go on. It is
+// late already, but its caller has a part of it and waits for four times the objective or longer.
+const boundFactor = 2
+
+// unknownOriginRetryAfter is the retry time if it is not known where a stream began. Gateways that
+// did not reply may do so then.
+const unknownOriginRetryAfter = time.Second
+
+// binding restricts a stream that continues to targets of the software version that began it.
+type binding struct {
+	bound    bool
+	software string
+}
+
+// allows reports whether the stream may be sent to a target.
+func (b binding) allows(t *routing.Target) bool { return !b.bound || t.Software == b.software }
+
+// filter returns the targets that the stream may be sent to.
+func (b binding) filter(targets []*routing.Target) []*routing.Target {
+	if !b.bound {
+		return targets
+	}
+	return slices.DeleteFunc(slices.Clone(targets), func(t *routing.Target) bool { return !b.allows(t) })
+}
+
+// served reports whether any of the targets accepts the stream.
+func (b binding) served(targets []*routing.Target) bool {
+	return slices.ContainsFunc(targets, func(t *routing.Target) bool { return t.AcceptsWork() && b.allows(t) })
+}
+
+// streamKey returns the key of the stream by the attempt that began it.
+func (r *Request) streamKey() origin.Key {
+	if r.Call.Resuming {
+		return origin.KeyOf(r.account(), r.Call.Resumes)
+	}
+	return origin.KeyOf(r.account(), r.Call.ID)
+}
+
+// bind binds the stream to the version that began it. It returns an error if that is not known.
+func (j *job) bind() error {
+	if j.binding.bound {
+		return nil
+	}
+	software, err := j.s.opts.Origins.Resolve(j.ctx, j.r.streamKey(), j.r.Service.Name)
+	if err != nil {
+		j.s.log.Request("Origin of a stream is not known.", "id", j.r.Call.ID, "resumes", j.r.Call.Resumes, "service", j.r.Service.Name, "in_answer", j.headOut, "error", err)
+		return result.Wrap(result.OriginUnknown, err).WithRetryAfter(unknownOriginRetryAfter)
+	}
+	j.binding = binding{true, software}
+	return nil
+}
+
+// beginsStream reports whether the next target may send the first event of a stream that can be
+// resumed.
+func (j *job) beginsStream() bool {
+	return j.r.Route.Stream && j.r.Route.Resumable && !j.r.Call.Resuming && !j.headOut
+}
+
+// recordOrigin records that the attempt is sent to a target that may begin the stream. That is done
+// before the first event, so that others have the record when the caller has a part of the stream.
+func (j *job) recordOrigin(t *routing.Target) {
+	if j.beginsStream() {
+		j.s.opts.Origins.Sent(j.r.streamKey(), j.r.Service.Name, t, j.history.Sent+j.history.Unsent+1)
+	}
+}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -29,6 +29,7 @@
 	"madderway/modules/log"
 	"madderway/services/mesh"
 	"madderway/services/notice"
+	"madderway/services/origin"
 	"madderway/services/quarantine"
 	"madderway/services/upstream"
 )
@@ -69,6 +70,8 @@
 	Quarantine *quarantine.Service
 	// Notices holds what targets announced in their responses: that they leave, or a pause.
 	Notices *notice.Service
+	// Origins tells at which software version streams began.
+	Origins *origin.Service
 	// Connections returns the number of open caller connections, and of those rejected since
 	// the start.
 	Connections func() (open int, turnedAway uint64)
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -54,6 +54,7 @@
 	permit              notice.Permit      // to send to the target, held until its response begins
 	quarantineAttempt   quarantine.Attempt // the request as known to the quarantine
 	lastEvent           string
+	binding             binding
 	headOut             bool
 	takeFromRetryBudget func() bool
 	retryReserved       atomic.Bool   // a retry was taken before the attempt was cut
@@ -80,6 +81,11 @@
 
 func (j *job) run() error {
 	defer j.quarantineAttempt.End()
+	if j.r.Route.Stream && j.r.Call.Resuming {
+		if err := j.bind(); err != nil {
+			return j.placementError(err)
+		}
+	}
 	for range maxRounds {
 		if err := j.checkQuarantine(); err != nil {
 			return j.placementError(err)
@@ -108,6 +114,11 @@
 		j.s.logFailedAttempt(j, outcome, next, death)
 		switch next {
 		case attempt.Again, attempt.Resume:
+			if next == attempt.Resume {
+				if err := j.bind(); err != nil {
+					return j.placementError(err)
+				}
+			}
 			j.deny = append(j.deny, j.targetID)
 			j.s.counters.retries.Inc()
 			continue
@@ -170,6 +181,9 @@
 }
 
 func (j *job) place() (placement, error) {
+	if j.binding.bound && !j.binding.served(j.s.opts.Targets.Targets().ByService(j.r.Service.Name)) {
+		return nil, result.New(result.NoTarget, "no target of %s takes work at version %q, which began the stream", j.r.Service.Name, j.binding.software).WithRetryAfter(noTargetRetryAfter)
+	}
 	if scheduled(j.r.Service, &j.r.Call) {
 		return j.placeEngine()
 	}
--- a/services/forward/permit.go
+++ b/services/forward/permit.go
@@ -25,7 +25,8 @@
 // the first byte is written, since the target may have announced meanwhile that it leaves or
 // needs a pause, and its scheduler may not know that.
 func (j *job) startSending() error {
-	if listed := j.s.opts.Targets.Targets().Find(j.target.ID); listed == nil || !listed.AcceptsWork() {
+	listed := j.s.opts.Targets.Targets().Find(j.target.ID)
+	if listed == nil || !listed.AcceptsWork() || !j.binding.allows(listed) {
 		return errWithheld
 	}
 	permit, err := j.s.opts.Notices.Start(j.target.ID)
@@ -33,6 +34,7 @@
 		return errors.Join(errWithheld, err)
 	}
 	j.permit = permit
+	j.recordOrigin(listed)
 	return nil
 }
 
@@ -64,7 +66,7 @@
 // usableTarget returns the target of a placement, or nil if it must not get the request.
 func (j *job) usableTarget(id string) *routing.Target {
 	t := j.s.opts.Targets.Targets().Find(id)
-	if t == nil || !t.AcceptsWork() {
+	if t == nil || !t.AcceptsWork() || !j.binding.allows(t) {
 		return nil
 	}
 	if _, paused := j.s.opts.Notices.Blocked(id); paused {
--- a/services/forward/place.go
+++ b/services/forward/place.go
@@ -51,9 +51,15 @@
 	if j.history.Sent > 0 || j.history.Unsent > 0 {
 		hold = max(hold, j.r.Route.Objective/8)
 	}
+	objective := j.r.Route.Objective
+	if j.binding.bound {
+		objective *= boundFactor
+		hold = max(hold, objective/2)
+	}
 	ask := cell.Ask{
 		ID: id, Account: j.r.account(), Rank: routing.EffectiveRank(j.r.Route, j.r.Account), Prompt: j.r.Call.Prompt,
-		Hold: max(hold, 0), Objective: max(j.r.Route.Objective-j.s.opts.Clock.Now().Sub(j.r.Received), time.Millisecond), Deny: j.denyList(paused),
+		Hold: max(hold, 0), Objective: max(objective-j.s.opts.Clock.Now().Sub(j.r.Received), time.Millisecond), Deny: j.denyList(paused),
+		Bound: j.binding.bound, Software: j.binding.software,
 	}
 	rules := j.s.opts.Scheduling.RulesFor(j.r.Service)
 	if rules != (cell.Rules{}) {
@@ -142,7 +148,7 @@
 }
 
 func (j *job) placePlain() (placement, error) {
-	targets, paused := j.s.opts.Targets.Targets().ByService(j.r.Service.Name), j.s.pausedTargets(j.r.Service.Name)
+	targets, paused := j.binding.filter(j.s.opts.Targets.Targets().ByService(j.r.Service.Name)), j.s.pausedTargets(j.r.Service.Name)
 	j.s.mu.Lock()
 	pick := j.s.balancer.Choose(j.s.opts.Clock.Now(), targets, j.denyList(paused), j.s.plainLimits(j.r))
 	j.s.mu.Unlock()
--- a/services/mesh/layout.go
+++ b/services/mesh/layout.go
@@ -10,6 +10,7 @@
 	"madderway/core/cell"
 	"madderway/core/cold"
 	"madderway/core/entry"
+	"madderway/core/origin"
 	"madderway/core/place"
 	"madderway/core/watch"
 	"madderway/models/routing"
@@ -52,6 +53,7 @@
 		l.opts.OnMembers(l.members.Others())
 	}
 	l.layout.SetNodes(nodes)
+	l.originKeepers = origin.Keepers(nodes)
 	for key, s := range l.cells {
 		l.updateColdShare(now, key, s)
 	}
@@ -82,7 +84,7 @@
 	for _, t := range g.Targets {
 		ev.Targets = append(ev.Targets, cell.TargetInfo{
 			ID: t.ID, Slots: service.Engine.Slots, CacheTokens: service.Engine.CacheTokens, DataHall: t.DataHall, Leaving: t.Leaving,
-			Evacuated: t.Evacuated, ColdUntil: t.ColdUntil,
+			Evacuated: t.Evacuated, ColdUntil: t.ColdUntil, Software: t.Software,
 		})
 	}
 	ev.Rules = l.opts.Scheduling.RulesFor(service)
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -18,6 +18,7 @@
 	"madderway/core/cell"
 	"madderway/core/entry"
 	"madderway/core/member"
+	"madderway/core/place"
 	"madderway/models/routing"
 	"madderway/modules/clock"
 	"madderway/modules/log"
@@ -26,6 +27,7 @@
 	"madderway/modules/wire"
 	"madderway/services/follow"
 	"madderway/services/notice"
+	"madderway/services/origin"
 	"madderway/services/peerwire"
 	"madderway/services/quarantine"
 )
@@ -73,6 +75,8 @@
 	Quarantine *quarantine.Service
 	// Notices holds the states that targets announced.
 	Notices *notice.Service
+	// Origins holds the records of where streams began.
+	Origins *origin.Service
 	// FairWindow is the time span over which accounts' service is compared.
 	FairWindow time.Duration
 	// Scheduling selects how each service is scheduled under hard load.
@@ -129,6 +133,8 @@
 	startedAt time.Time
 	announced follow.Versions
 	records   *peerwire.Records
+	// gateways that keep records of streams
+	originKeepers []place.Node
 	// Membership changes wait for the end of the batch.
 	membersChanged bool
 
@@ -243,6 +249,8 @@
 		l.stepMembers(now, e.event)
 	case recordIn:
 		l.records.Share(now, e.record, "")
+	case originsIn:
+		l.shareOrigins(now, e.records)
 	case routingIn:
 		l.setRouting(now, e.index, e.targets)
 		l.announce(now)
--- a/services/mesh/step.go
+++ b/services/mesh/step.go
@@ -41,6 +41,7 @@
 	hb := peerwire.AddHeartbeat(f, a)
 	hb.Versions = versionsToWire(l.opts.Follow.Versions())
 	hb.RequestDigest = l.records.Digest()
+	hb.Software = softwareToWire(l.opts.Origins.Memory())
 }
 
 // handleFrame handles the messages of a frame. Inventories come before asks, so that a new
@@ -60,6 +61,7 @@
 	if len(f.RequestRecords) > 0 || f.RequestRecordsAsk {
 		l.records.Receive(now, peer, f)
 	}
+	l.handleOrigins(now, peer, f)
 	for _, p := range f.EngineProgress {
 		if ev := progressEvent(peer, p); ev != nil {
 			l.routeToCell(now, cell.Key(p.Cell), ev)
@@ -97,6 +99,9 @@
 	l.stepMembers(now, seen)
 	l.opts.Follow.ObservePeerVersions(peer, versionsFromWire(hb.Versions))
 	l.records.Compare(now, peer, hb.RequestDigest)
+	if hb.Software != nil {
+		l.opts.Origins.Learn(peer, unlistedFromWire(hb.Software), hb.Software.Complete)
+	}
 }
 
 func (l *Loop) stepEntry(now time.Time, ev entry.Event) {
--- a/services/mesh/translate.go
+++ b/services/mesh/translate.go
@@ -35,6 +35,7 @@
 		Cell: string(key), Id: uint64(a.ID), Account: a.Account, Rank: int32(a.Rank), Prompt: promptToWire(a.Prompt),
 		HoldMs: uint32(a.Hold.Milliseconds()), Deny: a.Deny, ObjectiveMs: uint32(max(a.Objective.Milliseconds(), 0)),
 		DataHall: a.DataHall, BodyBytes: uint32(a.BodyBytes), RemainingMs: uint32(max(a.Remaining.Milliseconds(), 0)),
+		Bound: a.Bound, Software: a.Software,
 	}
 }
 
@@ -43,6 +44,7 @@
 		ID: cell.RequestID(a.Id), Account: a.Account, Rank: int(a.Rank), Prompt: promptFromWire(a.Prompt),
 		Hold: time.Duration(a.HoldMs) * time.Millisecond, Objective: time.Duration(a.ObjectiveMs) * time.Millisecond, Deny: a.Deny,
 		DataHall: a.DataHall, BodyBytes: int(a.BodyBytes), Remaining: time.Duration(a.RemainingMs) * time.Millisecond,
+		Bound: a.Bound, Software: a.Software,
 	}
 }
 
--- /dev/null
+++ b/services/origin/origin_test.go
@@ -0,0 +1,232 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package origin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"madderway/core/origin"
+	"madderway/core/place"
+	"madderway/models/routing"
+	"madderway/modules/clock"
+	"madderway/modules/log"
+)
+
+// fleet is a group of services that exchange records at once.
+type fleet struct {
+	t        *testing.T
+	clock    *clock.Fake
+	gateways map[string]*Service
+	outOf    map[string]bool // gateways without contact to others
+	shared   int             // records sent
+	asks     int             // gateways asked
+	targets  *routing.TargetSet
+	confirm  error
+}
+
+const (
+	service = "model"
+	account = "account"
+)
+
+func newFleet(t *testing.T, n int, targets ...routing.Target) *fleet {
+	f := &fleet{t: t, clock: clock.NewFake(), gateways: map[string]*Service{}, outOf: map[string]bool{}, targets: routing.NewTargetSet(1, targets...)}
+	for i := range n {
+		f.start(fmt.Sprint("g", i))
+	}
+	f.clock.Advance(learnTime)
+	return f
+}
+
+// start starts a gateway, or starts it anew without its records.
+func (f *fleet) start(id string) {
+	f.gateways[id] = New(log.New("origin"), Options{
+		Clock: f.clock, MetricsPrefix: "test", Sender: uint32(place.Score(id, uint64(f.clock.Now().UnixNano()))),
+		InContact: func() bool { return !f.outOf[id] },
+		Share: func(records []origin.Record) {
+			for _, r := range records {
+				for _, to := range origin.Replicas(f.nodes(id), id, r.Key) {
+					f.shared++
+					f.gateways[to].Receive([]origin.Record{r})
+				}
+			}
+		},
+		Ask: func(k origin.Key) []string {
+			asked := origin.Holders(f.nodes(id), id, k)
+			f.asks += len(asked)
+			for _, to := range asked {
+				reply := f.gateways[to].Lookup(k)
+				reply.Peer = to
+				f.gateways[id].Replied(k, reply)
+			}
+			return asked
+		},
+		Confirm: func(context.Context) error { return f.confirm },
+	})
+	f.gateways[id].SetTargets(f.targets)
+	f.clock.Advance(joinTime)
+}
+
+// nodes returns the gateways that a gateway is in contact with.
+func (f *fleet) nodes(id string) []place.Node {
+	var out []place.Node
+	for other := range f.gateways {
+		if other == id || !f.outOf[id] && !f.outOf[other] {
+			out = append(out, place.Node{ID: other})
+		}
+	}
+	return out
+}
+
+// list gives all gateways in contact a new list of targets.
+func (f *fleet) list(targets ...routing.Target) {
+	f.targets = routing.NewTargetSet(f.targets.Revision+1, targets...)
+	for id, g := range f.gateways {
+		if !f.outOf[id] {
+			g.SetTargets(f.targets)
+		}
+	}
+}
+
+// begin begins a stream at a gateway.
+func (f *fleet) begin(id, attempt, target string) {
+	f.gateways[id].Sent(origin.KeyOf(account, attempt), service, f.targets.Find(target), 1)
+}
+
+// expect checks the version that a gateway resolves, "" for unknown.
+func (f *fleet) expect(what, id, attempt, want string) {
+	f.t.Helper()
+	got, err := f.gateways[id].Resolve(f.t.Context(), origin.KeyOf(account, attempt), service)
+	if got != want || (want == "") != IsErrUnknown(err) {
+		f.t.Errorf("%s: got version %q, error %v, want %q", what, got, err, want)
+	}
+}
+
+func target(id, software string) routing.Target {
+	return routing.Target{ID: id, Service: service, Software: software}
+}
+
+// Guards against any cost for services with one version.
+func TestOneVersionCostsNothing(t *testing.T) {
+	f := newFleet(t, 3, target("a", "v1"), target("b", "v1"))
+	for i := range 100 {
+		attempt := fmt.Sprint("attempt-", i)
+		f.begin("g0", attempt, "a")
+		f.expect("one version", "g1", attempt, "v1")
+	}
+	if f.shared != 0 || f.asks != 0 {
+		t.Errorf("got %d records sent and %d gateways asked, want none", f.shared, f.asks)
+	}
+}
+
+// Guards against a guess where the version is not known, and against refusing where it is.
+func TestOriginOutlastsItsGateway(t *testing.T) {
+	f := newFleet(t, 4, target("a", "v1"), target("b", "v2"))
+	f.begin("g0", "one", "a")
+	f.begin("g0", "two", "b")
+	f.expect("at the gateway that served it", "g0", "one", "v1")
+	f.start("g0")
+	for id := range f.gateways {
+		f.expect("after its loss at "+id, id, "one", "v1")
+		f.expect("after its loss at "+id, id, "two", "v2")
+	}
+	f.expect("an attempt that began nothing", "g1", "three", "")
+	if _, err := f.gateways["g1"].Resolve(t.Context(), origin.KeyOf("another account", "one"), service); !IsErrUnknown(err) {
+		t.Errorf("for another account: got error %v, want ErrUnknown", err)
+	}
+	for id := range f.gateways {
+		f.start(id)
+	}
+	f.clock.Advance(learnTime)
+	f.expect("after the loss of all", "g1", "one", "")
+}
+
+// Guards against a target that gave no event: the try after it counts.
+func TestLastTryBeginsTheStream(t *testing.T) {
+	f := newFleet(t, 3, target("a", "v1"), target("b", "v2"))
+	f.begin("g0", "one", "a")
+	f.gateways["g0"].Sent(origin.KeyOf(account, "one"), service, f.targets.Find("b"), 2)
+	f.expect("at the same gateway", "g0", "one", "v2")
+	f.expect("at another one", "g1", "one", "v2")
+}
+
+// Guards against losing the streams that began before the versions differed, or that come back
+// after they do no longer.
+func TestRollOutBetweenBeginningAndReturn(t *testing.T) {
+	f := newFleet(t, 3, target("a", "v1"))
+	f.begin("g0", "old", "a")
+	f.list(target("a", "v1"), target("b", "v2"))
+	f.start("g0")
+	f.expect("the roll-out has begun", "g1", "old", "v1")
+	f.begin("g1", "new", "b")
+	f.list(target("b", "v2"))
+	f.expect("the roll-out has ended", "g2", "old", "v1")
+	f.expect("the roll-out has ended", "g2", "new", "v2")
+	f.expect("nobody has a record", "g2", "lost", "")
+	f.clock.Advance(maxLife)
+	f.expect("no stream of the old version is left", "g2", "lost", "v2")
+}
+
+// Guards against a restarted gateway that lists one version and takes it for the only one.
+func TestRestartedGatewayLearnsOfVersions(t *testing.T) {
+	f := newFleet(t, 3, target("a", "v1"), target("b", "v2"))
+	f.list(target("b", "v2"))
+	f.start("g0")
+	f.expect("before it has heard of others", "g0", "lost", "")
+	f.gateways["g0"].Learn("g1", nil, false)
+	f.expect("after a heartbeat of another restarted gateway", "g0", "lost", "")
+	unlisted, complete := f.gateways["g1"].Memory()
+	f.gateways["g0"].Learn("g1", unlisted, complete)
+	f.expect("after a heartbeat", "g0", "lost", "")
+	f.start("g2")
+	f.clock.Advance(maxLife)
+	unlisted, complete = f.gateways["g1"].Memory()
+	f.gateways["g2"].Learn("g1", unlisted, complete)
+	f.expect("once the old version is forgotten", "g2", "lost", "v2")
+}
+
+// Guards against a gateway that is cut off while others begin to use another version.
+func TestGatewayOutOfContactGuessesNothing(t *testing.T) {
+	f := newFleet(t, 3, target("a", "v1"))
+	f.begin("g2", "own", "a")
+	f.outOf["g2"] = true
+	f.list(target("a", "v1"), target("b", "v2"))
+	f.begin("g0", "other", "b")
+	f.expect("begun elsewhere", "g2", "other", "")
+	f.expect("begun here", "g2", "own", "v1")
+}
+
+// Guards against a stream that continues at a worker which restarted with other software under its
+// name, or that began there unnoticed.
+func TestUpgradeInPlace(t *testing.T) {
+	f := newFleet(t, 3)
+	at := func(name string, born time.Duration, software string) routing.Target {
+		ms := f.clock.Now().Add(born).UnixMilli()
+		return routing.Target{ID: routing.TargetID(name, ms), Name: name, Born: ms, Service: service, Software: software}
+	}
+	a, b, c := at("a", -time.Hour, "v1"), at("b", -time.Hour, "v1"), at("c", -time.Hour, "v2")
+	f.list(a, b, c)
+	f.begin("g0", "one", a.ID)
+	f.clock.Advance(5 * time.Second)
+	f.begin("g0", "late", a.ID)
+	f.confirm = errors.New("the store is away")
+	f.expect("the list cannot be confirmed", "g1", "one", "")
+	f.confirm = nil
+	upgraded := at("a", -time.Second/2, "v2")
+	f.list(upgraded, b, c)
+	f.expect("begun before the restart", "g1", "one", "v1")
+	f.expect("begun at about the restart", "g1", "late", "")
+}
+
+// Guards against two gateways that serve attempts of one ID.
+func TestAttemptAtTwoGatewaysIsUnknown(t *testing.T) {
+	f := newFleet(t, 3, target("a", "v1"), target("b", "v2"))
+	f.begin("g0", "one", "a")
+	f.begin("g1", "one", "b")
+	f.expect("two versions", "g2", "one", "")
+}
--- /dev/null
+++ b/services/origin/resolve.go
@@ -0,0 +1,222 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package origin
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"madderway/core/origin"
+	"madderway/models/routing"
+)
+
+const (
+	// lookupTimeout bounds the wait for other gateways, graceTime that for further replies after
+	// a record was found: a later one may replace it.
+	lookupTimeout = 300 * time.Millisecond
+	graceTime     = 30 * time.Millisecond
+	// joinTime is the age up to which a gateway may not have heard of others.
+	joinTime         = 800 * time.Millisecond
+	joinPollInterval = 20 * time.Millisecond
+	// clockSlack bounds the difference between the clocks of a gateway and a target.
+	clockSlack = time.Second
+	// maxReplies bounds the replies to one lookup.
+	maxReplies = 16
+)
+
+// ErrUnknown reports that it is not known at which software version a stream began.
+type ErrUnknown struct{ Reason string }
+
+// Error implements error.
+func (e ErrUnknown) Error() string { return "origin of the stream: " + e.Reason }
+
+// IsErrUnknown reports whether an error is an ErrUnknown.
+func IsErrUnknown(err error) bool {
+	var e ErrUnknown
+	return errors.As(err, &e)
+}
+
+// Reply is the reply of another gateway that was asked for a record.
+type Reply struct {
+	Peer      string
+	Record    origin.Record
+	Found     bool
+	Ambiguous bool // two gateways serve attempts of the same ID
+}
+
+// lookup waits for the replies of other gateways.
+type lookup struct{ replies chan Reply }
+
+// Resolve returns the software version at which a stream of a service began, or an ErrUnknown.
+func (s *Service) Resolve(ctx context.Context, k origin.Key, service string) (string, error) {
+	software, err := s.resolve(ctx, k, service)
+	if err != nil {
+		s.counters.unknown.Inc()
+	}
+	return software, err
+}
+
+func (s *Service) resolve(ctx context.Context, k origin.Key, service string) (string, error) {
+	reply := s.Lookup(k)
+	if !reply.Found {
+		s.awaitPeers(ctx)
+		if software, ok := s.onlyVersion(service); ok {
+			s.counters.unasked.Inc()
+			return software, nil
+		}
+		reply = s.ask(ctx, k)
+	}
+	switch {
+	case reply.Ambiguous:
+		return "", ErrUnknown{"two gateways have attempts of this ID"}
+	case !reply.Found:
+		return "", ErrUnknown{"no gateway has a record"}
+	}
+	if s.mustConfirm(service) {
+		if err := s.opts.Confirm(ctx); err != nil {
+			return "", ErrUnknown{"targets may have restarted with other software: " + err.Error()}
+		}
+	}
+	if !s.holds(reply.Record) {
+		return "", ErrUnknown{"the target restarted with other software at about that time"}
+	}
+	s.counters.found.Inc()
+	return reply.Record.Software, nil
+}
+
+// awaitPeers waits for the first heartbeat of another gateway if this one has just started: without
+// it the versions are not known, and there is nobody to ask.
+func (s *Service) awaitPeers(ctx context.Context) {
+	for ctx.Err() == nil && s.isJoining() {
+		select {
+		case <-ctx.Done():
+		case <-s.opts.Clock.After(joinPollInterval):
+		}
+	}
+}
+
+func (s *Service) isJoining() bool {
+	now := s.opts.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.knowsVersions(now) && now.Sub(s.started) < joinTime
+}
+
+// Lookup returns what this gateway knows of a stream.
+func (s *Service) Lookup(k origin.Key) Reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ambiguous, found := s.table.Get(k)
+	return Reply{Record: r, Found: found, Ambiguous: ambiguous}
+}
+
+// onlyVersion returns the version of a service at which all streams began that may continue, false
+// if there may be several.
+func (s *Service) onlyVersion(service string) (string, bool) {
+	inContact := s.opts.InContact()
+	now := s.opts.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !inContact || !s.knowsVersions(now) || s.versions.Mixed(now, service, s.life) {
+		return "", false
+	}
+	return s.versions.Only(service)
+}
+
+// ask asks other gateways for a record.
+func (s *Service) ask(ctx context.Context, k origin.Key) Reply {
+	l := s.startLookup(k)
+	defer s.endLookup(k, l)
+	asked := s.opts.Ask(k)
+	s.counters.asked.Add(len(asked))
+	best, timeout := Reply{}, s.opts.Clock.After(lookupTimeout)
+	for range asked {
+		select {
+		case <-ctx.Done():
+			return best
+		case <-timeout:
+			return best
+		case r := <-l.replies:
+			if r.Found && !best.Found {
+				timeout = s.opts.Clock.After(graceTime)
+			}
+			best = best.merge(r)
+		}
+	}
+	return best
+}
+
+// merge returns the reply that combines the records of two gateways.
+func (r Reply) merge(other Reply) Reply {
+	switch {
+	case !other.Found:
+		return r
+	case !r.Found:
+		return other
+	}
+	r.Ambiguous = r.Ambiguous || other.Ambiguous || r.Record.Conflicts(other.Record)
+	if other.Record.Follows(r.Record) {
+		r.Record = other.Record
+	}
+	return r
+}
+
+func (s *Service) startLookup(k origin.Key) *lookup {
+	l := &lookup{replies: make(chan Reply, maxReplies)}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lookups[k] = append(s.lookups[k], l)
+	return l
+}
+
+func (s *Service) endLookup(k origin.Key, ended *lookup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var left []*lookup
+	for _, l := range s.lookups[k] {
+		if l != ended {
+			left = append(left, l)
+		}
+	}
+	if len(left) == 0 {
+		delete(s.lookups, k)
+		return
+	}
+	s.lookups[k] = left
+}
+
+// Replied passes on the reply of another gateway to those who wait for it.
+func (s *Service) Replied(k origin.Key, r Reply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.lookups[k] {
+		select {
+		case l.replies <- r:
+		default: // more replies than gateways were asked
+		}
+	}
+}
+
+// mustConfirm reports whether a listed target may run other software than the list says: workers of
+// the service restart under their names, and its versions differ.
+func (s *Service) mustConfirm(service string) bool {
+	now := s.opts.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	targets := s.targets.ByService(service)
+	return len(targets) > 0 && targets[0].Born != 0 && s.versions.Mixed(now, service, s.life)
+}
+
+// holds reports whether a record's version is right: the target had not restarted with other
+// software before the attempt was sent, unknown to the sender.
+func (s *Service) holds(r origin.Record) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := s.targets.FindWorker(routing.WorkerNameOf(r.Target))
+	if listed == nil || listed.Software == r.Software {
+		return true
+	}
+	return listed.ID != r.Target && listed.Born > r.SentAt+clockSlack.Milliseconds()
+}
--- a/services/upstream/dialect.go
+++ b/services/upstream/dialect.go
@@ -25,7 +25,7 @@
 	// that brought its first event, empty if unknown.
 	Resuming bool
 	Resumes  string
-	Prompt    *routing.Prompt
+	Prompt   *routing.Prompt
 }
 
 // Outgoing holds the fields that a gateway sets in the header of a request to a target.
