--- a/core/batch/pace.go
+++ b/core/batch/pace.go
@@ -14,12 +14,13 @@
 	// been cached.
 	maxSpeedup = 2
 	// minFirstLatency is less than any engine's time to the first event of a prompt that it
-	// has to prefill. Faster ones were cached.
+	// has to prefill: a step of a batch and the round trip take longer. Faster ones were cached.
 	minFirstLatency = 10 * time.Millisecond
 	minSlotWait     = 30 * time.Millisecond
 	// maxPrefillShare is the part of an idle engine's time that may be booked for prefill.
 	// Each running request takes off prefillSharePerRun, down to minPrefillShare, since
-	// prefill slows down decoding for all of them.
+	// prefill slows down decoding for all of them: a token then takes as long as a piece of a
+	// prompt, ten times longer than otherwise.
 	maxPrefillShare    = 1.0
 	prefillSharePerRun = 0.01
 	minPrefillShare    = 0.6
--- a/core/cell/account.go
+++ b/core/cell/account.go
@@ -52,7 +52,9 @@
 const defaultFairWindow = 4 * time.Second
 
 // halfLifeOf returns the half-life of accounts' service for a fairness window. With half
-// the window, service from a whole window ago counts for a quarter.
+// the window, service from a whole window ago counts for a quarter. With the whole window, an
+// account that had used idle targets got less than half of what others got for seconds after
+// they came.
 func halfLifeOf(window time.Duration) time.Duration { return window / 2 }
 
 // Within an account short prompts go first. A request is ordered as if it had arrived this
--- a/core/cell/choose.go
+++ b/core/cell/choose.go
@@ -28,7 +28,8 @@
 	// request gains.
 	spillShare   = 0.35
 	spillBacklog = 25 * time.Millisecond
-	// Part of the objective that an estimated wait may use up.
+	// Part of the objective that an estimated wait may use up. The rest is for what the estimate
+	// of a target does not see.
 	inTimeShare = 0.85
 )
 
--- a/core/cell/layout.go
+++ b/core/cell/layout.go
@@ -16,7 +16,9 @@
 )
 
 const (
-	// Largest average number of targets in a cell of a service with few targets.
+	// Largest average number of targets in a cell of a service with few targets. One scheduler
+	// handles the whole cell: at twelve targets of 64 slots some hundred requests a second,
+	// which take about one percent of a core.
 	targetsPerCell = 12
 	// Number of cells beyond which cells grow in size as well as in number, both with the square
 	// root of the number of targets. The exchange among all schedulers then grows like the fleet,
--- a/core/overload/costs.go
+++ b/core/overload/costs.go
@@ -15,7 +15,8 @@
 func (n *verdictCounts) sum() float64 { return n[0] + n[1] + n[2] }
 
 const (
-	// Initial costs, until windows of an overload correct them.
+	// Initial costs. The first window of an overload corrects the cost of serving, whatever the
+	// machine; the ratios hold until windows differ in their mix of verdicts.
 	initialServeCost     = time.Millisecond
 	initialHandOverRatio = 0.35
 	initialRefuseRatio   = 0.25
--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -24,7 +24,8 @@
 	// windowLength is the time over which lateness is averaged. A sample later than that
 	// ends its window at once, as the next one is taken only after it was read.
 	windowLength = 100 * time.Millisecond
-	// busyLateness is the lateness from which a process counts as never idle.
+	// busyLateness is the lateness from which a process counts as never idle. One that keeps up
+	// is late by 1 to 4 ms.
 	busyLateness = 12 * time.Millisecond
 	// maxUtilization limits the utilization that is assumed of a process in time, so that
 	// the served share rises until the process is late or everything is served.
--- a/core/overload/plan.go
+++ b/core/overload/plan.go
@@ -22,7 +22,9 @@
 	holdLateness    = 200 * time.Millisecond
 	holdEndLateness = 300 * time.Millisecond
 	// Requests that cannot be served here are all handed over until the process has been
-	// late by refuseLateness for refuseAfter, longer than the onset of a flood. After that,
+	// late by refuseLateness for refuseAfter, longer than the onset of a flood: that makes the
+	// process late for a second whatever it accepts, and a refused request would wait as long
+	// once more. After that,
 	// requests are refused if handing them over would leave less than minDrainShare of the
 	// time for the backlog.
 	refuseLateness = 400 * time.Millisecond
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -37,7 +37,8 @@
 	backoffMembers = 30
 	// A starting gateway waits for its peers to send a copy before it reads the store:
 	// startWait plus up to startJitter. A restarted gateway waits as long as one of a new
-	// fleet, since all may have lost power; running peers answer within milliseconds. The
+	// fleet, since all may have lost power; running peers answer within milliseconds, and news
+	// crosses 300 gateways within some hundred milliseconds. The
 	// jitter grows in proportion in fleets of more than startJitterMembers, so that the number
 	// of gateways that read the store themselves does not grow with the fleet.
 	startWait          = 700 * time.Millisecond
--- a/handlers/gateway/buffers.go
+++ b/handlers/gateway/buffers.go
@@ -7,7 +7,8 @@
 
 const (
 	// Difference between two sizes. Slow requests hold their buffers for long: with a single
-	// large size they would take most of the memory.
+	// large size they would take most of the memory. With 64 KB for all and a thousand in use,
+	// garbage collection took two fifths of the processor time of a process with 184 MB.
 	bufferStep = 4 << 10
 	// Number of pooled sizes. Longer buffers are not pooled.
 	bufferSizes = 16
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -48,7 +48,8 @@
 	dialTimeout   = 400 * time.Millisecond
 	idlePerTarget = 8
 	// Share of the file descriptors for callers' connections. Each may need another one to a
-	// target, and takes about 25 KB of memory.
+	// target, and takes about 25 KB of memory. With 0.6, 2,460 of them on a machine of 184 MB,
+	// garbage collection took up the processor.
 	callerConnShare   = 0.45
 	drainPollInterval = 20 * time.Millisecond
 	probeInterval     = 25 * time.Millisecond
--- a/services/forward/guard.go
+++ b/services/forward/guard.go
@@ -129,9 +129,9 @@
 // Retry times of requests refused for overload, spread by half to either side. From
 // shortRetryShare of admitted requests on, a retry is likely to succeed: it comes after
 // baseRetryAfter divided by the share, often still within the objective. Below, most retries
-// would be refused again and refusals would use up the processor: retries come after the time
-// in which the gateway admits as many requests as it refused in longRetryUnit, before callers
-// give up.
+// would be refused again, and a refusal takes a quarter of the processor time of a stream, so that
+// all retries together would take more than they bring: retries come after the time in which the
+// gateway admits as many requests as it refused in longRetryUnit, before callers give up.
 const (
 	shortRetryShare = 0.2
 	baseRetryAfter  = 50 * time.Millisecond
--- a/services/forward/quarantine.go
+++ b/services/forward/quarantine.go
@@ -44,7 +44,8 @@
 }
 
 // maxPlacementAge is the greatest age of a placement at the time of sending. An older one means
-// that this process stood still; the target may be another incarnation by now.
+// that this process stood still, as a connect takes 400 ms at most; the target may be another
+// incarnation by now.
 const maxPlacementAge = time.Second
 
 // callerCheckAfter is the age from which a request is checked for a disconnected caller before it is
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -18,8 +18,9 @@
 const (
 	streamChunk = 4 << 10
 	// coalesceInterval is how long an overloaded gateway collects events before it forwards
-	// them, to save system calls. The first event is never delayed. The interval is well below
-	// the pauses that callers notice.
+	// them, to save system calls: events come every 25 to 50 ms, and to forward one costs two
+	// calls and a wake-up or two. The first event is never delayed. The interval is well below
+	// the pauses that callers notice, from 300 ms on.
 	coalesceInterval = 80 * time.Millisecond
 )
 
