router: The test of leaving targets waits for an answer that the gateway read

Its wait took an arrival at the worker for a notice received. A gateway that is slow, or a worker, lets an attempt be cut before its answer is read: the arrival is counted, the gateway has heard nothing.

Evidence: with a worker that lets the first requests wait (a scratch copy) the old wait returned while the gateway knew of no leaving target, and requests then came to the worker. The failure at the first check itself did not come again in that form.

The wait ends now with an answer of the worker that the gateway has passed on, or once the gateway says that it knows.

--- a/router/notice_test.go
+++ b/router/notice_test.go
@@ -88,17 +88,25 @@
 // burst sends concurrent requests to a gateway, so that no target is left out for its errors alone,
 // and returns how many were served.
 func (s *noticeSite) burst(gateway int) int {
-	var callers sync.WaitGroup
-	var served atomic.Int64
+	served, _ := s.burstSigned(gateway)
+	return served
+}
+
+// burstSigned is like burst and also returns the number of answers signed by each worker.
+func (s *noticeSite) burstSigned(gateway int) (served int, signers map[string]int) {
+	answers := make(chan platform.Answer, burstSize)
 	for range burstSize {
-		callers.Go(func() {
-			if s.ask(gateway).Served {
-				served.Add(1)
-			}
-		})
+		go func() { answers <- s.ask(gateway) }()
 	}
-	callers.Wait()
-	return int(served.Load())
+	signers = map[string]int{}
+	for range burstSize {
+		a := <-answers
+		signers[a.Worker]++
+		if a.Served {
+			served++
+		}
+	}
+	return served, signers
 }
 
 // reach sends requests to a gateway until one arrives at the worker.
@@ -112,15 +120,14 @@
 	})
 }
 
-// awaitNotice sends requests to a gateway until it has heard that the worker leaves, by an answer
-// or by the scheduler's query for cached prompts.
+// awaitNotice sends requests to a gateway until it has heard that the worker leaves: it has passed on
+// an answer of the worker, or knows from a refusal or the scheduler's query for cached prompts. An
+// arrival at the worker is not enough: the gateway may have cut the attempt before its answer.
 func (s *noticeSite) awaitNotice(gateway int, w *platform.Worker) {
 	s.t.Helper()
-	before, listed := w.Arrived()
 	s.await("an answer of "+w.ID, func() bool {
-		s.burst(gateway)
-		n, m := w.Arrived()
-		return n > before || m > listed && len(s.Gateway(gateway).Dump().Leaving) > 0
+		_, signers := s.burstSigned(gateway)
+		return signers[w.ID] > 0 || len(s.Gateway(gateway).Dump().Leaving) > 0
 	})
 }
 
