--- a/lab/platform/trouble.go
+++ b/lab/platform/trouble.go
@@ -33,6 +33,8 @@
 		"answer-extra":         func(s *Site) { s.injectFault(FaultExtra) },
 		"worker-shed":          func(s *Site) { s.injectFault(FaultRefuse) },
 		"worker-drain":         func(s *Site) { s.replaceWorker() },
+		"software-rollout":     func(s *Site) { s.upgradeWorkers() },
+		"software-versions":    func(s *Site) { s.runVersions() },
 		"request-ends-workers": func(s *Site) { s.sendPoison() },
 		"gateway-kill":         func(s *Site) { s.killAndRestart(0) },
 		"gateways-kill": func(s *Site) {
@@ -124,6 +126,43 @@
 	}
 }
 
+// upgradeWorkers restarts the model workers one by one with other software under the same IDs, and
+// kills a gateway meanwhile.
+func (s *Site) upgradeWorkers() {
+	for i := range s.opts.Models {
+		if _, err := s.UpgradeWorker(s.worker(i), "v2"); err != nil {
+			s.ledger.AddViolation("worker: %v", err)
+			return
+		}
+		if i == s.opts.Models/2 {
+			s.killAndRestart(0)
+		}
+		time.Sleep(outage / 4)
+	}
+}
+
+// runVersions adds workers of two other versions, and kills gateways and a worker of each version
+// meanwhile.
+func (s *Site) runVersions() {
+	for _, software := range []string{"v1.1", "v1.2"} {
+		for range 2 {
+			if err := s.AddWorkerOf(true, software); err != nil {
+				s.ledger.AddViolation("worker: %v", err)
+				return
+			}
+		}
+		time.Sleep(outage / 4)
+		for i := range len(s.gateways) / 2 {
+			s.killAndRestart(i)
+		}
+		time.Sleep(outage / 4)
+	}
+	for _, i := range []int{0, s.opts.Models + s.opts.Plains, s.opts.Models + s.opts.Plains + 2} {
+		s.worker(i).Crash()
+		time.Sleep(outage / 8)
+	}
+}
+
 const (
 	poisonInterval = 50 * time.Millisecond // interval of requests that crash workers
 	// Crashes that one such request may cause: three until it is quarantined, and one for each
