--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -221,3 +221,14 @@
 		t.Errorf("the busiest keeper has %.1f times the records in a fleet of twice the size, want less than 1.7", ratio)
 	}
 }
+
+func BenchmarkReplicas(b *testing.B) {
+	for _, n := range []int{9, 985, 1970} {
+		keepers := Keepers(fleet(n, 5))
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for i := range b.N {
+				Replicas(keepers, "gateway-1", Key(i))
+			}
+		})
+	}
+}
--- a/core/origin/replicas.go
+++ b/core/origin/replicas.go
@@ -50,30 +50,42 @@
 // Replicas returns the keepers that are to hold the record of a stream, in different data halls if
 // possible.
 func Replicas(keepers []place.Node, self string, k Key) []string {
-	first := firstOfHalls(keepers, self, k, 1)
-	return ids(union(first[:min(len(first), replicas)], firstOfAll(keepers, self, k, replicas), replicas))
+	all := scores(keepers, self, k)
+	first := firstOfHalls(all, 1)
+	return ids(union(first[:min(len(first), replicas)], firstOf(all, replicas), replicas))
 }
 
 // Holders returns the keepers that may hold the record of a stream.
 func Holders(keepers []place.Node, self string, k Key) []string {
-	return ids(union(firstOfAll(keepers, self, k, askedOfAll), firstOfHalls(keepers, self, k, askedPerHall), maxAsked))
+	all := scores(keepers, self, k)
+	return ids(union(firstOf(all, askedOfAll), firstOfHalls(all, askedPerHall), maxAsked))
 }
 
-// firstOfAll returns the n gateways but self with the highest hash, the highest first.
-func firstOfAll(nodes []place.Node, self string, k Key, n int) []ranked {
+// scores returns the hashes of all nodes but self for a key.
+func scores(nodes []place.Node, self string, k Key) []ranked {
+	out := make([]ranked, 0, len(nodes))
+	for _, n := range nodes {
+		if n.ID != self {
+			out = append(out, ranked{n.ID, n.DataHall, place.Score(n.ID, uint64(k))})
+		}
+	}
+	return out
+}
+
+// firstOf returns the n gateways with the highest hash, the highest first.
+func firstOf(all []ranked, n int) []ranked {
 	var out []ranked
-	for _, node := range nodes {
-		out = insert(out, node, self, k, n)
+	for _, r := range all {
+		out = insert(out, r, n)
 	}
 	return out
 }
 
-// firstOfHalls returns the n gateways but self of each data hall with the highest hash, the highest
-// first.
-func firstOfHalls(nodes []place.Node, self string, k Key, n int) []ranked {
+// firstOfHalls returns the n gateways of each data hall with the highest hash, the highest first.
+func firstOfHalls(all []ranked, n int) []ranked {
 	halls := map[string][]ranked{}
-	for _, node := range nodes {
-		halls[node.DataHall] = insert(halls[node.DataHall], node, self, k, n)
+	for _, r := range all {
+		halls[r.dataHall] = insert(halls[r.dataHall], r, n)
 	}
 	var out []ranked
 	for _, hall := range halls {
@@ -87,11 +99,10 @@
 	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
 }
 
-// insert adds a node, unless it is self, to the n nodes with the highest hash.
-func insert(top []ranked, node place.Node, self string, k Key, n int) []ranked {
-	r := ranked{node.ID, node.DataHall, place.Score(node.ID, uint64(k))}
+// insert adds a gateway to the n gateways with the highest hash.
+func insert(top []ranked, r ranked, n int) []ranked {
 	at, _ := slices.BinarySearchFunc(top, r, compare)
-	if at == n || node.ID == self {
+	if at == n {
 		return top
 	}
 	top = slices.Insert(top, at, r)
