forward: Streams refused without asking a scheduler do not throttle their account

They are disregarded now, also where no target of the stream's version takes work. TestUnknownStreamsDoNotThrottle fails without it.

--- a/services/forward/bind.go
+++ b/services/forward/bind.go
@@ -57,6 +57,7 @@
 	}
 	software, err := j.s.opts.Origins.Resolve(j.ctx, j.r.streamKey(), j.r.Service.Name)
 	if err != nil {
+		j.disregardUnasked()
 		j.s.log.Request("Origin of a stream is not known.", "id", j.r.Call.ID, "resumes", j.r.Call.Resumes, "service", j.r.Service.Name, "in_answer", j.headOut, "error", err)
 		return result.Wrap(result.OriginUnknown, err).WithRetryAfter(unknownOriginRetryAfter)
 	}
@@ -64,6 +65,15 @@
 	return nil
 }
 
+// checkServed returns an error if no target of the version takes work.
+func (j *job) checkServed() error {
+	if !j.binding.bound || j.binding.served(j.s.opts.Targets.Targets().ByService(j.r.Service.Name)) {
+		return nil
+	}
+	j.disregardUnasked()
+	return result.New(result.NoTarget, "no target of %s takes work at version %q, which began the stream", j.r.Service.Name, j.binding.software).WithRetryAfter(noTargetRetryAfter)
+}
+
 // beginsStream reports whether the next target may send the first event of a stream that can be
 // resumed.
 func (j *job) beginsStream() bool {
--- a/services/forward/bind_test.go
+++ b/services/forward/bind_test.go
@@ -103,3 +103,19 @@
 		t.Errorf("one version: got version %q, error %v, want v1", one.binding.software, err)
 	}
 }
+
+// Guards against throttling an account for streams that no scheduler was asked for.
+func TestUnknownStreamsDoNotThrottle(t *testing.T) {
+	j, targets := newStreamJob(upstream.Call{ID: "a2", Resuming: true, Prompt: &routing.Prompt{}})
+	j.r.Service.Engine = &routing.Engine{}
+	targets.list(versioned("a", "v1"), versioned("b", "v2"))
+	j.s.opts.Origins.SetTargets(targets.set)
+	for i := range 500 {
+		if !j.s.throttleAdmits(j.r.account()) {
+			t.Fatalf("throttled after %d streams", i)
+		}
+		if j.bind() == nil {
+			t.Fatal("an unknown stream is bound")
+		}
+	}
+}
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -181,8 +181,8 @@
 }
 
 func (j *job) place() (placement, error) {
-	if j.binding.bound && !j.binding.served(j.s.opts.Targets.Targets().ByService(j.r.Service.Name)) {
-		return nil, result.New(result.NoTarget, "no target of %s takes work at version %q, which began the stream", j.r.Service.Name, j.binding.software).WithRetryAfter(noTargetRetryAfter)
+	if err := j.checkServed(); err != nil {
+		return nil, err
 	}
 	if scheduled(j.r.Service, &j.r.Call) {
 		return j.placeEngine()
--- a/services/forward/quarantine.go
+++ b/services/forward/quarantine.go
@@ -30,12 +30,19 @@
 // for the throttle of its account.
 func (j *job) checkQuarantine() error {
 	err := j.quarantineAttempt.Check()
-	if err != nil && scheduled(j.r.Service, &j.r.Call) {
-		j.disregard()
+	if err != nil {
+		j.disregardUnasked()
 	}
 	return err
 }
 
+// disregardUnasked is called for a request that is refused without asking its scheduler.
+func (j *job) disregardUnasked() {
+	if scheduled(j.r.Service, &j.r.Call) {
+		j.disregard()
+	}
+}
+
 // disregard excludes a request that no scheduler was asked for from the throttle.
 func (j *job) disregard() {
 	j.s.mu.Lock()
