--- a/router/streamversions_test.go
+++ b/router/streamversions_test.go
@@ -17,6 +17,7 @@
 func TestStreamContinuesAtItsSoftwareVersion(t *testing.T) {
 	for name, test := range map[string]func(*testing.T){
 		"within one answer":                 testContinueInAnswer,
+		"crash of workers":                  testContinueAfterCrash,
 		"loss of the gateway":               testContinueAfterLoss(3, 1),
 		"loss of half of the gateways":      testContinueAfterLoss(6, 3),
 		"at a gateway that has restarted":   testContinueAtRestarted,
@@ -147,6 +148,17 @@
 	s.expectShare(whole/4, 0.5)
 }
 
+// testContinueAfterCrash ends one worker of each version under its streams. Those that cannot
+// continue within their answers break off, and their callers come back.
+func testContinueAfterCrash(t *testing.T) {
+	s := newVersionSite(t, 3, 3)
+	s.begin(3)
+	workers := s.Workers(s.kind)
+	workers[0].Crash()
+	workers[len(workers)-1].Crash()
+	s.expectShare(s.comeBack(0, 1, 2), 0.5)
+}
+
 // testContinueAfterLoss kills the gateways at which streams began.
 func testContinueAfterLoss(gateways, lost int) func(t *testing.T) {
 	return func(t *testing.T) {
--- a/services/origin/origin_test.go
+++ b/services/origin/origin_test.go
@@ -155,6 +155,21 @@
 	f.expect("at another one", "g1", "one", "v2")
 }
 
+// Guards against a gateway that keeps an earlier record and has not got the later one.
+func TestKeeperAsksForLaterRecord(t *testing.T) {
+	f := newFleet(t, 4, target("a", "v1"), target("b", "v2"))
+	f.begin("g0", "one", "a")
+	k := origin.KeyOf(account, "one")
+	for id, g := range f.gateways {
+		if known := g.Lookup(k); id != "g0" && id != "g1" && known.Found {
+			later := known.Record
+			later.Target, later.Software, later.Try = "b", "v2", 2
+			g.Receive([]origin.Record{later})
+		}
+	}
+	f.expect("a later record is at others", "g1", "one", "v2")
+}
+
 // Guards against losing the streams that began before the versions differed, or that come back
 // after they do no longer.
 func TestRollOutBetweenBeginningAndReturn(t *testing.T) {
--- a/services/origin/resolve.go
+++ b/services/origin/resolve.go
@@ -66,7 +66,9 @@
 			s.counters.unasked.Inc()
 			return software, nil
 		}
-		reply = s.ask(ctx, k)
+	}
+	if !reply.Found || reply.Record.Sender != s.opts.Sender {
+		reply = s.ask(ctx, k, reply)
 	}
 	switch {
 	case reply.Ambiguous:
@@ -125,13 +127,18 @@
 	return s.versions.Only(service)
 }
 
-// ask asks other gateways for a record.
-func (s *Service) ask(ctx context.Context, k origin.Key) Reply {
+// ask asks other gateways for a record and returns the latest one, which may be the own: a later
+// record of the same attempt may have been lost on its way here.
+func (s *Service) ask(ctx context.Context, k origin.Key, own Reply) Reply {
 	l := s.startLookup(k)
 	defer s.endLookup(k, l)
 	asked := s.opts.Ask(k)
 	s.counters.asked.Add(len(asked))
-	best, timeout := Reply{}, s.opts.Clock.After(lookupTimeout)
+	best, wait := own, lookupTimeout
+	if own.Found {
+		wait = graceTime
+	}
+	timeout := s.opts.Clock.After(wait)
 	for range asked {
 		select {
 		case <-ctx.Done():
