router, mesh: Contact is measured against those that were there before

A gateway with an old list takes a service's only version for certain if it is in contact with most of the fleet. It compared live members with all that it had ever known, dead ones included, which are never forgotten: in a fleet whose machines have been replaced under new names, a long outage of the store would have made each gateway refuse streams that come back, with one version in use. It compares with the most members that were there since shortly before the list became old.

--- a/router/gateway.go
+++ b/router/gateway.go
@@ -293,13 +293,22 @@
 	}
 }
 
-// maxContactAge is the age of the local state up to which it is as new as that of other gateways.
-const maxContactAge = 3 * time.Second
+const (
+	// maxContactAge is the age of the list of targets up to which it is as new as that of other
+	// gateways.
+	maxContactAge = 3 * time.Second
+	// lossDetection is longer than the time in which a gateway notices that it is cut off.
+	lossDetection = 10 * time.Second
+)
 
 // inContact reports whether the list of targets is as new as that of the rest of the fleet: it was
-// complete lately, or this gateway is in contact with most others.
+// complete lately, or most gateways that were there then are still in contact.
 func (g *Gateway) inContact() bool {
-	return g.follow.FreshSince(g.clock.Now().Add(-maxContactAge)) || 2*g.loop.Members() > g.loop.Known()
+	freshAt := g.follow.TargetsFreshAt()
+	if g.clock.Now().Sub(freshAt) < maxContactAge {
+		return true
+	}
+	return !freshAt.IsZero() && 2*g.loop.Members() > g.loop.MostMembersSince(freshAt.Add(-lossDetection))
 }
 
 // fetcher gives follow access to the loop, which is built after it.
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -349,6 +349,13 @@
 	return at
 }
 
+// TargetsFreshAt returns the latest time at which the local targets were complete, zero if never.
+func (s *Service) TargetsFreshAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watchTargets.FreshAt()
+}
+
 // FreshSince reports whether the local configuration and targets were both complete at some time
 // after t.
 func (s *Service) FreshSince(t time.Time) bool {
--- a/services/mesh/layout.go
+++ b/services/mesh/layout.go
@@ -46,6 +46,7 @@
 	nodes := l.members.Nodes()
 	l.log.Info("Members changed.", "alive", len(nodes))
 	l.memberCount.Store(int64(max(len(nodes), 1)))
+	l.memberHistory.set(now, max(len(nodes), 1))
 	l.knownCount.Store(int64(l.members.Count() + 1))
 	l.watcher.Store(slices.Contains(place.Top(nodes, watcherKey, watch.Watchers), l.opts.Self.ID))
 	l.registrar.Store(slices.Contains(place.Top(nodes, registrarKey, discover.Registrars), l.opts.Self.ID))
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -138,6 +138,8 @@
 	// Membership changes wait for the end of the batch.
 	membersChanged bool
 
+	memberHistory memberHistory
+
 	memberCount atomic.Int64
 	knownCount  atomic.Int64 // members of any state, including dead ones
 	watcher     atomic.Bool
