--- a/handlers/gateway/gateway.go
+++ b/handlers/gateway/gateway.go
@@ -20,7 +20,7 @@
 	"sync/atomic"
 	"time"
 
-	"madderway/core/origin"
+	coreorigin "madderway/core/origin"
 	"madderway/core/place"
 	"madderway/handlers/api"
 	"madderway/models/result"
@@ -183,7 +183,7 @@
 	if call.Resuming {
 		first = call.Resumes
 	}
-	return place.Unit(uint64(origin.KeyOf(account.GetName(), first)))
+	return place.Unit(uint64(coreorigin.KeyOf(account.GetName(), first)))
 }
 
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits, deadline time.Time) ([]byte, error) {
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -18,7 +18,7 @@
 	"madderway/core/cell"
 	"madderway/core/drain"
 	"madderway/core/member"
-	streams "madderway/core/origin"
+	coreorigin "madderway/core/origin"
 	"madderway/core/place"
 	core "madderway/core/quarantine"
 	"madderway/handlers/gateway"
@@ -158,8 +158,8 @@
 	store := platform.NewStore(s.Store, s.StoreCall.Duration)
 	g.origins = origin.New(log.New("origin").With(s.ID), origin.Options{
 		Clock: g.clock, MetricsPrefix: "madderway_gateway", Sender: uint32(place.Score(s.ID, g.self.Incarnation)), FirstStart: s.FirstStart, InContact: g.inContact,
-		Share:   func(records []streams.Record) { g.loop.ShareOrigins(records) },
-		Ask:     func(k streams.Key) []string { return g.loop.AskOrigin(k) },
+		Share:   func(records []coreorigin.Record) { g.loop.ShareOrigins(records) },
+		Ask:     func(k coreorigin.Key) []string { return g.loop.AskOrigin(k) },
 		Confirm: func(ctx context.Context) error { return g.follow.Confirm(ctx) },
 	})
 	g.notices = notice.New(log.New("notice").With(s.ID), notice.Options{Clock: g.clock, MetricsPrefix: "madderway_gateway", OnLeaving: func() { g.follow.LeavingChanged() }})
--- a/services/forward/bind.go
+++ b/services/forward/bind.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"madderway/core/origin"
+	coreorigin "madderway/core/origin"
 	"madderway/models/result"
 	"madderway/models/routing"
 )
@@ -43,11 +43,11 @@
 }
 
 // streamKey returns the key of the stream by the attempt that began it.
-func (r *Request) streamKey() origin.Key {
+func (r *Request) streamKey() coreorigin.Key {
 	if r.Call.Resuming {
-		return origin.KeyOf(r.account(), r.Call.Resumes)
+		return coreorigin.KeyOf(r.account(), r.Call.Resumes)
 	}
-	return origin.KeyOf(r.account(), r.Call.ID)
+	return coreorigin.KeyOf(r.account(), r.Call.ID)
 }
 
 // bind binds the stream to the version that began it. It returns an error if that is not known.
--- a/services/forward/bind_test.go
+++ b/services/forward/bind_test.go
@@ -8,13 +8,13 @@
 	"errors"
 	"testing"
 
-	"madderway/core/origin"
+	coreorigin "madderway/core/origin"
 	"madderway/models/result"
 	"madderway/models/routing"
 	"madderway/modules/clock"
 	"madderway/modules/log"
 	"madderway/services/notice"
-	origins "madderway/services/origin"
+	"madderway/services/origin"
 	"madderway/services/upstream"
 )
 
@@ -28,9 +28,9 @@
 // newStreamJob returns a job of a resumable stream and the list of targets that it uses.
 func newStreamJob(call upstream.Call) (*job, *listedTargets) {
 	targets, fake := &listedTargets{}, clock.NewFake()
-	o := origins.New(log.New("origin"), origins.Options{
+	o := origin.New(log.New("origin"), origin.Options{
 		Clock: fake, MetricsPrefix: "test", FirstStart: true, InContact: func() bool { return true },
-		Share: func([]origin.Record) {}, Ask: func(origin.Key) []string { return nil },
+		Share: func([]coreorigin.Record) {}, Ask: func(coreorigin.Key) []string { return nil },
 	})
 	s := New(log.New("forward"), Options{Clock: fake, Targets: targets, Origins: o, Notices: notice.New(log.New("notice"), notice.Options{Clock: fake})})
 	r := &Request{Call: call, Route: &routing.Route{Stream: true, Resumable: true, MaxAttempts: 3}, Service: &routing.Service{Name: "s"}}
--- a/services/mesh/layout.go
+++ b/services/mesh/layout.go
@@ -10,7 +10,7 @@
 	"madderway/core/cell"
 	"madderway/core/cold"
 	"madderway/core/entry"
-	"madderway/core/origin"
+	coreorigin "madderway/core/origin"
 	"madderway/core/place"
 	"madderway/core/watch"
 	"madderway/models/routing"
@@ -54,7 +54,7 @@
 		l.opts.OnMembers(l.members.Others())
 	}
 	l.layout.SetNodes(nodes)
-	l.originKeepers = origin.Keepers(nodes)
+	l.originKeepers = coreorigin.Keepers(nodes)
 	for key, s := range l.cells {
 		l.updateColdShare(now, key, s)
 	}
--- a/services/mesh/origin.go
+++ b/services/mesh/origin.go
@@ -6,24 +6,24 @@
 import (
 	"time"
 
-	"madderway/core/origin"
+	coreorigin "madderway/core/origin"
 	"madderway/modules/wire"
-	service "madderway/services/origin"
+	"madderway/services/origin"
 )
 
-type originsIn struct{ records []origin.Record }
+type originsIn struct{ records []coreorigin.Record }
 
 func (originsIn) isInput() {}
 
 // ShareOrigins sends records of streams to the gateways that keep them.
-func (l *Loop) ShareOrigins(records []origin.Record) { l.put(originsIn{records}) }
+func (l *Loop) ShareOrigins(records []coreorigin.Record) { l.put(originsIn{records}) }
 
 // AskOrigin asks the gateways that may hold the record of a stream, and returns their IDs.
-func (l *Loop) AskOrigin(k origin.Key) []string {
+func (l *Loop) AskOrigin(k coreorigin.Key) []string {
 	asked := make(chan []string, 1)
 	l.Do(func() {
 		now := l.opts.Clock.Now()
-		holders := origin.Holders(l.originKeepers, l.opts.Self.ID, k)
+		holders := coreorigin.Holders(l.originKeepers, l.opts.Self.ID, k)
 		for _, id := range holders {
 			f := l.out.Frame(now, id, false)
 			f.StreamOriginAsks = append(f.StreamOriginAsks, uint64(k))
@@ -40,9 +40,9 @@
 
 // shareOrigins adds records to the frames of the gateways that keep them. The first event of a
 // stream takes longer than a lazy frame.
-func (l *Loop) shareOrigins(now time.Time, records []origin.Record) {
+func (l *Loop) shareOrigins(now time.Time, records []coreorigin.Record) {
 	for _, r := range records {
-		for _, id := range origin.Replicas(l.originKeepers, l.opts.Self.ID, r.Key) {
+		for _, id := range coreorigin.Replicas(l.originKeepers, l.opts.Self.ID, r.Key) {
 			f := l.out.Frame(now, id, true)
 			f.StreamOrigins = append(f.StreamOrigins, originToWire(now, r))
 		}
@@ -52,14 +52,14 @@
 // handleOrigins handles the records, the asks and the replies in a frame.
 func (l *Loop) handleOrigins(now time.Time, peer string, f *wire.Frame) {
 	if len(f.StreamOrigins) > 0 {
-		records := make([]origin.Record, len(f.StreamOrigins))
+		records := make([]coreorigin.Record, len(f.StreamOrigins))
 		for i, r := range f.StreamOrigins {
 			records[i] = originFromWire(now, r)
 		}
 		l.opts.Origins.Receive(records)
 	}
 	for _, k := range f.StreamOriginAsks {
-		known := l.opts.Origins.Lookup(origin.Key(k))
+		known := l.opts.Origins.Lookup(coreorigin.Key(k))
 		reply := &wire.StreamOriginReply{Stream: k, Ambiguous: known.Ambiguous}
 		if known.Found {
 			reply.Origin = originToWire(now, known.Record)
@@ -68,29 +68,29 @@
 		out.StreamOriginReplies = append(out.StreamOriginReplies, reply)
 	}
 	for _, r := range f.StreamOriginReplies {
-		reply := service.Reply{Peer: peer, Found: r.Origin != nil, Ambiguous: r.Ambiguous}
+		reply := origin.Reply{Peer: peer, Found: r.Origin != nil, Ambiguous: r.Ambiguous}
 		if reply.Found {
 			reply.Record = originFromWire(now, r.Origin)
 		}
-		l.opts.Origins.Replied(origin.Key(r.Stream), reply)
+		l.opts.Origins.Replied(coreorigin.Key(r.Stream), reply)
 	}
 }
 
-func originToWire(now time.Time, r origin.Record) *wire.StreamOrigin {
+func originToWire(now time.Time, r coreorigin.Record) *wire.StreamOrigin {
 	return &wire.StreamOrigin{
 		Stream: uint64(r.Key), Target: r.Target, Software: r.Software, Sender: r.Sender, Try: r.Try, SentMs: r.SentAt,
 		AgeMs: uint32(max(now.Sub(r.At), 0).Milliseconds()),
 	}
 }
 
-func originFromWire(now time.Time, r *wire.StreamOrigin) origin.Record {
-	return origin.Record{
-		Key: origin.Key(r.GetStream()), Target: r.GetTarget(), Software: r.GetSoftware(), Sender: r.GetSender(), Try: r.GetTry(), SentAt: r.GetSentMs(),
+func originFromWire(now time.Time, r *wire.StreamOrigin) coreorigin.Record {
+	return coreorigin.Record{
+		Key: coreorigin.Key(r.GetStream()), Target: r.GetTarget(), Software: r.GetSoftware(), Sender: r.GetSender(), Try: r.GetTry(), SentAt: r.GetSentMs(),
 		At: now.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond),
 	}
 }
 
-func softwareToWire(unlisted []origin.Unlisted, complete bool) *wire.SoftwareMemory {
+func softwareToWire(unlisted []coreorigin.Unlisted, complete bool) *wire.SoftwareMemory {
 	m := &wire.SoftwareMemory{Complete: complete}
 	for _, u := range unlisted {
 		m.Unlisted = append(m.Unlisted, &wire.UnlistedSoftware{Service: u.Service, Software: u.Software, AgeMs: uint32(u.Age.Milliseconds())})
@@ -98,10 +98,10 @@
 	return m
 }
 
-func unlistedFromWire(m *wire.SoftwareMemory) []origin.Unlisted {
-	var out []origin.Unlisted
+func unlistedFromWire(m *wire.SoftwareMemory) []coreorigin.Unlisted {
+	var out []coreorigin.Unlisted
 	for _, u := range m.GetUnlisted() {
-		out = append(out, origin.Unlisted{Service: u.Service, Software: u.Software, Age: time.Duration(u.AgeMs) * time.Millisecond})
+		out = append(out, coreorigin.Unlisted{Service: u.Service, Software: u.Software, Age: time.Duration(u.AgeMs) * time.Millisecond})
 	}
 	return out
 }
--- a/services/origin/origin.go
+++ b/services/origin/origin.go
@@ -17,7 +17,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"madderway/core/origin"
+	coreorigin "madderway/core/origin"
 	"madderway/models/routing"
 	"madderway/modules/clock"
 	"madderway/modules/log"
@@ -49,8 +49,8 @@
 	InContact func() bool
 	// Share sends records to the gateways that are to hold them, Ask asks those that may hold the
 	// record of a stream and returns their IDs.
-	Share func(records []origin.Record)
-	Ask   func(k origin.Key) []string
+	Share func(records []coreorigin.Record)
+	Ask   func(k coreorigin.Key) []string
 	// Confirm reads the changes of targets from the store.
 	Confirm func(ctx context.Context) error
 }
@@ -63,10 +63,10 @@
 	started time.Time
 
 	mu         sync.Mutex // guards the fields below; not held while calling Options' functions
-	versions   *origin.Versions
+	versions   *coreorigin.Versions
 	targets    *routing.TargetSet
-	table      *origin.Table
-	lookups    map[origin.Key][]*lookup
+	table      *coreorigin.Table
+	lookups    map[coreorigin.Key][]*lookup
 	complete   bool // versions includes what other gateways remember
 	life       time.Duration
 	lastExpiry time.Time
@@ -78,8 +78,8 @@
 // New returns a service that knows no targets.
 func New(logger log.Logger, o Options) *Service {
 	s := &Service{
-		log: logger, opts: o, started: o.Clock.Now(), versions: origin.NewVersions(), targets: routing.NewTargetSet(0), table: origin.NewTable(),
-		lookups: map[origin.Key][]*lookup{}, complete: o.FirstStart, life: maxLife,
+		log: logger, opts: o, started: o.Clock.Now(), versions: coreorigin.NewVersions(), targets: routing.NewTargetSet(0), table: coreorigin.NewTable(),
+		lookups: map[coreorigin.Key][]*lookup{}, complete: o.FirstStart, life: maxLife,
 	}
 	s.counters = newCounters(o.MetricsPrefix, s.records)
 	return s
@@ -101,7 +101,7 @@
 // SetTargets takes a new list of targets. If a service begins to have several versions, the records
 // of its streams are shared.
 func (s *Service) SetTargets(targets *routing.TargetSet) {
-	var records []origin.Record
+	var records []coreorigin.Record
 	s.mu.Lock()
 	now := s.opts.Clock.Now()
 	changed := s.versions.Apply(now, targets.Changes(s.targets))
@@ -116,14 +116,14 @@
 
 // unshared returns the records that others are to have since the service has several versions; the
 // caller holds mu and shares them.
-func (s *Service) unshared(now time.Time, service string) []origin.Record {
+func (s *Service) unshared(now time.Time, service string) []coreorigin.Record {
 	if !s.versions.Mixed(now, service, s.life) {
 		return nil
 	}
 	return s.table.Unshared(service)
 }
 
-func (s *Service) share(records []origin.Record) {
+func (s *Service) share(records []coreorigin.Record) {
 	if len(records) == 0 {
 		return
 	}
@@ -133,15 +133,15 @@
 
 // Sent records that an attempt that begins a stream is sent to a target of a service. The number of
 // the try rises with the targets of the attempt.
-func (s *Service) Sent(k origin.Key, service string, t *routing.Target, try int) {
+func (s *Service) Sent(k coreorigin.Key, service string, t *routing.Target, try int) {
 	now := s.opts.Clock.Now()
-	r := origin.Record{Key: k, Target: t.ID, Software: t.Software, Sender: s.opts.Sender, Try: uint32(try), SentAt: now.UnixMilli(), At: now}
+	r := coreorigin.Record{Key: k, Target: t.ID, Software: t.Software, Sender: s.opts.Sender, Try: uint32(try), SentAt: now.UnixMilli(), At: now}
 	s.mu.Lock()
 	shared := s.table.PutLocal(r, service, s.versions.Mixed(now, service, s.life) || !s.knowsVersions(now))
 	s.expire(now)
 	s.mu.Unlock()
 	if shared {
-		s.share([]origin.Record{r})
+		s.share([]coreorigin.Record{r})
 	}
 }
 
@@ -166,7 +166,7 @@
 }
 
 // Receive takes records of another gateway.
-func (s *Service) Receive(records []origin.Record) {
+func (s *Service) Receive(records []coreorigin.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range records {
@@ -177,7 +177,7 @@
 
 // Memory returns what other gateways must know of versions that are no longer listed, and whether
 // that is all.
-func (s *Service) Memory() (unlisted []origin.Unlisted, complete bool) {
+func (s *Service) Memory() (unlisted []coreorigin.Unlisted, complete bool) {
 	now := s.opts.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -185,8 +185,8 @@
 }
 
 // Learn takes the memory of another gateway.
-func (s *Service) Learn(peer string, unlisted []origin.Unlisted, complete bool) {
-	var records []origin.Record
+func (s *Service) Learn(peer string, unlisted []coreorigin.Unlisted, complete bool) {
+	var records []coreorigin.Record
 	s.mu.Lock()
 	now := s.opts.Clock.Now()
 	for _, u := range unlisted {
--- a/services/origin/origin_test.go
+++ b/services/origin/origin_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"madderway/core/origin"
+	coreorigin "madderway/core/origin"
 	"madderway/core/place"
 	"madderway/models/routing"
 	"madderway/modules/clock"
@@ -48,16 +48,16 @@
 	f.gateways[id] = New(log.New("origin"), Options{
 		Clock: f.clock, MetricsPrefix: "test", Sender: uint32(place.Score(id, uint64(f.clock.Now().UnixNano()))),
 		InContact: func() bool { return !f.outOf[id] },
-		Share: func(records []origin.Record) {
+		Share: func(records []coreorigin.Record) {
 			for _, r := range records {
-				for _, to := range origin.Replicas(f.nodes(id), id, r.Key) {
+				for _, to := range coreorigin.Replicas(f.nodes(id), id, r.Key) {
 					f.shared++
-					f.gateways[to].Receive([]origin.Record{r})
+					f.gateways[to].Receive([]coreorigin.Record{r})
 				}
 			}
 		},
-		Ask: func(k origin.Key) []string {
-			asked := origin.Holders(f.nodes(id), id, k)
+		Ask: func(k coreorigin.Key) []string {
+			asked := coreorigin.Holders(f.nodes(id), id, k)
 			f.asks += len(asked)
 			for _, to := range asked {
 				reply := f.gateways[to].Lookup(k)
@@ -95,13 +95,13 @@
 
 // begin begins a stream at a gateway.
 func (f *fleet) begin(id, attempt, target string) {
-	f.gateways[id].Sent(origin.KeyOf(account, attempt), service, f.targets.Find(target), 1)
+	f.gateways[id].Sent(coreorigin.KeyOf(account, attempt), service, f.targets.Find(target), 1)
 }
 
 // expect checks the version that a gateway resolves, "" for unknown.
 func (f *fleet) expect(what, id, attempt, want string) {
 	f.t.Helper()
-	got, err := f.gateways[id].Resolve(f.t.Context(), origin.KeyOf(account, attempt), service)
+	got, err := f.gateways[id].Resolve(f.t.Context(), coreorigin.KeyOf(account, attempt), service)
 	if got != want || (want == "") != IsErrUnknown(err) {
 		f.t.Errorf("%s: got version %q, error %v, want %q", what, got, err, want)
 	}
@@ -136,7 +136,7 @@
 		f.expect("after its loss at "+id, id, "two", "v2")
 	}
 	f.expect("an attempt that began nothing", "g1", "three", "")
-	if _, err := f.gateways["g1"].Resolve(t.Context(), origin.KeyOf("another account", "one"), service); !IsErrUnknown(err) {
+	if _, err := f.gateways["g1"].Resolve(t.Context(), coreorigin.KeyOf("another account", "one"), service); !IsErrUnknown(err) {
 		t.Errorf("for another account: got error %v, want ErrUnknown", err)
 	}
 	for id := range f.gateways {
@@ -150,7 +150,7 @@
 func TestLastTryBeginsTheStream(t *testing.T) {
 	f := newFleet(t, 3, target("a", "v1"), target("b", "v2"))
 	f.begin("g0", "one", "a")
-	f.gateways["g0"].Sent(origin.KeyOf(account, "one"), service, f.targets.Find("b"), 2)
+	f.gateways["g0"].Sent(coreorigin.KeyOf(account, "one"), service, f.targets.Find("b"), 2)
 	f.expect("at the same gateway", "g0", "one", "v2")
 	f.expect("at another one", "g1", "one", "v2")
 }
@@ -159,12 +159,12 @@
 func TestKeeperAsksForLaterRecord(t *testing.T) {
 	f := newFleet(t, 4, target("a", "v1"), target("b", "v2"))
 	f.begin("g0", "one", "a")
-	k := origin.KeyOf(account, "one")
+	k := coreorigin.KeyOf(account, "one")
 	for id, g := range f.gateways {
 		if known := g.Lookup(k); id != "g0" && id != "g1" && known.Found {
 			later := known.Record
 			later.Target, later.Software, later.Try = "b", "v2", 2
-			g.Receive([]origin.Record{later})
+			g.Receive([]coreorigin.Record{later})
 		}
 	}
 	f.expect("a later record is at others", "g1", "one", "v2")
--- a/services/origin/resolve.go
+++ b/services/origin/resolve.go
@@ -8,7 +8,7 @@
 	"errors"
 	"time"
 
-	"madderway/core/origin"
+	coreorigin "madderway/core/origin"
 	"madderway/models/routing"
 )
 
@@ -41,7 +41,7 @@
 // Reply is the reply of another gateway that was asked for a record.
 type Reply struct {
 	Peer      string
-	Record    origin.Record
+	Record    coreorigin.Record
 	Found     bool
 	Ambiguous bool // two gateways serve attempts of the same ID
 }
@@ -50,7 +50,7 @@
 type lookup struct{ replies chan Reply }
 
 // Resolve returns the software version at which a stream of a service began, or an ErrUnknown.
-func (s *Service) Resolve(ctx context.Context, k origin.Key, service string) (string, error) {
+func (s *Service) Resolve(ctx context.Context, k coreorigin.Key, service string) (string, error) {
 	software, err := s.resolve(ctx, k, service)
 	if err != nil {
 		s.counters.unknown.Inc()
@@ -58,7 +58,7 @@
 	return software, err
 }
 
-func (s *Service) resolve(ctx context.Context, k origin.Key, service string) (string, error) {
+func (s *Service) resolve(ctx context.Context, k coreorigin.Key, service string) (string, error) {
 	reply := s.Lookup(k)
 	if !reply.Found {
 		s.awaitPeers(ctx)
@@ -107,7 +107,7 @@
 }
 
 // Lookup returns what this gateway knows of a stream.
-func (s *Service) Lookup(k origin.Key) Reply {
+func (s *Service) Lookup(k coreorigin.Key) Reply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r, ambiguous, found := s.table.Get(k)
@@ -129,7 +129,7 @@
 
 // ask asks other gateways for a record and returns the latest one, which may be the own: a later
 // record of the same attempt may have been lost on its way here.
-func (s *Service) ask(ctx context.Context, k origin.Key, own Reply) Reply {
+func (s *Service) ask(ctx context.Context, k coreorigin.Key, own Reply) Reply {
 	l := s.startLookup(k)
 	defer s.endLookup(k, l)
 	asked := s.opts.Ask(k)
@@ -170,7 +170,7 @@
 	return r
 }
 
-func (s *Service) startLookup(k origin.Key) *lookup {
+func (s *Service) startLookup(k coreorigin.Key) *lookup {
 	l := &lookup{replies: make(chan Reply, maxReplies)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -178,7 +178,7 @@
 	return l
 }
 
-func (s *Service) endLookup(k origin.Key, ended *lookup) {
+func (s *Service) endLookup(k coreorigin.Key, ended *lookup) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var left []*lookup
@@ -195,7 +195,7 @@
 }
 
 // Replied passes on the reply of another gateway to those who wait for it.
-func (s *Service) Replied(k origin.Key, r Reply) {
+func (s *Service) Replied(k coreorigin.Key, r Reply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.lookups[k] {
@@ -218,7 +218,7 @@
 
 // holds reports whether a record's version is right: the target had not restarted with other
 // software before the attempt was sent, unknown to the sender.
-func (s *Service) holds(r origin.Record) bool {
+func (s *Service) holds(r coreorigin.Record) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	listed := s.targets.FindWorker(routing.WorkerNameOf(r.Target))
