--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -41,7 +41,6 @@
 	history             attempt.History
 	deny                []string
 	target              *routing.Target // target of the current attempt
-	beganAt             *routing.Target // target that sent the first event, nil if unknown
 	targetID            string
 	sourceID            string // target from which the cached prompt prefix is copied, or empty
 	scheduler           string // gateway that placed or refused the request
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -81,7 +81,6 @@
 
 func (j *job) forwardEvents(a *upstream.Answer, flusher *http.ResponseController, out []byte) bool {
 	if !j.headOut {
-		j.beganAt = j.target
 		j.writeHead(a)
 	}
 	if _, err := j.w.Write(out); err != nil {
