origin: Streams of routes without a timeout are remembered for the longest time

Read in the code: a route without a timeout, or a first configuration without streams, gave records and versions a life of 10 s. TestLifeFollowsTimeouts.

--- a/services/origin/origin.go
+++ b/services/origin/origin.go
@@ -62,15 +62,17 @@
 	opts    Options
 	started time.Time
 
-	mu         sync.Mutex // guards the fields below; not held while calling Options' functions
-	versions   *coreorigin.Versions
-	targets    *routing.TargetSet
-	table      *coreorigin.Table
-	lookups    map[coreorigin.Key][]*lookup
-	complete   bool // versions includes what other gateways remember
-	life       time.Duration
-	lastExpiry time.Time
-	dropped    uint64 // as of the last log line
+	mu       sync.Mutex // guards the fields below; not held while calling Options' functions
+	versions *coreorigin.Versions
+	targets  *routing.TargetSet
+	table    *coreorigin.Table
+	lookups  map[coreorigin.Key][]*lookup
+	complete bool // versions includes what other gateways remember
+	life     time.Duration
+	// of which life was taken
+	configuration *routing.Configuration
+	lastExpiry    time.Time
+	dropped       uint64 // as of the last log line
 
 	counters counters
 }
@@ -87,15 +89,28 @@
 
 // SetConfiguration takes the timeouts of a configuration.
 func (s *Service) SetConfiguration(c *routing.Configuration) {
-	longest := time.Duration(0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.configuration == c {
+		return
+	}
+	s.configuration, s.life = c, lifeOf(c)
+}
+
+// lifeOf returns how long a stream may continue after it has begun.
+func lifeOf(c *routing.Configuration) time.Duration {
+	life := returnTime
 	for i := range c.Routes {
-		if c.Routes[i].Stream && c.Routes[i].Resumable {
-			longest = max(longest, c.Routes[i].Timeout)
+		r := &c.Routes[i]
+		switch {
+		case !r.Stream || !r.Resumable:
+		case r.Timeout <= 0:
+			return maxLife
+		default:
+			life = max(life, timeoutFactor*r.Timeout+returnTime)
 		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.life = min(timeoutFactor*longest+returnTime, maxLife)
+	return min(life, maxLife)
 }
 
 // SetTargets takes a new list of targets. If a service begins to have several versions, the records
--- a/services/origin/origin_test.go
+++ b/services/origin/origin_test.go
@@ -245,3 +245,23 @@
 	f.begin("g1", "one", "b")
 	f.expect("two versions", "g2", "one", "")
 }
+
+// Guards against forgetting streams of routes with a long timeout, or without one.
+func TestLifeFollowsTimeouts(t *testing.T) {
+	stream := func(timeout time.Duration) routing.Route {
+		return routing.Route{Stream: true, Resumable: true, Timeout: timeout}
+	}
+	for _, c := range []struct {
+		want   time.Duration
+		routes []routing.Route
+	}{
+		{returnTime, []routing.Route{{Timeout: time.Minute}}},
+		{20*time.Second + returnTime, []routing.Route{stream(5 * time.Second), stream(10 * time.Second), {Timeout: time.Minute}}},
+		{maxLife, []routing.Route{stream(10 * time.Minute)}},
+		{maxLife, []routing.Route{stream(10 * time.Second), stream(0)}},
+	} {
+		if got := lifeOf(&routing.Configuration{Routes: c.routes}); got != c.want {
+			t.Errorf("%+v: got %v, want %v", c.routes, got, c.want)
+		}
+	}
+}
