follow, router: A gateway that has heard of a newer list is not sure of its own

Read in the code: between the announcement of a peer's newer list and its fetch, a gateway took the version in its own list for the only one. It ends once the own list was complete after the announcement, so that a peer that is gone does not hold it up.

--- a/router/gateway.go
+++ b/router/gateway.go
@@ -301,10 +301,14 @@
 	lossDetection = 10 * time.Second
 )
 
-// inContact reports whether the list of targets is as new as that of the rest of the fleet: it was
-// complete lately, or most gateways that were there then are still in contact.
+// inContact reports whether the list of targets is as new as that of the rest of the fleet: no other
+// gateway has a newer one, and it was complete lately, or most gateways that were there then are
+// still in contact.
 func (g *Gateway) inContact() bool {
-	freshAt := g.follow.TargetsFreshAt()
+	freshAt, behind := g.follow.TargetsFreshAt()
+	if behind {
+		return false
+	}
 	if g.clock.Now().Sub(freshAt) < maxContactAge {
 		return true
 	}
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -70,9 +70,10 @@
 	table              *targetTable
 	halls              *hallTable
 	held               *heldTargets
-	leavingDigest      uint64 // of the listed targets that leave
-	releaseScheduled   bool   // a goroutine waits for the end of an evacuation's hold
-	publishScheduled   bool   // a goroutine waits for the end of a target's hold
+	leavingDigest      uint64    // of the listed targets that leave
+	newerTargetsAt     time.Time // when a peer last announced a newer list
+	releaseScheduled   bool      // a goroutine waits for the end of an evacuation's hold
+	publishScheduled   bool      // a goroutine waits for the end of a target's hold
 	watchConfiguration *watch.Watch
 	watchTargets       *watch.Watch
 	storeClock         watch.StoreClock
@@ -350,10 +351,12 @@
 }
 
 // TargetsFreshAt returns the latest time at which the local targets were complete, zero if never.
-func (s *Service) TargetsFreshAt() time.Time {
+// behind reports that a peer has announced a newer list since then.
+func (s *Service) TargetsFreshAt() (at time.Time, behind bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.watchTargets.FreshAt()
+	at = s.watchTargets.FreshAt()
+	return at, at.Before(s.newerTargetsAt)
 }
 
 // FreshSince reports whether the local configuration and targets were both complete at some time
--- a/services/follow/peers.go
+++ b/services/follow/peers.go
@@ -90,6 +90,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.observeStoreClock(now, v.Store)
+	if v.Targets > mine.Targets {
+		s.newerTargetsAt = now
+	}
 	hasOperator := v.Configuration <= mine.Configuration && v.Evacuations <= mine.Evacuations
 	// The age of a copy of another era refers to a history that is no longer valid.
 	sameEra := v.Targets.Era() == mine.Targets.Era()
