forward, deploy: No record for attempts without an ID; comments of the new parts

Found in the read-through: a caller that names no attempt would have found the record of an attempt without an ID of its account. TestStreamWithoutAttemptIsNotFound.

--- a/core/origin/table.go
+++ b/core/origin/table.go
@@ -11,7 +11,7 @@
 // Table holds records for as long as their streams may continue. It is not safe for concurrent use.
 type Table struct {
 	entries map[Key]*entry
-	order   []queued // by age; may hold dropped and renewed entries
+	order   []queued // by age; may hold dropped entries
 	dropped uint64   // records that were dropped before their time
 }
 
@@ -44,8 +44,8 @@
 // Put adds a record of another gateway, unless a later one of the same sender is known.
 func (t *Table) Put(r Record) { t.put(r) }
 
-// PutLocal adds a record of an attempt that this gateway serves for a service, and reports whether
-// other gateways are to have it: all have earlier records of the attempt.
+// PutLocal adds a record of an attempt that this gateway serves for a service. It reports whether
+// other gateways must get it: if share is set, or if they have an earlier record of the attempt.
 func (t *Table) PutLocal(r Record, service string, share bool) bool {
 	e := t.put(r)
 	if e.local == nil {
@@ -66,7 +66,7 @@
 	case r.Conflicts(e.Record):
 		e.ambiguous = true
 	case r.Follows(e.Record):
-		r.At = e.At
+		r.At = e.At // order stays sorted
 		e.Record = r
 	}
 	return e
--- a/services/forward/bind.go
+++ b/services/forward/bind.go
@@ -75,9 +75,9 @@
 }
 
 // beginsStream reports whether the next target may send the first event of a stream that can be
-// resumed.
+// resumed. A caller that names no attempt must not find one without an ID.
 func (j *job) beginsStream() bool {
-	return j.r.Route.Stream && j.r.Route.Resumable && !j.r.Call.Resuming && !j.headOut
+	return j.r.Route.Stream && j.r.Route.Resumable && j.r.Call.ID != "" && !j.r.Call.Resuming && !j.headOut
 }
 
 // recordOrigin records that the attempt is sent to a target that may begin the stream. That is done
--- a/services/forward/bind_test.go
+++ b/services/forward/bind_test.go
@@ -104,6 +104,21 @@
 	}
 }
 
+// Guards against a caller that names no attempt and is given the version of a stream without an ID.
+func TestStreamWithoutAttemptIsNotFound(t *testing.T) {
+	j, targets := newStreamJob(upstream.Call{})
+	targets.list(versioned("a", "v1"), versioned("b", "v2"))
+	j.s.opts.Origins.SetTargets(targets.set)
+	j.target = targets.set.Find("a")
+	if err := j.startSending(); err != nil {
+		t.Fatal(err)
+	}
+	j.r.Call = upstream.Call{ID: "a2", Resuming: true, LastEvent: "1"}
+	if err := j.bind(); err == nil {
+		t.Errorf("got version %q, want an error", j.binding.software)
+	}
+}
+
 // Guards against throttling an account for streams that no scheduler was asked for.
 func TestUnknownStreamsDoNotThrottle(t *testing.T) {
 	j, targets := newStreamJob(upstream.Call{ID: "a2", Resuming: true, Prompt: &routing.Prompt{}})
--- a/services/forward/quarantine.go
+++ b/services/forward/quarantine.go
@@ -36,7 +36,8 @@
 	return err
 }
 
-// disregardUnasked is called for a request that is refused without asking its scheduler.
+// disregardUnasked excludes a request that is refused without asking its scheduler from the
+// throttle. Plain requests do not count there.
 func (j *job) disregardUnasked() {
 	if scheduled(j.r.Service, &j.r.Call) {
 		j.disregard()
