mesh: Sharing records never waits for the loop

Found in the read-through: heartbeats are handled on the loop's goroutine, and what they tell of versions can make records due; with a full queue the loop would have waited for itself. Records that find no room are not sent, and a line says so.

--- a/services/mesh/origin.go
+++ b/services/mesh/origin.go
@@ -15,8 +15,13 @@
 
 func (originsIn) isInput() {}
 
-// ShareOrigins sends records of streams to the gateways that keep them.
-func (l *Loop) ShareOrigins(records []coreorigin.Record) { l.put(originsIn{records}) }
+// ShareOrigins sends records of streams to the gateways that keep them. It is also called on the
+// loop's goroutine, so it does not wait for room; a stream without its record is refused later.
+func (l *Loop) ShareOrigins(records []coreorigin.Record) {
+	if !l.inputs.TryPut(originsIn{records}) {
+		l.log.Request("Records of streams not sent, too much waits.", "records", len(records))
+	}
+}
 
 // AskOrigin asks the gateways that may hold the record of a stream, and returns their IDs.
 func (l *Loop) AskOrigin(k coreorigin.Key) []string {
