--- a/router/streamversions_test.go
+++ b/router/streamversions_test.go
@@ -21,6 +21,7 @@
 		"loss of the gateway":               testContinueAfterLoss(3, 1),
 		"loss of half of the gateways":      testContinueAfterLoss(6, 3),
 		"at a gateway that has restarted":   testContinueAtRestarted,
+		"at a gateway that stood still":     testContinueAtSuspended,
 		"version that comes later":          testContinueWhenVersionsBeginToDiffer,
 		"loss of all gateways":              testContinueAfterLossOfAll,
 		"all of a version have left":        testContinueWithoutVersion,
@@ -130,6 +131,7 @@
 // expectShare checks that at least the share of the streams became whole.
 func (s *versionSite) expectShare(whole int, share float64) {
 	s.t.Helper()
+	s.t.Logf("%d of %d streams whole", whole, streamCount)
 	if least := int(share * streamCount); whole < least {
 		s.t.Errorf("got %d of %d streams whole, want at least %d", whole, streamCount, least)
 	}
@@ -187,6 +189,15 @@
 	s.expectShare(s.comeBack(0), 0.5)
 }
 
+// testContinueAtSuspended has callers come back to a gateway that was suspended meanwhile.
+func testContinueAtSuspended(t *testing.T) {
+	s := newVersionSite(t, 3, 3)
+	s.begin(1)
+	s.Gateway(1).ReportStandstill(20 * time.Second)
+	s.RestartGateway(0)
+	s.expectShare(s.comeBack(1), 0.5)
+}
+
 // testContinueWhenVersionsBeginToDiffer starts the new version after the streams have begun.
 func testContinueWhenVersionsBeginToDiffer(t *testing.T) {
 	s := newVersionSite(t, 3, 0)
