forward: Log and count how targets' answers are framed and how they end

A broken answer that reached its caller as complete left no line at its gateway: nothing told whether its end was a length, a last chunk or the end of a connection, nor whether its last event was whole.

modules/eventstream finds the ends of events for LF, CR LF and CR; it is used here for counting only, what callers get is unchanged. A test line says so where an answer ends otherwise than whole.

Two tests of forward build a Service without its counters, which are used on this way now; they get them, their checks are the same.

--- a/services/forward/counters.go
+++ b/services/forward/counters.go
@@ -35,6 +35,7 @@
 	placementTime *metrics.Histogram
 	byOutcome     *sync.Map // outcomeMetrics by service and outcome, a cache to avoid formatting names
 	byHalls       *sync.Map // counters by the halls of gateway and target, a cache like byOutcome
+	byEnding      *sync.Map // counters by framing and ending of answers, a cache like byOutcome
 }
 
 // outcomeMetrics are the metrics of a service's requests with the same outcome.
@@ -56,7 +57,7 @@
 		handOverLost:   set.NewCounter("madderway_gateway_handed_over_lost_total"),
 		notHandedOver:  set.NewCounter("madderway_gateway_not_handed_over_total"),
 		beforeAsk:      set.NewHistogram("madderway_gateway_before_ask_seconds"),
-		placementTime:  set.NewHistogram("madderway_gateway_placement_seconds"), byOutcome: &sync.Map{}, byHalls: &sync.Map{},
+		placementTime:  set.NewHistogram("madderway_gateway_placement_seconds"), byOutcome: &sync.Map{}, byHalls: &sync.Map{}, byEnding: &sync.Map{},
 	}
 }
 
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -131,6 +131,7 @@
 
 func (j *job) readFailure(p placement, a *upstream.Answer) (attempt.Outcome, *failure) {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedResponse))
+	j.recordEnding(a, endingOf(err))
 	if err != nil {
 		j.brokeOff, j.reason = true, "failure broke off: "+err.Error()
 		return j.ended(p, attempt.Unknown), nil
@@ -154,6 +155,7 @@
 func (j *job) forwardWhole(p placement, a *upstream.Answer) attempt.Outcome {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedResponse+1))
 	if err != nil {
+		j.recordEnding(a, endingOf(err))
 		j.brokeOff, j.reason = true, "answer broke off: "+err.Error()
 		return j.ended(p, attempt.Unknown)
 	}
@@ -164,6 +166,7 @@
 		return attempt.Cut
 	}
 	if len(body) <= maxBufferedResponse {
+		j.recordEnding(a, endedWhole)
 		p.done()
 		return 0
 	}
@@ -171,7 +174,9 @@
 }
 
 func (j *job) copyRest(p placement, a *upstream.Answer) attempt.Outcome {
-	if _, err := io.Copy(j.w, a.Body); err != nil {
+	_, err := io.Copy(j.w, a.Body)
+	j.recordEnding(a, endingOf(err))
+	if err != nil {
 		j.brokeOff, j.reason = true, "answer broke off: "+err.Error()
 		return j.ended(p, attempt.Cut)
 	}
--- a/services/forward/guard_test.go
+++ b/services/forward/guard_test.go
@@ -31,7 +31,7 @@
 	for _, overloaded := range []bool{false, true} {
 		c := clock.NewFake()
 		j := slowJob(func() bool { return true })
-		j.s = &Service{opts: Options{Clock: c, Guard: newTestGuard(c)}}
+		j.s = &Service{counters: newCounters(), opts: Options{Clock: c, Guard: newTestGuard(c)}}
 		j.s.opts.Guard.overloaded.Store(overloaded)
 		j.ctx = t.Context()
 		j.r.Route.Stream = true
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -53,6 +53,8 @@
 	permit              notice.Permit      // to send to the target, held until its response begins
 	quarantineAttempt   quarantine.Attempt // the request as known to the quarantine
 	lastEvent           string
+	framing             string // of the last answer whose body was read
+	ending              ending // how that body ended
 	binding             binding
 	headOut             bool
 	takeFromRetryBudget func() bool
--- a/services/forward/requestlog.go
+++ b/services/forward/requestlog.go
@@ -39,7 +39,7 @@
 		s.log.Request("Response late.", append(j.logValues(), "objective", j.r.Route.Objective, "max_pause", j.r.Route.Pause)...)
 	case j.plainLate():
 		s.log.Request("Response late.", append(j.logValues(), "objective", j.r.Route.Objective)...)
-	case j.history.Sent > 1 || j.history.Unsent > 0 || j.r.Call.Resuming || sampled(j.r.Call.ID):
+	case j.history.Sent > 1 || j.ending != endedWhole || j.history.Unsent > 0 || j.r.Call.Resuming || sampled(j.r.Call.ID):
 		s.log.Request("Request served.", j.logValues()...)
 	}
 }
@@ -79,6 +79,9 @@
 	if j.r.Route.Stream {
 		values = append(values, "software", j.target.Software, "last_event", j.lastEvent)
 	}
+	if j.ending != "" {
+		values = append(values, "framing", j.framing, "end", j.ending)
+	}
 	if death.checked {
 		values = append(values, "target_died", death.died)
 	}
@@ -105,6 +108,9 @@
 	if j.r.Route.Stream && j.target != nil {
 		values = append(values, "software", j.target.Software)
 	}
+	if j.ending != "" {
+		values = append(values, "framing", j.framing, "end", j.ending)
+	}
 	if j.r.Call.Resuming {
 		values = append(values, "resumes", j.r.Call.Resumes, "from_event", j.r.Call.LastEvent)
 	}
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -12,6 +12,7 @@
 	"madderway/core/attempt"
 	"madderway/models/routing"
 	"madderway/modules/clock"
+	"madderway/modules/eventstream"
 	"madderway/services/upstream"
 )
 
@@ -34,6 +35,7 @@
 func (j *job) forwardStream(p placement, a *upstream.Answer, slowTimer clock.Timer) attempt.Outcome {
 	flusher := http.NewResponseController(j.w)
 	chunk := make([]byte, streamChunk)
+	var events eventstream.Scanner
 	var held []byte // an incomplete event
 	for {
 		n, err := a.Body.Read(chunk)
@@ -46,6 +48,7 @@
 				p.began()
 			}
 			out := chunk[:n]
+			events.Scan(out)
 			if j.r.Route.Resumable {
 				out, held = j.wholeEvents(append(held, out...))
 			}
@@ -57,6 +60,11 @@
 				j.coalesce()
 			}
 		}
+		if err == io.EOF && events.InEvent() {
+			j.recordEnding(a, endedInsideEvent)
+		} else if err != nil {
+			j.recordEnding(a, endingOf(err))
+		}
 		if err == io.EOF {
 			return j.endStream(p, a, flusher, held)
 		}
--- a/services/forward/watch_test.go
+++ b/services/forward/watch_test.go
@@ -29,7 +29,7 @@
 
 func slowJob(take func() bool) *job {
 	route := &routing.Route{Repeat: routing.RepeatSafe, MaxAttempts: 2}
-	return &job{s: &Service{opts: Options{Clock: clock.System{}}}, r: &Request{Route: route, Deadline: time.Now().Add(time.Hour)}, history: attempt.History{Route: route}, takeFromRetryBudget: take}
+	return &job{s: &Service{counters: newCounters(), opts: Options{Clock: clock.System{}}}, r: &Request{Route: route, Deadline: time.Now().Add(time.Hour)}, history: attempt.History{Route: route}, takeFromRetryBudget: take}
 }
 
 // Guards against cutting an attempt that nothing can replace.
@@ -72,7 +72,7 @@
 func TestLateFirstEventOfCutAttemptIsNotForwarded(t *testing.T) {
 	for _, cut := range []bool{true, false} {
 		j := slowJob(func() bool { return true })
-		j.s = &Service{opts: Options{Clock: clock.System{}, Guard: newTestGuard(clock.System{})}}
+		j.s = &Service{counters: newCounters(), opts: Options{Clock: clock.System{}, Guard: newTestGuard(clock.System{})}}
 		j.ctx = context.Background()
 		j.r.Route.Stream, j.r.Route.Resumable = true, true
 		recorder := httptest.NewRecorder()
--- a/services/upstream/exchange.go
+++ b/services/upstream/exchange.go
@@ -67,11 +67,11 @@
 
 // Answer is a target's answer whose body is not read yet. The caller must call Close.
 type Answer struct {
-	Status int
-	Header http.Header
-	Length int64 // of the body, -1 if unknown
-	Info   AnswerInfo
-	Body   io.Reader
+	Status  int
+	Header  http.Header
+	Framing Framing
+	Info    AnswerInfo
+	Body    io.Reader
 
 	client    *Client
 	target    *routing.Target
@@ -216,8 +216,8 @@
 	if success && (!a.Info.Signed || a.Info.ID == "") {
 		return errors.New("success without signature or ID")
 	}
-	a.Status, a.Header, a.Length = resp.StatusCode, resp.Header, resp.ContentLength
-	a.close = a.Info.Leaving || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	a.Status, a.Header, a.Framing = resp.StatusCode, resp.Header, framingOf(resp)
+	a.close = a.Info.Leaving || resp.Close || a.Framing == FramedByClose
 	a.conn.promised = parseKeepAlive(resp.Header)
 	a.Body = &eofReader{resp.Body, a}
 	return nil
