--- /dev/null
+++ b/lab/platform/framing.go
@@ -0,0 +1,109 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package platform
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+)
+
+// Framing is the way in which a worker's answers mark the end of their body.
+type Framing int
+
+// Framings of an answer. DefaultFraming is that of net/http.
+const (
+	DefaultFraming Framing = iota
+	LengthFraming
+	ChunkFraming
+	CloseFraming // neither: the end of the connection
+)
+
+// BreakOff is the way in which a worker ends an answer early.
+type BreakOff int
+
+// Ways to end an answer early.
+const (
+	NoBreakOff    BreakOff = iota
+	BreakByClose           // an orderly close of the connection
+	BreakByReset           // a reset of the connection
+	BreakByCrash           // the worker crashes; its connections are closed in order
+	BreakByFinish          // the framing says that the answer is complete
+)
+
+// Answers describes how a worker frames its answers and ends them.
+type Answers struct {
+	Framing  Framing
+	BreakOff BreakOff
+	// After is the number of bytes of the body that are sent before the answer breaks off.
+	After int
+	// LineEnd ends the lines of events; "\n" if empty.
+	LineEnd string
+}
+
+// SetAnswers sets how the worker frames its answers and ends them.
+func (w *Worker) SetAnswers(a Answers) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answers = a
+}
+
+func (w *Worker) framedAnswers() Answers {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.answers
+}
+
+// write writes an answer with its own framing and end, on the connection of the request.
+func (a Answers) write(w *Worker, rw http.ResponseWriter, body string) {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: %s\r\n", rw.Header().Get("Attempt-Id"), rw.Header().Get("Response-Signature"))
+	if a.BreakOff != NoBreakOff {
+		body = body[:min(a.After, len(body))]
+	}
+	if a.LineEnd != "" {
+		body = strings.ReplaceAll(body, "\n", a.LineEnd)
+	}
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	whole := a.BreakOff == NoBreakOff || a.BreakOff == BreakByFinish
+	_, _ = io.WriteString(conn, head+a.frame(body, whole))
+	switch a.BreakOff {
+	case BreakByReset:
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	case BreakByCrash:
+		w.Crash()
+		if w.cfg.OnCrash != nil {
+			w.cfg.OnCrash(w)
+		}
+	}
+}
+
+// frame returns the header's last fields and the framed body.
+func (a Answers) frame(body string, whole bool) string {
+	const missing = 10 // bytes that a body that is not whole lacks of its length
+	switch a.Framing {
+	case LengthFraming:
+		length := len(body)
+		if !whole {
+			length += missing
+		}
+		return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", length, body)
+	case ChunkFraming:
+		text := "Transfer-Encoding: chunked\r\n\r\n"
+		if body != "" {
+			text += fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+		}
+		if whole {
+			text += "0\r\n\r\n"
+		}
+		return text
+	default:
+		return "\r\n" + body
+	}
+}
--- a/lab/platform/single.go
+++ b/lab/platform/single.go
@@ -19,6 +19,13 @@
 	return s.gateways[i].running
 }
 
+// AskOld is like Ask for a caller that speaks HTTP/1.0, which has no chunks.
+func (s *Site) AskOld(ctx context.Context, gateway int, kind Kind, account string, seed uint64) Answer {
+	c := s.newSingleClient(gateway, kind, account, kind.Path+"item", seed)
+	c.http.Transport = oldTransport{}
+	return c.answer(c.sendOnce(ctx))
+}
+
 // AskStream sends one request for a long stream to a gateway, on a new connection, and reports
 // whether the answer was complete. The ledger records violations.
 func (s *Site) AskStream(ctx context.Context, gateway int, account string, seed uint64) bool {
--- a/lab/platform/stream.go
+++ b/lab/platform/stream.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -26,6 +27,15 @@
 	return fmt.Sprintf("%s %s part %d", id, software, n)
 }
 
+// streamBody returns the events of a stream after event from.
+func streamBody(id, software string, from int) string {
+	var b strings.Builder
+	for n := from + 1; n <= Events(id); n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", n, EventData(id, software, n, Events(id)))
+	}
+	return b.String()
+}
+
 // readStream holds what a caller has read of one stream, over all attempts. It is safe for
 // concurrent use.
 type readStream struct {
@@ -87,6 +97,7 @@
 	}
 	result := outcome(0)
 	lines := bufio.NewScanner(resp.Body)
+	lines.Split(splitLine)
 	for lines.Scan() {
 		if result == 0 {
 			result = c.servedOutcome(started)
@@ -114,6 +125,21 @@
 	return result, 0
 }
 
+// splitLine is a bufio.SplitFunc for lines that end with LF, CR LF or CR.
+func splitLine(data []byte, atEOF bool) (advance int, line []byte, err error) {
+	n := bytes.IndexAny(data, "\r\n")
+	switch {
+	case n < 0 && atEOF && len(data) > 0:
+		return len(data), data, nil
+	case n < 0, data[n] == '\r' && n+1 == len(data) && !atEOF:
+		return 0, nil, nil
+	case bytes.HasPrefix(data[n:], []byte("\r\n")):
+		return n + 2, data[:n], nil
+	default:
+		return n + 1, data[:n], nil
+	}
+}
+
 // StreamCaller reads one stream of a site, over as many attempts at its gateways as it takes.
 type StreamCaller struct {
 	site    *Site
--- a/lab/platform/worker.go
+++ b/lab/platform/worker.go
@@ -71,6 +71,7 @@
 
 	mu            sync.Mutex
 	fault         Fault
+	answers       Answers
 	leaving       bool
 	state         string // state in its entry in the store
 	crashed       bool
@@ -333,6 +334,10 @@
 		return
 	}
 	w.setHeaders(rw, id, body)
+	if a := w.framedAnswers(); a != (Answers{}) {
+		a.write(w, rw, body)
+		return
+	}
 	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = io.WriteString(rw, body)
 }
@@ -367,6 +372,10 @@
 	from, _ = strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	events := Events(content)
 	w.setHeaders(rw, id, "")
+	if a := w.framedAnswers(); a != (Answers{}) {
+		a.write(w, rw, streamBody(content, w.cfg.Software, from))
+		return
+	}
 	rw.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(rw)
 	for n := from + 1; n <= events; n++ {
