forward: A stream that ends inside an event is broken off on every route

Cause: an answer with neither a length nor chunks ends with its connection, and a close without a reset reads as an end of file, which counted as completion. Only resumable routes looked whether an event was unfinished, and only for lines that end with LF: whole streams with CR LF were held in memory to their end and then cut.

Change: every stream of events is followed by eventstream.Scanner. One that ends inside an event, with any framing, or with its connection before the first event, has broken off: it is not a success for the quarantine, the schedulers or the counters, it is resumed where the route permits that, and else the caller's connection breaks. Streams of events reach callers in chunks, since an announced length that was kept cannot show a break. On other routes no byte is held back; on resumable ones an incomplete event of at most 1 MiB is.

A close between two events of such an answer tells nothing and stays undecidable.

--- a/services/forward/ending.go
+++ b/services/forward/ending.go
@@ -23,7 +23,7 @@
 const (
 	endedWhole       ending = "whole"
 	endedInsideEvent ending = "inside_event" // without an error, but in the middle of an event
-	endedEmpty       ending = "empty"        // with its connection, before the first byte
+	endedEmpty       ending = "empty"        // with its connection, before the first event
 	endedShort       ending = "short"        // before the announced length or the last chunk
 	endedByReset     ending = "reset"
 	endedByTimeout   ending = "timeout"
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -4,8 +4,9 @@
 package forward
 
 import (
-	"bytes"
+	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
@@ -25,18 +26,74 @@
 	coalesceInterval = 80 * time.Millisecond
 )
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
+// maxHeldEvent bounds the bytes of an incomplete event that are held on resumable routes.
+const maxHeldEvent = 1 << 20
+
+const eventStreamType = "text/event-stream"
+
+// streamBody follows the events of one answer.
+type streamBody struct {
+	events     eventstream.Scanner
+	isEvents   bool   // the body is a stream of events
+	holdsBack  bool   // only complete events are forwarded, so that another target can continue
+	incomplete []byte // held bytes of an incomplete event
+	received   bool   // a byte has come
+}
+
+func newStreamBody(r *routing.Route, h http.Header) *streamBody {
+	contentType, _, _ := mime.ParseMediaType(h.Get("Content-Type"))
+	isEvents := contentType == "" || contentType == eventStreamType
+	return &streamBody{isEvents: isEvents, holdsBack: isEvents && r.Resumable}
+}
+
+// take takes the next bytes and returns those to forward.
+func (b *streamBody) take(p []byte) []byte {
+	b.received = true
+	if !b.isEvents {
+		return p
+	}
+	end := b.events.Scan(p)
+	if !b.holdsBack {
+		return p
+	}
+	if end == 0 {
+		b.incomplete = append(b.incomplete, p...)
+		return nil
+	}
+	if len(b.incomplete) == 0 {
+		b.incomplete = append(b.incomplete, p[end:]...)
+		return p[:end]
+	}
+	out := append(b.incomplete, p[:end]...)
+	b.incomplete = append([]byte(nil), p[end:]...)
+	return out
+}
+
+// endingOf returns the ending of the body, which was read until err.
+func (b *streamBody) endingOf(err error, f upstream.Framing) ending {
+	switch {
+	case err != io.EOF:
+		return endingOf(err)
+	case b.isEvents && b.events.InEvent():
+		return endedInsideEvent
+	case f == upstream.FramedByClose && (!b.received || b.isEvents && b.events.Events() == 0):
+		return endedEmpty
+	default:
+		return endedWhole
+	}
+}
 
 // forwardStream forwards the events of a stream as they come. On resumable routes it forwards
 // only complete events, so that another target can continue the stream.
 func (j *job) forwardStream(p placement, a *upstream.Answer, slowTimer clock.Timer) attempt.Outcome {
 	flusher := http.NewResponseController(j.w)
 	chunk := make([]byte, streamChunk)
-	var events eventstream.Scanner
-	var held []byte // an incomplete event
+	body := newStreamBody(j.r.Route, a.Header)
+	if body.isEvents {
+		// An announced length could not show that the last event is incomplete, nor be kept by
+		// another target that continues the stream.
+		a.Header.Del("Content-Length")
+	}
 	for {
 		n, err := a.Body.Read(chunk)
 		if n > 0 {
@@ -47,10 +104,9 @@
 				}
 				p.began()
 			}
-			out := chunk[:n]
-			events.Scan(out)
-			if j.r.Route.Resumable {
-				out, held = j.wholeEvents(append(held, out...))
+			out := body.take(chunk[:n])
+			if id, ok := body.events.LastID(); ok && body.holdsBack {
+				j.lastEvent = id
 			}
 			if len(out) > 0 && !j.forwardEvents(a, flusher, out) {
 				p.canceled()
@@ -60,17 +116,11 @@
 				j.coalesce()
 			}
 		}
-		if err == io.EOF && events.InEvent() {
-			j.recordEnding(a, endedInsideEvent)
-		} else if err != nil {
-			j.recordEnding(a, endingOf(err))
-		}
-		if err == io.EOF {
-			return j.endStream(p, a, flusher, held)
+		if err == nil && len(body.incomplete) > maxHeldEvent {
+			err = errEventTooLarge
 		}
 		if err != nil {
-			j.brokeOff, j.reason = true, "stream broke off: "+err.Error()
-			return j.ended(p, attempt.Cut)
+			return j.endStream(p, a, flusher, body.endingOf(err, a.Framing), err)
 		}
 	}
 }
@@ -97,9 +147,19 @@
 	return flusher.Flush() == nil
 }
 
-func (j *job) endStream(p placement, a *upstream.Answer, flusher *http.ResponseController, held []byte) attempt.Outcome {
-	if len(held) > 0 {
-		j.brokeOff, j.reason = true, "stream ended inside an event"
+var errEventTooLarge = fmt.Errorf("an event is over %d bytes", maxHeldEvent)
+
+// endStream handles the end of a body that was read until err. A body that ends without an error is
+// not always complete.
+func (j *job) endStream(p placement, a *upstream.Answer, flusher *http.ResponseController, e ending, err error) attempt.Outcome {
+	j.recordEnding(a, e)
+	switch {
+	case e == endedWhole:
+	case err == io.EOF:
+		j.brokeOff, j.reason = true, "stream broke off: ended "+string(e)
+		return j.ended(p, attempt.Cut)
+	default:
+		j.brokeOff, j.reason = true, "stream broke off: "+err.Error()
 		return j.ended(p, attempt.Cut)
 	}
 	if !j.headOut && !j.forwardEvents(a, flusher, nil) {
@@ -110,23 +170,6 @@
 	return 0
 }
 
-// wholeEvents splits bytes into complete events and the rest, and notes the ID of the last
-// complete event.
-func (j *job) wholeEvents(b []byte) (whole, rest []byte) {
-	at := bytes.LastIndex(b, eventEnd)
-	if at < 0 {
-		return nil, b
-	}
-	at += len(eventEnd)
-	whole, rest = b[:at], append([]byte(nil), b[at:]...)
-	for line := range bytes.Lines(whole) {
-		if id, ok := bytes.CutPrefix(line, idField); ok {
-			j.lastEvent = string(bytes.TrimSpace(id))
-		}
-	}
-	return whole, rest
-}
-
 // streamTiming records when the parts of a stream arrived.
 type streamTiming struct {
 	first        time.Duration // from the request to the first part
--- a/services/forward/stream_test.go
+++ b/services/forward/stream_test.go
@@ -3,7 +3,12 @@
 
 package forward
 
-import "testing"
+import (
+	"net/http"
+	"testing"
+
+	"madderway/models/routing"
+)
 
 // Guards against forwarding part of an event, which would be joined with an event of another
 // target.
@@ -16,11 +21,32 @@
 		{"id: 1\ndata: a\n\nid: 2\nda", "id: 1\ndata: a\n\n", "id: 2\nda", "1"},
 		{"id: 1\ndata: a\n\nid: 2\ndata: b\n\ni", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "i", "2"},
 		{": only a comment\n\n", ": only a comment\n\n", "", "0"},
+		{"id: 1\r\ndata: a\r\n\r\nid: 2\r\n", "id: 1\r\ndata: a\r\n\r\n", "id: 2\r\n", "1"},
+	} {
+		for split := range len(c.bytes) + 1 {
+			body := newStreamBody(&routing.Route{Resumable: true}, http.Header{})
+			whole := string(body.take([]byte(c.bytes[:split])))
+			whole += string(body.take([]byte(c.bytes[split:])))
+			last := "0"
+			if id, ok := body.events.LastID(); ok {
+				last = id
+			}
+			if whole != c.whole || string(body.incomplete) != c.rest || last != c.last {
+				t.Errorf("%q split at %d: got whole %q, rest %q, last event %s", c.bytes, split, whole, body.incomplete, last)
+			}
+		}
+	}
+}
+
+// Guards against delaying bytes that no other target could continue, and against an answer that is
+// not a stream of events being taken for a broken one.
+func TestOtherStreamsAreForwardedAsTheyCome(t *testing.T) {
+	for name, body := range map[string]*streamBody{
+		"not resumable": newStreamBody(&routing.Route{}, http.Header{}),
+		"not events":    newStreamBody(&routing.Route{Resumable: true}, http.Header{"Content-Type": {"application/json; charset=utf-8"}}),
 	} {
-		j := &job{lastEvent: "0"}
-		whole, rest := j.wholeEvents([]byte(c.bytes))
-		if string(whole) != c.whole || string(rest) != c.rest || j.lastEvent != c.last {
-			t.Errorf("%q: got whole %q, rest %q, last event %s", c.bytes, whole, rest, j.lastEvent)
+		if out := body.take([]byte("id: 1\nda")); string(out) != "id: 1\nda" {
+			t.Errorf("%s: got %q at once", name, out)
 		}
 	}
 }
