gateway: Reset the connections of HTTP/1.0 callers when an answer breaks off

Callers that speak HTTP/1.0 took every broken stream for a complete one: their answers have no chunks, and the HTTP server's abort closes the connection in order, like the end of a whole answer. The same held for a gateway that is killed or stops in the middle of one.

Change: while a request of HTTP/1.0 is served, a close of its connection resets it; the normal end takes that back before the answer is flushed. Callers with HTTP/1.1 keep the orderly close, whose missing last chunk tells them, and lose no event that was sent; nothing is done for them.

--- a/handlers/gateway/callerconn.go
+++ b/handlers/gateway/callerconn.go
@@ -219,6 +219,15 @@
 	return ok && netopt.Peek(c.countedConn.Conn) == netopt.PeekClosed
 }
 
+// setResetOnClose sets whether the close of a request's connection resets it, also if this process
+// ends first. A response of HTTP/1.0 without a length ends with its connection, so that an orderly
+// close would make a broken one look complete.
+func setResetOnClose(ctx context.Context, on bool) {
+	if c, ok := ctx.Value(connKey{}).(*callerConn); ok {
+		_ = netopt.SetResetOnClose(c.countedConn.Conn, on) // fails only if the connection is closed
+	}
+}
+
 // consumeAdmitted reports, once for each request, whether it was admitted before the HTTP
 // server parsed it.
 func consumeAdmitted(ctx context.Context) bool {
--- a/handlers/gateway/gateway.go
+++ b/handlers/gateway/gateway.go
@@ -88,6 +88,17 @@
 	if mode != ServeAll {
 		w.Header().Set("Connection", "close")
 	}
+	if !r.ProtoAtLeast(1, 1) {
+		// Stays in force if the handler panics to abort the response.
+		setResetOnClose(r.Context(), true)
+	}
+	h.serve(w, r, mode)
+	if !r.ProtoAtLeast(1, 1) {
+		setResetOnClose(r.Context(), false)
+	}
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, mode Mode) {
 	call := h.opts.Dialect.ReadCall(r.Header)
 	if mode == RefuseAll {
 		h.refuse(w, call.ID, result.New(result.Draining, "the gateway is stopping").WithRetryAfter(drainingRetryAfter))
