forward: An error response over the buffer's size is not forwarded in part

A caller got the first 256 KiB of a longer error response under the target's status, and framed as whole where the target had used chunks or none. The cause is a limited reader whose limit reads as an end of file: the same class as streams that end inside an event, an end taken for a completion. It is not forwarded now: the outcome is unknown (502), as for one that broke off.

Evidence: TestLargeFailureIsNotForwardedInPart fails before (outcome failed, want unknown).

--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -20,6 +21,8 @@
 // is forwarded, so that a broken one can still be retried.
 const maxBufferedResponse = 256 << 10
 
+var errFailureTooLarge = fmt.Errorf("over %d bytes", maxBufferedResponse)
+
 // failure is an error response of a target.
 type failure struct {
 	answer *upstream.Answer
@@ -130,7 +133,10 @@
 }
 
 func (j *job) readFailure(p placement, a *upstream.Answer) (attempt.Outcome, *failure) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedResponse))
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedResponse+1))
+	if err == nil && len(body) > maxBufferedResponse {
+		err = errFailureTooLarge
+	}
 	j.recordEnding(a, endingOf(err))
 	if err != nil {
 		j.brokeOff, j.reason = true, "failure broke off: "+err.Error()
