engine: Read events by the same scanner as the gateways

Streams whose lines end with CR were refused as broken at the routers' own interface, as were comments and fields without a value that some servers send: a second scanner of events knew fewer forms than the format has. Both use modules/eventstream now; an answer still ends with its last event only, and one that ends inside an event, or between two, is resumed.

Evidence: the rows CR and comments of TestEventReaderOrder fail before; the fleet's tests pass.

--- a/services/engine/sse.go
+++ b/services/engine/sse.go
@@ -4,13 +4,12 @@
 package engine
 
 import (
-	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"strconv"
-	"strings"
+
+	"madderway/modules/eventstream"
 )
 
 // MaxEvent is the maximum size of a server-sent event, in bytes.
@@ -47,15 +46,13 @@
 
 // EventReader reads the server-sent events of a stream.
 type EventReader struct {
-	scan *bufio.Scanner
-	last int
+	events *eventstream.Reader
+	last   int
 }
 
 // NewEventReader returns a reader that starts after the event at offset last.
 func NewEventReader(r io.Reader, last int) *EventReader {
-	scan := bufio.NewScanner(r)
-	scan.Buffer(make([]byte, 0, 4096), MaxEvent)
-	return &EventReader{scan: scan, last: last}
+	return &EventReader{events: eventstream.NewReader(r, MaxEvent), last: last}
 }
 
 // Next returns the next event and skips repeated ones. If an event is missing or the stream ends
@@ -81,35 +78,18 @@
 }
 
 func (r *EventReader) read() (Event, error) {
-	var ev Event
-	var data []string
-	for r.scan.Scan() {
-		line := r.scan.Bytes()
-		if len(line) == 0 {
-			if len(data) == 0 {
-				continue
-			}
-			ev.Data = strings.Join(data, "\n")
-			return ev, nil
-		}
-		field, value, ok := bytes.Cut(line, []byte(":"))
-		if !ok {
-			return Event{}, ErrStream{"a line without a colon"}
-		}
-		value = bytes.TrimPrefix(value, []byte(" "))
-		switch string(field) {
-		case "data":
-			data = append(data, string(value))
-		case "id":
-			id, err := strconv.Atoi(string(value))
-			if err != nil || id < 1 {
-				return Event{}, ErrStream{"a bad event ID"}
-			}
-			ev.ID = id
-		}
+	raw, err := r.events.Next()
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return Event{}, ErrStream{"ended before its last event"}
 	}
-	if err := r.scan.Err(); err != nil {
+	if err != nil {
 		return Event{}, ErrStream{err.Error()}
 	}
-	return Event{}, ErrStream{"ended before its last event"}
+	ev := Event{Data: raw.Data}
+	if raw.HasID {
+		if ev.ID, err = strconv.Atoi(raw.ID); err != nil || ev.ID < 1 {
+			return Event{}, ErrStream{"a bad event ID"}
+		}
+	}
+	return ev, nil
 }
--- a/services/engine/sse_test.go
+++ b/services/engine/sse_test.go
@@ -37,6 +37,12 @@
 		{"out of order", "id: 2\ndata: b\n\nid: 1\ndata: a\n\n", 0, 0, true},
 		{"cut", "id: 1\ndata: a\n\nid: 2\nda", 0, 1, true},
 		{"not events", "<html>", 0, 0, true},
+		{"cut between events", "id: 1\ndata: a\n\n", 0, 1, true},
+		{"last event without its empty line", "id: 1\ndata: [DONE]\n", 0, 0, true},
+		{"CR LF", "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: [DONE]\r\n\r\n", 0, 2, false},
+		{"CR", "id: 1\rdata: a\r\rid: 2\rdata: [DONE]\r\r", 0, 2, false},
+		{"comments and a field without a value", ": c\nretry\nid: 1\ndata: [DONE]\n\n", 0, 1, false},
+		{"too large", "data: " + strings.Repeat("x", 2*MaxEvent) + "\n\n", 0, 0, true},
 		{"a bad ID", "id: x\ndata: a\n\n", 0, 0, true},
 	} {
 		ids, err := readAll(c.text, c.last)
