--- a/lab/platform/trouble.go
+++ b/lab/platform/trouble.go
@@ -31,6 +31,7 @@
 		"answer-lost":          func(s *Site) { s.injectFault(FaultLost) },
 		"answer-cut":           func(s *Site) { s.injectFault(FaultCut) },
 		"answer-extra":         func(s *Site) { s.injectFault(FaultExtra) },
+		"answer-unframed":      func(s *Site) { s.answerUnframed() },
 		"worker-shed":          func(s *Site) { s.injectFault(FaultRefuse) },
 		"worker-drain":         func(s *Site) { s.replaceWorker() },
 		"software-rollout":     func(s *Site) { s.upgradeWorkers() },
@@ -69,6 +70,32 @@
 	}
 }
 
+// answerUnframed makes all workers answer with neither a length nor chunks for a while. Meanwhile
+// one model worker breaks its streams off inside an event, and another one crashes under one.
+func (s *Site) answerUnframed() {
+	const insideEvent = 9 // bytes
+	unframed := Answers{Framing: CloseFraming}
+	s.setAnswers(unframed)
+	time.Sleep(outage / 2)
+	broken := Answers{Framing: CloseFraming, BreakOff: BreakByClose, After: insideEvent}
+	s.worker(0).SetAnswers(broken)
+	broken.BreakOff = BreakByCrash
+	s.worker(1).SetAnswers(broken)
+	time.Sleep(outage / 2)
+	if err := s.RestartCrashed(); err != nil {
+		s.ledger.AddViolation("worker: %v", err)
+	}
+	s.setAnswers(Answers{})
+}
+
+func (s *Site) setAnswers(a Answers) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.workers {
+		w.SetAnswers(a)
+	}
+}
+
 // evacuate evacuates a data hall for a while. Once every gateway knows and requests in flight have
 // arrived, its workers must get no request. The store may be down meanwhile.
 func (s *Site) evacuate(hall string, storeDown bool) {
