forward: The line of a target's death names the parts of the prompt and whether it had answered

Of the 6 to 26 requests that break off with a target, nothing told which had begun to be answered, and no line named a part of a prompt: a part that ends targets could not be told from an account or a size.

--- a/models/routing/prompt.go
+++ b/models/routing/prompt.go
@@ -19,6 +19,14 @@
 	Model     string
 }
 
+// SharedParts returns the parts that other requests may have, too: all but the last.
+func (p *Prompt) SharedParts() []PromptPart {
+	if p == nil || len(p.Parts) == 0 {
+		return nil
+	}
+	return p.Parts[:len(p.Parts)-1]
+}
+
 // AffinityKey returns the ID of the longest prompt prefix that other requests may
 // share, or 0. Requests with the same key profit from the same target's cache.
 func (p *Prompt) AffinityKey() uint64 {
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -46,6 +46,7 @@
 	scheduler           string // gateway that placed or refused the request
 	number              mesh.RequestID
 	reason              string
+	received            bool // the current target has sent a part of its response's body
 	brokeOff            bool // the last target ended its response or connection early
 	placedAt            time.Time
 	sentAt              time.Time
--- a/services/forward/requestlog.go
+++ b/services/forward/requestlog.go
@@ -6,12 +6,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"madderway/core/attempt"
 	"madderway/models/result"
+	"madderway/models/routing"
 )
 
 // sampleOneIn is the sampling rate of the request log. All gateways sample the same request IDs.
@@ -70,6 +72,21 @@
 	}
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// partNames returns the first shared parts of a prompt for the log.
+func partNames(p *routing.Prompt) []string {
+	var names []string
+	for _, part := range p.SharedParts() {
+		if len(names) == maxLoggedParts {
+			break
+		}
+		names = append(names, fmt.Sprintf("%016x", part.ID))
+	}
+	return names
+}
+
 // logFailedAttempt logs a failed attempt and the action after it.
 func (s *Service) logFailedAttempt(j *job, o attempt.Outcome, next attempt.Next, death targetDeath) {
 	values := []any{
@@ -86,7 +103,10 @@
 		values = append(values, "target_died", death.died)
 	}
 	if death.died {
-		values = append(values, "request", death.request)
+		values = append(values, "request", death.request, "received", j.received)
+	}
+	if death.died && !j.received {
+		values = append(values, "prompt_parts", partNames(j.r.Call.Prompt))
 	}
 	s.log.Request("Attempt failed.", values...)
 }
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -97,6 +97,7 @@
 	for {
 		n, err := a.Body.Read(chunk)
 		if n > 0 {
+			j.received = true
 			if j.timing.recordPart(j.s.opts.Clock.Now(), j.r.Received) {
 				if !slowTimer.Stop() && j.retryReserved.Load() {
 					j.reason = "cut for its slowness"
