--- a/lab/platform/client.go
+++ b/lab/platform/client.go
@@ -49,6 +49,7 @@
 	rng          *rand.Rand
 	http         *http.Client
 	sent         int
+	parts        []string    // IDs of the prompt's shared parts, chosen at random if empty
 	stream       *readStream // what the caller has of its stream
 	answerHeader http.Header // headers of the last answer
 	refusal      string      // body of the last refusal
@@ -137,7 +138,7 @@
 		own := 1 + c.rng.IntN(2*c.kind.OwnTokens)
 		req.Header.Set("Model", "m")
 		req.Header.Set("Token-Usage", fmt.Sprintf("%d,%d", c.kind.SharedTokens+own, 64))
-		req.Header.Set("Prompt-Prefix", fmt.Sprintf("%s%x:%d,%s:%d", c.kind.Name, c.rng.IntN(c.kind.Prefixes), c.kind.SharedTokens, id, own))
+		req.Header.Set("Prompt-Prefix", fmt.Sprintf("%s,%s:%d", c.sharedParts(), id, own))
 	}
 	if c.kind.Stream {
 		c.stream.setHeaders(req.Header)
@@ -152,6 +153,18 @@
 	return c.checkAnswer(id, body, resp, started)
 }
 
+// sharedParts returns the prompt's parts but the last, with their tokens.
+func (c *client) sharedParts() string {
+	if len(c.parts) == 0 {
+		return fmt.Sprintf("%s%x:%d", c.kind.Name, c.rng.IntN(c.kind.Prefixes), c.kind.SharedTokens)
+	}
+	parts := make([]string, len(c.parts))
+	for i, id := range c.parts {
+		parts[i] = fmt.Sprintf("%s:%d", id, c.kind.SharedTokens/len(c.parts))
+	}
+	return strings.Join(parts, ",")
+}
+
 // checkAnswer checks an answer against the one that the worker must send.
 func (c *client) checkAnswer(id, sent string, resp *http.Response, started time.Time) (outcome, time.Duration) {
 	switch resp.StatusCode {
--- a/lab/platform/single.go
+++ b/lab/platform/single.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -102,6 +103,14 @@
 	return result == outcomeRefused, after
 }
 
+// AskPrompt sends a request for a stream whose prompt has the given shared parts. No two such
+// requests have the same path, body or last part.
+func (s *Site) AskPrompt(ctx context.Context, gateway int, kind Kind, account string, seed uint64, parts ...string) Answer {
+	c := s.newSingleClient(gateway, kind, account, fmt.Sprintf("%sitem/%d", kind.Path, seed), seed)
+	c.parts = parts
+	return c.answer(c.sendOnce(ctx))
+}
+
 // newSingleClient returns a client for one request to a given gateway.
 func (s *Site) newSingleClient(gateway int, kind Kind, account, uri string, seed uint64) *client {
 	c := newClient(s, kind, account, s.keys[account][0], seed)
--- a/lab/platform/worker.go
+++ b/lab/platform/worker.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -56,6 +57,10 @@
 // PoisonMarker in the path of a request crashes every worker that starts it.
 const PoisonMarker = "ends-worker"
 
+// PoisonPart is the ID of a part of a prompt that crashes every model worker that begins to answer a
+// prompt with it, whatever else the request holds.
+const PoisonPart = "bad0bad0"
+
 // Worker is a stand-in for a model worker or a plain worker.
 type Worker struct {
 	ID          string
@@ -360,11 +365,20 @@
 	_, _ = io.Copy(io.Discard, conn)
 }
 
+// hasPart reports whether a prompt has a shared part.
+func hasPart(prompt, id string) bool {
+	parts := strings.Split(prompt, ",")
+	return slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool { return strings.HasPrefix(part, id+":") })
+}
+
 // stream prefills the prompt, then sends the events after Last-Event-Id.
 func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, id string, fault Fault) {
 	if !pause(r, w.copyCached(r.Header.Get("Kv-Fetch"), r.Header.Get("Prompt-Prefix"))) || !pause(r, w.prefill(r.Header.Get("Prompt-Prefix"))) {
 		panic(http.ErrAbortHandler)
 	}
+	if hasPart(r.Header.Get("Prompt-Prefix"), PoisonPart) {
+		w.crashUnder(r)
+	}
 	content, from := id, 0
 	if r.Header.Get("Resumes") != "" {
 		content = r.Header.Get("Resumes")
--- a/router/gatewaystate.go
+++ b/router/gatewaystate.go
@@ -38,9 +38,11 @@
 	TargetConnections uint64     `json:"target_connections_total"`
 	Mesh              mesh.State `json:"mesh"`
 	// Requests that are refused because targets died while running them.
-	Quarantined int    `json:"quarantined_requests"`
-	Goroutines  int    `json:"goroutines"`
-	HeapBytes   uint64 `json:"heap_bytes"`
+	Quarantined int `json:"quarantined_requests"`
+	// Parts of prompts that are refused because targets died under requests with them.
+	RefusedParts int    `json:"refused_prompt_parts"`
+	Goroutines   int    `json:"goroutines"`
+	HeapBytes    uint64 `json:"heap_bytes"`
 }
 
 // Dump returns the state of the process.
