forward, dispatch, peerwire: Refuse prompts with a part under which targets end

Cause: a death counts against the request (account, method, path, body), and no two of these requests are alike. The class: what is counted is not what causes the harm. Refusing the account or the route would have been the other mistake.

Change: a gateway counts a target's death against the parts of the prompts that the target had not begun to answer, sends that to two gateways drawn by the part, and these tell all once a second episode has come. A prompt with a refused part is refused at once as not run (2013) before a place is asked for, and again right before the first byte, on every way: placed by a cell or here, handed over, resumed, tried again, and at the routers' own interface, where the beginning of a prompt stands for its parts. An answer that goes on for 150 ms clears the parts, also one that dies with its target. What is refused stands in the store's table beside the requests. Gateways of older releases pass over the new field of the frame.

Evidence: TestPromptPartThatEndsTargetsIsRefused failed with 32 to 56 ends in 32 tries and passes with at most 5; TestRefusedPromptPartSurvivesFleetRestart failed and passes. While no part is suspected one atomic load a request, nothing sent, hashed or looked up (TestUnsuspectedPartsCostNothing).

--- a/core/quarantine/localize.go
+++ b/core/quarantine/localize.go
@@ -4,7 +4,6 @@
 package quarantine
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -23,12 +22,12 @@
 func localize(records map[Part]*PartRecord) []culprit {
 	candidates := make([]*PartRecord, 0, len(records))
 	for _, r := range records {
-		if r.isRefused() {
+		if len(r.Deaths) >= PartThreshold && r.isRefused() {
 			candidates = append(candidates, r)
 		}
 	}
 	slices.SortFunc(candidates, compareParts)
-	explained := map[string]bool{}
+	var explained []PartDeath
 	var culprits []culprit
 	for {
 		best, most := (*PartRecord)(nil), PartThreshold-1
@@ -41,26 +40,18 @@
 			return culprits
 		}
 		c := culprit{}
-		targets := targetsOf(best.counted(explained))
+		deaths := best.counted(explained)
 		for _, r := range candidates {
-			if maps.Equal(targets, targetsOf(r.counted(explained))) {
+			if sameDeaths(deaths, r.counted(explained)) {
 				c.parts = append(c.parts, r.Part)
 			}
 		}
 		c.until, c.open = best.heldUntil()
 		culprits = append(culprits, c)
-		maps.Copy(explained, targets)
+		explained = append(explained, deaths...)
 	}
 }
 
-func targetsOf(deaths []PartDeath) map[string]bool {
-	out := make(map[string]bool, len(deaths))
-	for _, d := range deaths {
-		out[d.Target] = true
-	}
-	return out
-}
-
 // count returns how many of its parts a prompt has.
 func (c *culprit) count(prompt []Part) int {
 	n := 0
--- a/core/quarantine/part.go
+++ b/core/quarantine/part.go
@@ -41,7 +41,7 @@
 	PartThreshold = 3
 	// episodeLength groups the deaths that may have one cause, such as the loss of a data hall:
 	// those within this time after the first count once.
-	episodeLength = 300 * time.Millisecond
+	episodeLength = 50 * time.Millisecond
 	// maxEpisodeDeaths bounds the deaths of an episode that are kept.
 	maxEpisodeDeaths = 4
 	// answerCredit is the time after an answer to a prompt with the part in which deaths do not
@@ -67,31 +67,62 @@
 	Part       Part
 	Deaths     []PartDeath // in the order of time
 	AnsweredAt time.Time   // zero if no answer is known
+
+	toldLevel int // level at the last change that was told
 }
 
+// level returns the number of episodes of deaths that count, at most PartThreshold.
+func (r *PartRecord) level() int { return min(episodes(r.counted(nil)), PartThreshold) }
+
 // IsShared reports whether all gateways are to have the record.
-func (r *PartRecord) IsShared() bool { return len(r.Deaths) >= ShareThreshold }
+func (r *PartRecord) IsShared() bool {
+	return r.level() >= ShareThreshold || !r.AnsweredAt.IsZero() && len(r.Deaths) > 0
+}
 
 func (r *PartRecord) clone() PartRecord {
-	return PartRecord{r.Part, slices.Clone(r.Deaths), r.AnsweredAt}
+	return PartRecord{Part: r.Part, Deaths: slices.Clone(r.Deaths), AnsweredAt: r.AnsweredAt}
 }
 
 // counts reports whether a death counts against the part.
 func (r *PartRecord) counts(d PartDeath) bool { return d.At.After(r.AnsweredAt.Add(answerCredit)) }
 
-// counted returns the deaths that count against the part and are not explained, in the order of time.
-func (r *PartRecord) counted(explained map[string]bool) []PartDeath {
+// counted returns the deaths that count against the part and are not among the explained ones, in the
+// order of time.
+func (r *PartRecord) counted(explained []PartDeath) []PartDeath {
 	var out []PartDeath
 	for _, d := range r.Deaths {
-		if r.counts(d) && !explained[d.Target] {
+		if r.counts(d) && !containsDeath(explained, d) {
 			out = append(out, d)
 		}
 	}
 	return out
 }
 
+// isSame reports whether two reports tell of the same death.
+func (d PartDeath) isSame(other PartDeath) bool {
+	return d.Target == other.Target && d.At.Sub(other.At).Abs() < minLifetime
+}
+
+func containsDeath(deaths []PartDeath, d PartDeath) bool {
+	return slices.ContainsFunc(deaths, d.isSame)
+}
+
+// sameDeaths reports whether two lists without repetitions tell of the same deaths.
+func sameDeaths(a, b []PartDeath) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(d PartDeath) bool { return !containsDeath(b, d) })
+}
+
 // isRefused reports whether enough deaths count against the part to refuse it.
-func (r *PartRecord) isRefused() bool { return episodes(r.counted(nil)) >= PartThreshold }
+func (r *PartRecord) isRefused() bool { return r.level() == PartThreshold }
+
+// takeLevelChange reports whether all gateways are to be told of a change. Those of refused parts are
+// told each, as their deaths explain others.
+func (r *PartRecord) takeLevelChange() bool {
+	level := r.level()
+	changed := max(level, r.toldLevel) >= ShareThreshold && (level != r.toldLevel || level == PartThreshold)
+	r.toldLevel = level
+	return changed
+}
 
 // episodes returns the number of episodes of deaths in the order of time.
 func episodes(deaths []PartDeath) int {
@@ -145,25 +176,27 @@
 func (r *PartRecord) add(d PartDeath) bool {
 	near := 0 // deaths of the same episode
 	for i := range r.Deaths {
-		known := &r.Deaths[i]
-		apart := d.At.Sub(known.At).Abs()
-		if known.Target == d.Target && apart < minLifetime {
+		known := r.Deaths[i]
+		if known.isSame(d) {
 			return false
 		}
-		if apart < episodeLength {
+		if d.At.Sub(known.At).Abs() < episodeLength {
 			near++
 		}
 	}
 	if !r.counts(d) || near >= maxEpisodeDeaths {
 		return false
 	}
+	if len(r.Deaths) >= maxPartDeaths {
+		if until, _ := r.heldUntil(); d.At.Before(until) {
+			return false // the part is refused anyway
+		}
+		r.Deaths = slices.Delete(r.Deaths, 0, 1)
+	}
 	r.Deaths = append(r.Deaths, d)
 	slices.SortFunc(r.Deaths, func(a, b PartDeath) int {
 		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Target, b.Target))
 	})
-	if len(r.Deaths) > maxPartDeaths {
-		r.Deaths = slices.Delete(r.Deaths, 0, 1)
-	}
 	return true
 }
 
@@ -177,43 +210,48 @@
 	return len(r.counted(nil)) < before
 }
 
-// digest hashes what gateways must agree on: that the part is refused, or else the targets whose
-// deaths count. It is 0 if these are fewer than ShareThreshold.
+// digest hashes what gateways must agree on: the level. It is 0 below ShareThreshold.
 func (r *PartRecord) digest() uint64 {
-	counted := r.counted(nil)
-	if len(counted) < ShareThreshold {
+	level := r.level()
+	if level < ShareThreshold {
 		return 0
 	}
 	var d xxhash.Digest
 	d.ResetWithSeed(uint64(r.Part))
-	if r.isRefused() {
-		return d.Sum64()
-	}
-	sum := uint64(0) // the same for every order
-	for _, death := range counted {
-		sum += xxhash.Sum64String(death.Target)
-	}
-	var b [8]byte
-	binary.LittleEndian.PutUint64(b[:], sum)
-	_, _ = d.Write(b[:])
+	_, _ = d.Write([]byte{byte(level)})
 	return d.Sum64()
 }
 
-// PartRecipients returns the gateways to which a record is sent: a few that count deaths until
-// the record is shared, then all, each through its neighbors.
-func PartRecipients(r PartRecord, nodes []place.Node, neighbors []string) []string {
-	if r.IsShared() {
-		return neighbors
-	}
-	return place.Top(nodes, r.Part.key(), firstDeathReplicas)
+// PartNews is a change of a record at a gateway.
+type PartNews struct {
+	Record       PartRecord
+	Added        bool // the gateway learned of deaths or of an answer
+	LevelChanged bool // what all gateways are to know has changed
+	AnswerKnown  bool // the gateway knows of an answer that the sender of the record lacks
 }
 
-// PartOwner returns the gateway that decides on trials of a part and archives it.
-func PartOwner(p Part, nodes []place.Node) string {
-	if top := place.Top(nodes, p.key(), 1); len(top) > 0 {
-		return top[0]
+// Recipients returns the gateways that are to have the record. from is the gateway that it came from,
+// or empty. Deaths and answers go to the owners of the part, which collect them and tell all
+// gateways, each through its neighbors, when the level changes. So the records sent grow with the
+// gateways, not with gateways times deaths.
+func (n PartNews) Recipients(self, from string, nodes []place.Node, neighbors []string) []string {
+	owners := PartOwners(n.Record.Part, nodes)
+	owns := slices.Contains(owners, self)
+	var to []string
+	if owns && n.LevelChanged || !owns && from != "" && n.Added && n.Record.IsShared() {
+		to = append(to, neighbors...)
 	}
-	return ""
+	if from == "" || n.AnswerKnown {
+		to = append(to, owners...)
+	}
+	slices.Sort(to)
+	return slices.DeleteFunc(slices.Compact(to), func(id string) bool { return id == self || id == from && !n.AnswerKnown })
+}
+
+// PartOwners returns the gateways that collect the deaths of a part. The first one also archives it
+// and decides on its trials.
+func PartOwners(p Part, nodes []place.Node) []string {
+	return place.Top(nodes, p.key(), firstDeathReplicas)
 }
 
 // compareParts orders records by their number of deaths that count, the most first.
--- a/core/quarantine/parttable.go
+++ b/core/quarantine/parttable.go
@@ -37,69 +37,75 @@
 // Len returns the number of records.
 func (t *PartTable) Len() int { return len(t.records) }
 
-// TargetDied records that a target died while a request with the parts, sent at the given time, had
-// not been answered yet. It returns the changed records. Nothing counts if the target had died before.
-func (t *PartTable) TargetDied(now time.Time, prompt []Part, target string, sent time.Time) []PartRecord {
+// TargetDied records that a target died under a request with the parts, sent at the given time. The
+// death counts against them unless the target had begun to answer the request, which clears them. It
+// returns the changes. Nothing counts if the target had died before the request was sent.
+func (t *PartTable) TargetDied(now time.Time, prompt []Part, target string, sent time.Time, answered bool) []PartNews {
 	at, seen := t.ended[target]
-	if !seen {
+	if !seen || now.Sub(at) >= minLifetime && sent.After(at) {
 		at = now
 		t.ended[target] = at
 	}
 	if sent.After(at) {
 		return nil
 	}
-	var changed []PartRecord
+	var news []PartNews
 	for _, p := range prompt[:min(len(prompt), maxCheckedParts)] {
 		r := t.record(p)
-		if t.update(now, r, func() bool { return r.add(PartDeath{target, at}) }) {
-			changed = append(changed, r.clone())
+		change := func() bool { return r.add(PartDeath{target, at}) }
+		if answered {
+			change = func() bool { return r.answered(now) }
 		}
+		news = t.appendNews(now, news, r, change)
 	}
-	t.culprits = localize(t.records)
-	return changed
+	return news
 }
 
 // Answered records that a target has answered a request with the parts: deaths do not count against
-// them any more. It returns the changed records that other gateways must be told of.
-func (t *PartTable) Answered(now time.Time, prompt []Part) []PartRecord {
-	var changed []PartRecord
+// them any more. It returns the changes of which other gateways must be told.
+func (t *PartTable) Answered(now time.Time, prompt []Part) []PartNews {
+	var news []PartNews
 	for _, p := range prompt[:min(len(prompt), maxCheckedParts)] {
-		r := t.records[p]
-		if r == nil || !t.update(now, r, func() bool { return r.answered(now) }) {
-			continue
-		}
-		if r.IsShared() {
-			changed = append(changed, r.clone())
+		if r := t.records[p]; r != nil {
+			news = t.appendNews(now, news, r, func() bool { return r.answered(now) })
 		}
 	}
-	if len(changed) > 0 {
-		t.culprits = localize(t.records)
+	return news
+}
+
+// appendNews applies a change that this gateway saw, and appends it to the news if it adds
+// information.
+func (t *PartTable) appendNews(now time.Time, news []PartNews, r *PartRecord, change func() bool) []PartNews {
+	if !t.update(now, r, change) {
+		return news
 	}
-	return changed
+	t.culprits = localize(t.records)
+	return append(news, PartNews{Record: r.clone(), Added: true, LevelChanged: r.takeLevelChange()})
 }
 
-// Merge merges the record of another gateway. It returns the merged record and whether the others
-// must be told of it: the other record added information, or lacked an answer that is known here.
-func (t *PartTable) Merge(now time.Time, other PartRecord) (PartRecord, bool) {
+// Merge merges the record of another gateway. It reports whether there is any news.
+func (t *PartTable) Merge(now time.Time, other PartRecord) (PartNews, bool) {
 	if !isValidPart(now, &other) {
-		return PartRecord{}, false
+		return PartNews{}, false
 	}
 	r := t.record(other.Part)
 	known := r.AnsweredAt
-	updated := t.update(now, r, func() bool {
-		updated := r.answered(other.AnsweredAt)
+	added := t.update(now, r, func() bool {
+		added := r.answered(other.AnsweredAt)
 		for _, d := range other.Deaths {
-			updated = r.add(d) || updated
-			if at, seen := t.ended[d.Target]; !seen || d.At.Before(at) {
+			added = r.add(d) || added
+			if at, seen := t.ended[d.Target]; !seen || d.At.Before(at) || d.At.Sub(at) >= minLifetime {
 				t.ended[d.Target] = d.At
 			}
 		}
-		return updated
+		return added
 	})
-	if updated {
+	if added {
 		t.culprits = localize(t.records)
 	}
-	return r.clone(), other.answered(known) || updated
+	n := PartNews{Record: r.clone(), Added: added, AnswerKnown: other.answered(known)}
+	n.LevelChanged = added && r.takeLevelChange()
+	return n, n.Added || n.AnswerKnown
 }
 
 // isValidPart reports whether a received record is well-formed and not expired.
@@ -190,7 +196,7 @@
 func (t *PartTable) Expire(now time.Time) []PartRecord {
 	var expired []PartRecord
 	for _, r := range t.records {
-		if !now.Before(r.expires()) {
+		if len(r.Deaths) > 0 && !now.Before(r.expires()) {
 			expired = append(expired, *r)
 			t.drop(r)
 			continue
@@ -199,7 +205,7 @@
 			r.Deaths = slices.DeleteFunc(r.Deaths, func(d PartDeath) bool { return !r.counts(d) && now.Sub(d.At) > answeredRetention })
 			return false
 		})
-		if len(r.Deaths) == 0 {
+		if len(r.Deaths) == 0 && now.Sub(r.AnsweredAt) > answeredRetention {
 			t.drop(r)
 		}
 	}
--- a/models/result/code.go
+++ b/models/result/code.go
@@ -36,6 +36,7 @@
 	Overloaded        Code = 2010
 	EndsTargets       Code = 2011
 	OriginUnknown     Code = 2012
+	PartEndsTargets   Code = 2013
 	TargetFailed      Code = 3001
 	OutcomeUnknown    Code = 3002
 	ClaimInProgress   Code = 3003
@@ -97,6 +98,7 @@
 	{Overloaded, "overloaded", http.StatusServiceUnavailable, RanNo, true, "The router is asked for more than it can serve in time; call another one."},
 	{EndsTargets, "ends_targets", http.StatusServiceUnavailable, RanNo, true, "Targets ended under earlier tries of the same request; it may be tried again after the time that is named."},
 	{OriginUnknown, "origin_unknown", http.StatusServiceUnavailable, RanNo, true, "It is not known which software version began the stream that the caller continues, and several are in use."},
+	{PartEndsTargets, "part_ends_targets", http.StatusServiceUnavailable, RanNo, true, "Targets ended before they answered prompts with a part that this one has; it may be tried again after the time that is named."},
 	{TargetFailed, "target_failed", http.StatusBadGateway, RanYes, false, "The target ran the call and failed."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, RanUnknown, false, "The call may have run; it will not be repeated."},
 	{ClaimInProgress, "claim_in_progress", http.StatusConflict, RanUnknown, true, "Another call with this key has not ended yet."},
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -176,6 +176,7 @@
 	members.EnableFullSync, members.MaxRumors, members.SyncRecordsPerSecond = true, maxRumors, maxSyncRecordsPerSecond
 	g.quarantine = quarantine.New(log.New("quarantine").With(s.ID), quarantine.Options{
 		Clock: g.clock, MetricsPrefix: "madderway_gateway", Share: func(r core.Record) { g.loop.ShareRecord(r) },
+		SharePart: func(n core.PartNews) { g.loop.SharePartNews(n) },
 	})
 	client := upstream.NewClient(g.pool, platform.Dialect{}, g.notices.Answered)
 	g.relay = relay.New(&g.t, log.New("relay").With(s.ID), relay.Options{Auth: auth, Meter: g.relayMeter, Clock: g.clock})
--- a/router/gatewaystate.go
+++ b/router/gatewaystate.go
@@ -53,7 +53,7 @@
 	return GatewayDump{
 		ID: g.self.ID, Incarnation: g.self.Incarnation, DataHall: g.self.DataHall, Ready: g.Ready(), Draining: g.isDraining(),
 		InFlight: g.inFlight(), HandedOver: g.callers.HandedOver(), CallerConnections: g.callers.Open(), TurnedAway: g.callers.TurnedAway(), Targets: g.follow.Targets().Len(), Leaving: g.follow.Targets().LeavingIDs(), Evacuated: g.follow.Evacuated(), StoreCalls: calls, PeerFetches: fetches, TargetConnections: g.pool.Dials(),
-		Mesh: g.loop.State(), Quarantined: g.quarantine.Standings()[quarantine.Quarantined], Goroutines: runtime.NumGoroutine(), HeapBytes: mem.HeapAlloc,
+		Mesh: g.loop.State(), Quarantined: g.quarantine.Standings()[quarantine.Quarantined], RefusedParts: g.quarantine.Parts().RefusedCount(), Goroutines: runtime.NumGoroutine(), HeapBytes: mem.HeapAlloc,
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -150,6 +150,7 @@
 	})
 	r.quarantine = quarantine.New(log.New("quarantine").With(id), quarantine.Options{
 		Clock: r.clock, MetricsPrefix: "madderway", Share: func(record core.Record) { r.loop.ShareRecord(record) },
+		SharePart: func(n core.PartNews) { r.loop.SharePartNews(n) },
 	})
 	r.notices = notice.New(log.New("notice").With(id), notice.Options{Clock: r.clock, MetricsPrefix: "madderway"})
 	r.engine.OnRetryAfter = func(target string, retryAfter retryafter.Result) { r.notices.PauseTarget(target, "", retryAfter) }
--- a/services/control/api.go
+++ b/services/control/api.go
@@ -31,6 +31,9 @@
 // ShareRecord sends other routers a record of a request under which targets died.
 func (l *Loop) ShareRecord(r quarantine.Record) { l.put(recordIn{r}) }
 
+// SharePartNews tells other routers of a prompt part under which targets died.
+func (l *Loop) SharePartNews(n quarantine.PartNews) { l.put(partNewsIn{n}) }
+
 // Leave announces to the other routers that this one is leaving.
 func (l *Loop) Leave() { l.put(memberIn{member.Leave{}}) }
 
--- a/services/control/input.go
+++ b/services/control/input.go
@@ -34,6 +34,8 @@
 
 type recordIn struct{ record quarantine.Record }
 
+type partNewsIn struct{ news quarantine.PartNews }
+
 type vmsIn struct{ vms []vm.VM }
 
 type indexIn struct{ index *conf.Index }
@@ -57,7 +59,9 @@
 func (schedIn) isInput()  {}
 func (memberIn) isInput() {}
 func (recordIn) isInput() {}
-func (vmsIn) isInput()    {}
-func (indexIn) isInput()  {}
-func (loadIn) isInput()   {}
-func (doIn) isInput()     {}
+
+func (partNewsIn) isInput() {}
+func (vmsIn) isInput()      {}
+func (indexIn) isInput()    {}
+func (loadIn) isInput()     {}
+func (doIn) isInput()       {}
--- a/services/control/loop.go
+++ b/services/control/loop.go
@@ -189,6 +189,8 @@
 		l.stepMembers(now, e.event)
 	case recordIn:
 		l.records.Share(now, e.record, "")
+	case partNewsIn:
+		l.records.SharePart(now, e.news, "")
 	case vmsIn:
 		l.handleVMs(now, e.vms)
 	case indexIn:
@@ -311,7 +313,7 @@
 	if hb := f.Heartbeat; hb != nil {
 		l.handleHeartbeat(now, peer, hb)
 	}
-	if len(f.RequestRecords) > 0 || f.RequestRecordsAsk {
+	if len(f.RequestRecords) > 0 || len(f.PromptPartRecords) > 0 || f.RequestRecordsAsk {
 		l.records.Receive(now, peer, f)
 	}
 	for _, ev := range schedulerEvents(peer, f) {
--- a/services/dispatch/chat.go
+++ b/services/dispatch/chat.go
@@ -203,7 +203,7 @@
 	}
 	fin.Failed = !st.callerDisconnected
 	j.deny = append(j.deny, target.Name)
-	s.checkTargetDeath(ctx, j, target)
+	s.checkTargetDeath(ctx, j, target, p.outlivesRequest())
 	return outcomeUnknown, 0, err
 }
 
@@ -215,7 +215,7 @@
 	if !a.MayHaveRun {
 		return outcomeNotRun, a.Status, result.Wrap(result.TargetRefused, err).WithRetryAfter(time.Second)
 	}
-	st.s.checkTargetDeath(ctx, st.j, target)
+	st.s.checkTargetDeath(ctx, st.j, target, false)
 	return outcomeUnknown, 0, result.Wrap(result.OutcomeUnknown, err)
 }
 
--- a/services/dispatch/plain.go
+++ b/services/dispatch/plain.go
@@ -148,7 +148,7 @@
 		return a, outcomeNotRun, at.Status, result.Wrap(result.TargetRefused, err).WithRetryAfter(time.Second)
 	}
 	fin.Failed = ctx.Err() == nil
-	s.checkTargetDeath(ctx, j, target)
+	s.checkTargetDeath(ctx, j, target, false)
 	return a, outcomeUnknown, 0, result.Wrap(result.OutcomeUnknown, err)
 }
 
--- a/services/dispatch/pump.go
+++ b/services/dispatch/pump.go
@@ -42,6 +42,7 @@
 	firstToken time.Duration
 	firstAt    time.Time
 	lastAt     time.Time
+	answered   bool // the target was seen to survive the request
 }
 
 // run reads until the last event. A broken connection is resumed at the same target after the
@@ -137,6 +138,10 @@
 	st := p.st
 	st.s.counters.tokens.Inc()
 	p.measure(ev)
+	if !p.answered && (ev.Done() || p.outlivesRequest()) {
+		p.answered = true
+		st.j.quarantineAttempt.Answered()
+	}
 	if limit := st.j.account.KeepBytes; st.bytes+int64(len(ev.Data)) <= limit {
 		st.events = append(st.events, ev.Data)
 		st.bytes += int64(len(ev.Data))
@@ -146,6 +151,15 @@
 	}
 }
 
+// answerSettleTime is the time for which a target must go on after its first event until the stream
+// shows that the target survives the request.
+const answerSettleTime = 150 * time.Millisecond
+
+// outlivesRequest reports whether the target has sent events for answerSettleTime.
+func (p *pump) outlivesRequest() bool {
+	return !p.firstAt.IsZero() && p.st.s.opts.Clock.Now().Sub(p.firstAt) >= answerSettleTime
+}
+
 func (p *pump) measure(ev engine.Event) {
 	st := p.st
 	now := p.st.s.opts.Clock.Now()
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -36,7 +36,7 @@
 	defer cancel()
 	slowTimer := j.cutIfSlow(p, cancel)
 	defer slowTimer.Stop()
-	j.brokeOff, j.received, j.refusal, j.permit = false, false, nil, notice.Permit{}
+	j.brokeOff, j.receivedAt, j.answered, j.refusal, j.permit = false, time.Time{}, false, nil, notice.Permit{}
 	a, err := j.s.opts.Client.Send(ctx, p.target(), j.sendRequest(p.target()))
 	j.permit.End(err == nil && !a.Info.NotRun)
 	if errors.Is(err, errStalePlacement) {
@@ -173,6 +173,7 @@
 	}
 	if len(body) <= maxBufferedResponse {
 		j.recordEnding(a, endedWhole)
+		j.recordAnswered(true)
 		p.done()
 		return 0
 	}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -128,7 +128,7 @@
 func (s *Service) Serve(ctx context.Context, w http.ResponseWriter, r *Request) error {
 	ctx, cancel := clock.WithDeadline(ctx, s.opts.Clock, r.Deadline)
 	defer cancel()
-	j := &job{s: s, ctx: ctx, w: w, r: r, lastEvent: r.Call.LastEvent, history: attempt.History{Route: r.Route}, quarantineAttempt: s.opts.Quarantine.NewAttempt(r.identity())}
+	j := &job{s: s, ctx: ctx, w: w, r: r, lastEvent: r.Call.LastEvent, history: attempt.History{Route: r.Route}, quarantineAttempt: s.opts.Quarantine.NewAttempt(r.identity(), r)}
 	j.takeFromRetryBudget = func() bool { return s.takeFromRetryBudget(r.Service.Name) }
 	if scheduled(r.Service, &r.Call) {
 		s.inFlight.Add(1)
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -46,8 +46,9 @@
 	scheduler           string // gateway that placed or refused the request
 	number              mesh.RequestID
 	reason              string
-	received            bool // the current target has sent a part of its response's body
-	brokeOff            bool // the last target ended its response or connection early
+	receivedAt          time.Time // of the first bytes of the current target's response body
+	answered            bool      // the current target was seen to survive the request
+	brokeOff            bool      // the last target ended its response or connection early
 	placedAt            time.Time
 	sentAt              time.Time
 	refusal             error              // why the request must not be sent to a target
--- a/services/forward/quarantine.go
+++ b/services/forward/quarantine.go
@@ -26,6 +26,33 @@
 	return quarantine.Identity{Account: r.account(), Method: r.Method, Host: r.Host, URI: r.URI, Body: r.Body}
 }
 
+// PromptParts implements quarantine.Prompt.
+func (r *Request) PromptParts() []quarantine.Part {
+	shared := r.Call.Prompt.SharedParts()
+	parts := make([]quarantine.Part, len(shared))
+	for i, part := range shared {
+		parts[i] = quarantine.PartOf(r.Call.Prompt.Model, part.ID)
+	}
+	return parts
+}
+
+// answerSettleTime is the time for which a target must go on after the first bytes of a response
+// until the response shows that the target survives the request.
+const answerSettleTime = 150 * time.Millisecond
+
+// recordAnswered notes that the target survives the request, once its response has settled.
+func (j *job) recordAnswered(complete bool) {
+	if !j.answered && j.s.opts.Quarantine.Parts().Known() && (complete || j.hasSettled()) {
+		j.answered = true
+		j.quarantineAttempt.Answered()
+	}
+}
+
+// hasSettled reports whether the response of the current target has come for answerSettleTime.
+func (j *job) hasSettled() bool {
+	return !j.receivedAt.IsZero() && j.s.opts.Clock.Now().Sub(j.receivedAt) >= answerSettleTime
+}
+
 // checkQuarantine returns an error if the request is quarantined. Such a request does not count
 // for the throttle of its account.
 func (j *job) checkQuarantine() error {
@@ -87,19 +114,20 @@
 	if !j.brokeOff || o != attempt.Unknown && o != attempt.Cut {
 		return targetDeath{}
 	}
-	a, sentAt := j.quarantineAttempt, j.sentAt
+	a, sentAt, answered := j.quarantineAttempt, j.sentAt, j.answered || j.hasSettled()
 	ask := func(ctx context.Context) (died, known bool) { return j.s.opts.Client.HasExited(ctx, t) }
-	died, known := requests.HasExited(j.ctx, ask, func() { j.s.recordDeath(&a, t, sentAt) })
+	died, known := requests.HasExited(j.ctx, ask, func() { j.s.recordDeath(&a, t, sentAt, answered) })
 	if !died {
 		return targetDeath{checked: known}
 	}
-	j.s.recordDeath(&j.quarantineAttempt, t, sentAt)
+	j.s.recordDeath(&j.quarantineAttempt, t, sentAt, answered)
 	return targetDeath{checked: true, died: true, request: j.quarantineAttempt.Request()}
 }
 
-// recordDeath records a request under which a target died, unless the target was leaving.
-func (s *Service) recordDeath(a *requests.Attempt, t *routing.Target, sentAt time.Time) {
+// recordDeath records a request under which a target died, unless the target was leaving. answered
+// reports whether the target had begun to answer it.
+func (s *Service) recordDeath(a *requests.Attempt, t *routing.Target, sentAt time.Time, answered bool) {
 	if listed := s.opts.Targets.Targets().Find(t.ID); listed != nil && listed.AcceptsWork() {
-		a.TargetDied(t.ID, sentAt)
+		a.TargetDied(t.ID, sentAt, answered)
 	}
 }
--- a/services/forward/requestlog.go
+++ b/services/forward/requestlog.go
@@ -103,9 +103,9 @@
 		values = append(values, "target_died", death.died)
 	}
 	if death.died {
-		values = append(values, "request", death.request, "received", j.received)
+		values = append(values, "request", death.request, "received", !j.receivedAt.IsZero())
 	}
-	if death.died && !j.received {
+	if death.died && !j.answered {
 		values = append(values, "prompt_parts", partNames(j.r.Call.Prompt))
 	}
 	s.log.Request("Attempt failed.", values...)
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -97,8 +97,11 @@
 	for {
 		n, err := a.Body.Read(chunk)
 		if n > 0 {
-			j.received = true
-			if j.timing.recordPart(j.s.opts.Clock.Now(), j.r.Received) {
+			now := j.s.opts.Clock.Now()
+			if j.receivedAt.IsZero() {
+				j.receivedAt = now
+			}
+			if j.timing.recordPart(now, j.r.Received) {
 				if !slowTimer.Stop() && j.retryReserved.Load() {
 					j.reason = "cut for its slowness"
 					return j.ended(p, attempt.Cut)
@@ -114,6 +117,7 @@
 				return attempt.Cut
 			}
 			if err == nil {
+				j.recordAnswered(false)
 				j.coalesce()
 			}
 		}
@@ -167,6 +171,7 @@
 		p.canceled()
 		return attempt.Cut
 	}
+	j.recordAnswered(true)
 	p.done()
 	return 0
 }
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -251,6 +251,8 @@
 		l.stepMembers(now, e.event)
 	case recordIn:
 		l.records.Share(now, e.record, "")
+	case partNewsIn:
+		l.records.SharePart(now, e.news, "")
 	case originsIn:
 		l.shareOrigins(now, e.records)
 	case routingIn:
--- a/services/mesh/step.go
+++ b/services/mesh/step.go
@@ -58,7 +58,7 @@
 		l.opts.Follow.ObservePeerVersions(peer, versionsFromWire(f.Versions))
 	}
 	l.stepEntry(now, entry.PeerHeard{ID: peer})
-	if len(f.RequestRecords) > 0 || f.RequestRecordsAsk {
+	if len(f.RequestRecords) > 0 || len(f.PromptPartRecords) > 0 || f.RequestRecordsAsk {
 		l.records.Receive(now, peer, f)
 	}
 	l.handleOrigins(now, peer, f)
--- a/services/mesh/traffic.go
+++ b/services/mesh/traffic.go
@@ -54,6 +54,7 @@
 	add("tally", sizeOfAll(f.EngineTallies))
 	add("handover", sizeOfAll(f.EngineHandovers))
 	add("request_record", sizeOfAll(f.RequestRecords))
+	add("prompt_part_record", sizeOfAll(f.PromptPartRecords))
 	add("stream_origin", sizeOfAll(f.StreamOrigins)+sizeOfAll(f.StreamOriginReplies)+len(f.StreamOriginAsks)*8)
 }
 
--- a/services/peerwire/records.go
+++ b/services/peerwire/records.go
@@ -58,6 +58,15 @@
 	}
 }
 
+// SharePart sends news of a prompt part to the peers that are to have it. from is the peer that it
+// came from, or empty.
+func (x *Records) SharePart(now time.Time, n core.PartNews, from string) {
+	for _, id := range n.Recipients(x.self, from, x.members.Nodes(), x.members.GossipPeers(now)) {
+		f := x.out.Frame(now, id, false)
+		f.PromptPartRecords = append(f.PromptPartRecords, partToWire(now, n.Record))
+	}
+}
+
 // Receive merges the records in a peer's frame, forwards those that are new, and sends all records
 // if the peer asks for them.
 func (x *Records) Receive(now time.Time, peer string, f *wire.Frame) {
@@ -70,6 +79,13 @@
 	for _, r := range x.table.Merge(peer, records, x.ownsRecord) {
 		x.Share(now, r, peer)
 	}
+	parts := make([]core.PartRecord, len(f.PromptPartRecords))
+	for i, r := range f.PromptPartRecords {
+		parts[i] = partFromWire(now, r)
+	}
+	for _, n := range x.table.Parts().Merge(peer, parts, x.ownsPart) {
+		x.SharePart(now, n, peer)
+	}
 	if f.RequestRecordsAsk {
 		x.sendAll(now, peer, false)
 	}
@@ -109,6 +125,14 @@
 	}
 	x.lastExpiry = now
 	x.table.Expire(x.ownsRecord)
+	x.table.Parts().Tick(x.ownsPart)
+}
+
+// ownsPart reports whether this process archives the record of a prompt part and decides on its
+// trials.
+func (x *Records) ownsPart(p core.Part) bool {
+	owners := core.PartOwners(p, x.members.Nodes())
+	return len(owners) > 0 && owners[0] == x.self
 }
 
 // ownsRecord reports whether this process is the one that archives the record of a request.
@@ -118,8 +142,8 @@
 
 // sendAll sends a peer all shared records; ask requests the peer's in return.
 func (x *Records) sendAll(now time.Time, to string, ask bool) {
-	records := x.table.Shared()
-	if len(records) == 0 && !ask {
+	records, parts := x.table.Shared(), x.table.Parts().Shared()
+	if len(records) == 0 && len(parts) == 0 && !ask {
 		return
 	}
 	f := x.out.Frame(now, to, false)
@@ -127,13 +151,39 @@
 	for _, r := range records {
 		f.RequestRecords = append(f.RequestRecords, recordToWire(now, r))
 	}
+	for _, r := range parts {
+		f.PromptPartRecords = append(f.PromptPartRecords, partToWire(now, r))
+	}
 }
 
+func partToWire(now time.Time, r core.PartRecord) *wire.PromptPartRecord {
+	out := &wire.PromptPartRecord{Part: uint64(r.Part)}
+	for _, d := range r.Deaths {
+		out.Deaths = append(out.Deaths, &wire.TargetDeath{Target: d.Target, AgeMs: ageMs(now, d.At)})
+	}
+	if !r.AnsweredAt.IsZero() {
+		out.Answered, out.AnsweredAgeMs = true, ageMs(now, r.AnsweredAt)
+	}
+	return out
+}
+
+func partFromWire(now time.Time, r *wire.PromptPartRecord) core.PartRecord {
+	out := core.PartRecord{Part: core.Part(r.GetPart())}
+	for _, d := range r.GetDeaths() {
+		out.Deaths = append(out.Deaths, core.PartDeath{Target: d.GetTarget(), At: now.Add(-time.Duration(d.GetAgeMs()) * time.Millisecond)})
+	}
+	if r.GetAnswered() {
+		out.AnsweredAt = now.Add(-time.Duration(r.GetAnsweredAgeMs()) * time.Millisecond)
+	}
+	return out
+}
+
+func ageMs(now, at time.Time) uint32 { return uint32(max(now.Sub(at), 0).Milliseconds()) }
+
 func recordToWire(now time.Time, r core.Record) *wire.RequestRecord {
 	out := &wire.RequestRecord{Request: r.Request[:], Outline: r.Outline, Account: r.Account}
 	for _, d := range r.Deaths {
-		age := max(now.Sub(d.At), 0)
-		out.Deaths = append(out.Deaths, &wire.TargetDeath{Target: d.Target, AgeMs: uint32(age.Milliseconds()), Forgiven: d.Forgiven})
+		out.Deaths = append(out.Deaths, &wire.TargetDeath{Target: d.Target, AgeMs: ageMs(now, d.At), Forgiven: d.Forgiven})
 	}
 	return out
 }
--- a/services/quarantine/archive.go
+++ b/services/quarantine/archive.go
@@ -12,15 +12,17 @@
 	"madderway/core/quarantine"
 )
 
-// Archive stores quarantined requests outside the fleet. Without it a loss of all gateways would
-// let each of those requests kill three more targets.
+// Archive stores quarantined requests and refused parts of prompts outside the fleet. Without it a
+// loss of all gateways would let each of them kill three more targets.
 type Archive interface {
 	// Records returns all records, without the times of their deaths.
-	Records(ctx context.Context) ([]quarantine.Record, error)
-	// Put writes the record of a quarantined request.
+	Records(ctx context.Context) ([]quarantine.Record, []quarantine.PartRecord, error)
+	// Put writes the record of a quarantined request, and PutPart that of a refused part.
 	Put(ctx context.Context, r quarantine.Record) error
-	// Drop deletes the records of the requests.
+	PutPart(ctx context.Context, r quarantine.PartRecord) error
+	// Drop deletes the records of the requests, and DropParts those of the parts.
 	Drop(ctx context.Context, requests []quarantine.Fingerprint) error
+	DropParts(ctx context.Context, parts []quarantine.Part) error
 }
 
 const (
@@ -38,10 +40,16 @@
 	maxDeletes = 90
 )
 
-// change is a queued write to the archive: a record to put or requests to delete.
+// change is a queued write to the archive: a record to put, or requests or parts to delete.
 type change struct {
-	put     *quarantine.Record
-	deletes []quarantine.Fingerprint
+	put          *quarantine.Record
+	putPart      *quarantine.PartRecord
+	deletes      []quarantine.Fingerprint
+	deletedParts []quarantine.Part
+}
+
+func (c change) isEmpty() bool {
+	return c.put == nil && c.putPart == nil && len(c.deletes) == 0 && len(c.deletedParts) == 0
 }
 
 // ArchiveOptions configure the use of an archive.
@@ -95,6 +103,9 @@
 			s.enqueue(change{put: &r})
 		}
 	}
+	for _, r := range s.parts.refusedRecords() {
+		s.enqueue(change{putPart: &r})
+	}
 }
 
 // readArchive merges the archived records, shares them with other gateways and deletes those
@@ -102,12 +113,12 @@
 func (s *Service) readArchive(t *tomb.Tomb, a Archive) bool {
 	ctx, cancel := context.WithTimeout(t.Context(context.Background()), archiveTimeout)
 	defer cancel()
-	records, err := a.Records(ctx)
+	records, parts, err := a.Records(ctx)
 	if err != nil {
 		s.log.Warn("Failed to read quarantined requests from the archive, will retry.", "error", err)
 		return false
 	}
-	s.log.Info("Read quarantined requests from the archive.", "requests", len(records))
+	s.log.Info("Read quarantined requests from the archive.", "requests", len(records), "prompt_parts", len(parts))
 	now := s.opts.Clock.Now()
 	for i := range records {
 		setDeathTimes(&records[i], now)
@@ -115,6 +126,15 @@
 	for _, r := range s.Merge("archive", records, func(quarantine.Fingerprint) bool { return false }) {
 		s.opts.Share(r)
 	}
+	for i := range parts {
+		deaths := parts[i].Deaths
+		for n := range deaths {
+			deaths[n].At = archivedDeathTime(now, len(deaths)-1-n)
+		}
+	}
+	for _, n := range s.parts.Merge("archive", parts, func(quarantine.Part) bool { return false }) {
+		s.opts.SharePart(n)
+	}
 	var expired []quarantine.Fingerprint
 	for _, r := range records {
 		if standing, _ := s.Standing(r.Request); standing == quarantine.Unsuspected {
@@ -128,15 +148,20 @@
 // setDeathTimes sets the times of a record's deaths, at intervals before now. The archive holds
 // none, since its writers' clocks may differ.
 func setDeathTimes(r *quarantine.Record, now time.Time) {
-	const interval = 2 * time.Second // long enough for the deaths to count as separate ones
 	for i := range r.Deaths {
-		r.Deaths[i].At = now.Add(-time.Duration(i) * interval)
+		r.Deaths[i].At = archivedDeathTime(now, i)
 	}
 }
 
+// archivedDeathTime returns the time of the n-th death of an archived record.
+func archivedDeathTime(now time.Time, n int) time.Time {
+	const interval = 2 * time.Second // long enough for the deaths to count as separate ones
+	return now.Add(-time.Duration(n) * interval)
+}
+
 // enqueue queues a change for the archive.
 func (s *Service) enqueue(c change) {
-	if c.put == nil && len(c.deletes) == 0 {
+	if c.isEmpty() {
 		return
 	}
 	select {
@@ -149,18 +174,18 @@
 // apply performs one change. A put is retried until it succeeds. A delete is not: the next read
 // of the archive repeats it.
 func (s *Service) apply(t *tomb.Tomb, a Archive, c change) {
-	if c.put == nil {
-		s.deleteArchived(t, a, c.deletes)
+	if c.put == nil && c.putPart == nil {
+		s.deleteArchived(t, a, c)
 		return
 	}
 	for backoff := archiveBackoff; ; backoff = min(2*backoff, maxArchiveBackoff) {
 		ctx, cancel := context.WithTimeout(t.Context(context.Background()), archiveTimeout)
-		err := a.Put(ctx, *c.put)
+		err := c.write(ctx, a)
 		cancel()
 		if err == nil {
 			return
 		}
-		s.log.Warn("Failed to archive a quarantined request, will retry.", "request", c.put.Request, "error", err)
+		s.log.Warn("Failed to archive a quarantined request or prompt part, will retry.", "error", err)
 		select {
 		case <-t.Dying():
 			return
@@ -169,7 +194,24 @@
 	}
 }
 
-func (s *Service) deleteArchived(t *tomb.Tomb, a Archive, requests []quarantine.Fingerprint) {
+// write puts the record of the change.
+func (c change) write(ctx context.Context, a Archive) error {
+	if c.put != nil {
+		return a.Put(ctx, *c.put)
+	}
+	return a.PutPart(ctx, *c.putPart)
+}
+
+func (s *Service) deleteArchived(t *tomb.Tomb, a Archive, c change) {
+	if len(c.deletedParts) > 0 {
+		ctx, cancel := context.WithTimeout(t.Context(context.Background()), archiveTimeout)
+		defer cancel()
+		if err := a.DropParts(ctx, c.deletedParts); err != nil {
+			s.log.Warn("Failed to delete prompt parts from the archive.", "parts", len(c.deletedParts), "error", err)
+		}
+		return
+	}
+	requests := c.deletes
 	for len(requests) > 0 {
 		n := min(len(requests), maxDeletes)
 		ctx, cancel := context.WithTimeout(t.Context(context.Background()), archiveTimeout)
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -26,8 +26,9 @@
 	Clock clock.Clock
 	// MetricsPrefix is the prefix of the metrics' names.
 	MetricsPrefix string
-	// Share sends a record to other gateways. It must not block.
-	Share func(r quarantine.Record)
+	// Share and SharePart tell other gateways of a record. They must not block.
+	Share     func(r quarantine.Record)
+	SharePart func(n quarantine.PartNews)
 }
 
 // Service holds the table. It is safe for concurrent use.
@@ -41,6 +42,7 @@
 	table *quarantine.Table
 
 	changes chan change // for the archive
+	parts   *Parts
 
 	set     *metrics.Set
 	deaths  *metrics.Counter
@@ -50,13 +52,18 @@
 // New returns a service with an empty table.
 func New(logger log.Logger, o Options) *Service {
 	set := metrics.NewSet()
-	return &Service{
+	s := &Service{
 		log: logger, opts: o, table: quarantine.New(), changes: make(chan change, archiveQueueSize), set: set,
 		deaths:  set.NewCounter(o.MetricsPrefix + "_requests_accused_total"),
 		refused: set.NewCounter(o.MetricsPrefix + "_quarantine_refused_total"),
 	}
+	s.parts = newParts(logger, o, set, s.enqueue)
+	return s
 }
 
+// Parts returns the table of parts of prompts.
+func (s *Service) Parts() *Parts { return s.parts }
+
 // Knows reports whether the table may have a record of the request.
 func (s *Service) Knows(id quarantine.Identity) bool {
 	if s.known.Load() == 0 {
@@ -161,15 +168,20 @@
 	return s.table.Shared(s.opts.Clock.Now())
 }
 
-// Digest returns the digest of the shared records, 0 if there are none, and the time since it
-// last changed.
+// Digest returns the digest of the shared records of requests and parts, 0 if there are none, and
+// the time since it last changed.
 func (s *Service) Digest() (digest uint64, age time.Duration) {
+	digest, age = s.parts.digest()
 	if s.known.Load() == 0 {
-		return 0, 0
+		return digest, age
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Digest(), s.opts.Clock.Now().Sub(s.table.ChangedAt())
+	changed := s.opts.Clock.Now().Sub(s.table.ChangedAt())
+	if digest == 0 {
+		age = changed
+	}
+	return digest ^ s.table.Digest(), min(age, changed)
 }
 
 // Expire deletes expired records. ownsRecord reports whether this gateway is the one that also
@@ -218,6 +230,7 @@
 // WriteMetrics writes the metrics in the Prometheus text format.
 func (s *Service) WriteMetrics(w io.Writer) {
 	s.set.WritePrometheus(w)
+	s.parts.writeMetrics(w)
 	standings := s.Standings()
 	for _, standing := range []quarantine.Standing{quarantine.Suspect, quarantine.OnTrial, quarantine.Quarantined} {
 		fmt.Fprintf(w, "%s_remembered_requests{standing=%q} %d\n", s.opts.MetricsPrefix, standing, standings[standing])
--- a/services/quarantine/try.go
+++ b/services/quarantine/try.go
@@ -23,10 +23,29 @@
 	request    quarantine.Fingerprint
 	hasRequest bool // request is set
 	onTrial    bool // this attempt is the one run of a request on trial
+	prompt     Prompt
+	parts      []quarantine.Part // of the prompt, nil until they are needed
+	trialPart  quarantine.Part   // this attempt is the one run of a part on trial, 0 if it is not
 }
 
-// NewAttempt starts an attempt.
-func (s *Service) NewAttempt(id quarantine.Identity) Attempt { return Attempt{s: s, id: id} }
+// Prompt is the prompt of a request.
+type Prompt interface {
+	// PromptParts returns the parts that other requests may have, too. It is called only while a
+	// part is suspected.
+	PromptParts() []quarantine.Part
+}
+
+// NewAttempt starts an attempt. The prompt may be nil.
+func (s *Service) NewAttempt(id quarantine.Identity, p Prompt) Attempt {
+	return Attempt{s: s, id: id, prompt: p}
+}
+
+func (a *Attempt) promptParts() []quarantine.Part {
+	if a.parts == nil && a.prompt != nil {
+		a.parts = a.prompt.PromptParts()
+	}
+	return a.parts
+}
 
 // Request returns the request's fingerprint, which is computed at most once.
 func (a *Attempt) Request() quarantine.Fingerprint {
@@ -39,6 +58,9 @@
 // Check returns an error if the request must not be sent to a target, since it would probably
 // kill the target together with all other requests there.
 func (a *Attempt) Check() error {
+	if err := a.checkParts(); err != nil {
+		return err
+	}
 	if !a.s.Knows(a.id) {
 		return nil
 	}
@@ -55,6 +77,28 @@
 	return nil
 }
 
+// checkParts returns an error if the request must not be sent for a part of its prompt.
+func (a *Attempt) checkParts() error {
+	if !a.s.parts.Known() {
+		return nil
+	}
+	v := a.s.parts.check(a.promptParts(), a.trialPart)
+	if v.OnTrial {
+		a.trialPart = v.Part
+	}
+	if !v.Refused {
+		return nil
+	}
+	return result.New(result.PartEndsTargets, "targets have ended under part %s", partName(v.Part)).WithRetryAfter(v.RetryAfter)
+}
+
+// Answered records that a target has begun to answer the request.
+func (a *Attempt) Answered() {
+	if a.s.parts.Known() {
+		a.s.parts.answered(a.promptParts())
+	}
+}
+
 func (a *Attempt) refuse(why string, after time.Duration) error {
 	a.s.refused.Inc()
 	return result.New(result.EndsTargets, why, a.Request()).WithRetryAfter(after)
@@ -68,14 +112,23 @@
 	}
 }
 
-// TargetDied records the death of a target to which the request was sent at the given time.
-func (a *Attempt) TargetDied(target string, sentAt time.Time) { a.s.TargetDied(a.id, target, sentAt) }
+// TargetDied records the death of a target to which the request was sent at the given time. answered
+// reports whether the target had begun to answer it.
+func (a *Attempt) TargetDied(target string, sentAt time.Time, answered bool) {
+	a.s.TargetDied(a.id, target, sentAt)
+	if prompt := a.promptParts(); len(prompt) > 0 {
+		a.s.parts.targetDied(prompt, target, sentAt, answered)
+	}
+}
 
 // End ends the attempt and permits the next one of a request on trial.
 func (a *Attempt) End() {
 	if a.onTrial {
 		a.s.EndTrial(a.request)
 	}
+	if a.trialPart != 0 {
+		a.s.parts.endTrial(a.trialPart)
+	}
 }
 
 // HasExited asks whether a target has exited and waits at most ExitTimeout for the answer. If it
