lab, quarantine, peerwire: Tests and mutations of refused prompt parts

The lab's trouble prompt-part-ends-workers sends unlike prompts with a part that crashes workers to all gateways beside sound ones, and holds the number of crashes; parts are archived, read again and dropped after an answer; deaths under different requests at different processes add up, and an answer at one clears the part at all.

--- a/lab/platform/trouble.go
+++ b/lab/platform/trouble.go
@@ -4,6 +4,7 @@
 package platform
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -26,18 +27,19 @@
 			time.Sleep(outage)
 			s.store.SetMode("", StoreServes)
 		},
-		"worker-dark":          func(s *Site) { s.injectFault(FaultSilent) },
-		"worker-error":         func(s *Site) { s.injectFault(FaultErrors) },
-		"answer-lost":          func(s *Site) { s.injectFault(FaultLost) },
-		"answer-cut":           func(s *Site) { s.injectFault(FaultCut) },
-		"answer-extra":         func(s *Site) { s.injectFault(FaultExtra) },
-		"answer-unframed":      func(s *Site) { s.answerUnframed() },
-		"worker-shed":          func(s *Site) { s.injectFault(FaultRefuse) },
-		"worker-drain":         func(s *Site) { s.replaceWorker() },
-		"software-rollout":     func(s *Site) { s.upgradeWorkers() },
-		"software-versions":    func(s *Site) { s.runVersions() },
-		"request-ends-workers": func(s *Site) { s.sendPoison() },
-		"gateway-kill":         func(s *Site) { s.killAndRestart(0) },
+		"worker-dark":              func(s *Site) { s.injectFault(FaultSilent) },
+		"worker-error":             func(s *Site) { s.injectFault(FaultErrors) },
+		"answer-lost":              func(s *Site) { s.injectFault(FaultLost) },
+		"answer-cut":               func(s *Site) { s.injectFault(FaultCut) },
+		"answer-extra":             func(s *Site) { s.injectFault(FaultExtra) },
+		"answer-unframed":          func(s *Site) { s.answerUnframed() },
+		"worker-shed":              func(s *Site) { s.injectFault(FaultRefuse) },
+		"worker-drain":             func(s *Site) { s.replaceWorker() },
+		"software-rollout":         func(s *Site) { s.upgradeWorkers() },
+		"software-versions":        func(s *Site) { s.runVersions() },
+		"request-ends-workers":     func(s *Site) { s.sendPoison() },
+		"prompt-part-ends-workers": func(s *Site) { s.sendPoisonPart() },
+		"gateway-kill":             func(s *Site) { s.killAndRestart(0) },
 		"gateways-kill": func(s *Site) {
 			for i := range s.gateways {
 				s.killAndRestart(i)
@@ -96,6 +98,23 @@
 	}
 }
 
+// sendPoisonPart sends prompts with a part that crashes workers to all gateways, no two of them alike,
+// beside the sound prompts of the same accounts.
+func (s *Site) sendPoisonPart() {
+	before := s.Crashes()
+	for end, n := time.Now().Add(outage), 0; time.Now().Before(end); n++ {
+		kind := Kinds()[n%2]
+		s.AskPrompt(s.ctx, n%len(s.gateways), kind, "account-0", uint64(n), fmt.Sprint(kind.Name, n%kind.Prefixes), PoisonPart)
+		if err := s.RestartCrashed(); err != nil {
+			s.ledger.AddViolation("worker: %v", err)
+		}
+		time.Sleep(poisonInterval)
+	}
+	if n := s.Crashes() - before; n > maxCrashes {
+		s.ledger.AddViolation("%d workers crashed under one part of prompts", n)
+	}
+}
+
 // evacuate evacuates a data hall for a while. Once every gateway knows and requests in flight have
 // arrived, its workers must get no request. The store may be down meanwhile.
 func (s *Site) evacuate(hall string, storeDown bool) {
--- a/services/peerwire/records_test.go
+++ b/services/peerwire/records_test.go
@@ -4,6 +4,7 @@
 package peerwire
 
 import (
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -103,6 +104,58 @@
 	}
 }
 
+const badPart core.Part = 7
+
+// endPart ends targets under prompts with the bad part, one every two seconds.
+func (n *testNode) endPart(targets ...string) {
+	for _, target := range targets {
+		n.clock.Advance(2 * time.Second)
+		a := n.service.NewAttempt(core.Identity{Account: "a", URI: target}, onePart{})
+		a.TargetDied(target, n.clock.Now().Add(-time.Second), false)
+	}
+}
+
+// onePart is a prompt with the bad part.
+type onePart struct{}
+
+func (onePart) PromptParts() []core.Part { return []core.Part{badPart} }
+
+// refusesPart reports whether a prompt with the bad part is refused.
+func (n *testNode) refusesPart() bool {
+	a := n.service.NewAttempt(core.Identity{Account: "a", URI: "/new"}, onePart{})
+	defer a.End()
+	return a.Check() != nil
+}
+
+// Deaths under different requests with one part, seen by different processes, add up everywhere, and
+// so does an answer seen by any of them; a process that starts late learns of both.
+func TestPartRecordsReachAllProcesses(t *testing.T) {
+	c := clock.NewFake()
+	a, b, d := newNode("a", c, "b", "d"), newNode("b", c, "a", "d"), newNode("d", c, "a", "b")
+	for i, n := range []*testNode{a, b, d} {
+		n.endPart(fmt.Sprint("t", i))
+		deliver(a, b, d)
+	}
+	late := newNode("e", c, "a")
+	a.members.Step(c.Now(), member.HeartbeatSeen{From: member.Record{ID: "e", Incarnation: 1, State: member.StateAlive, Address: "a"}})
+	c.Advance(2 * recordsSettleTime)
+	a.records.Compare(c.Now(), "e", late.records.Digest())
+	deliver(a, b, d, late)
+	for _, n := range []*testNode{a, b, d, late} {
+		if !n.refusesPart() || n.records.Digest() != a.records.Digest() {
+			t.Errorf("%s does not refuse the part, or has another digest", n.id)
+		}
+	}
+	answered := b.service.NewAttempt(core.Identity{Account: "a", URI: "/sound"}, onePart{})
+	answered.Answered()
+	deliver(a, b, d, late)
+	for _, n := range []*testNode{a, b, d, late} {
+		if n.refusesPart() {
+			t.Errorf("%s refuses the part after an answer", n.id)
+		}
+	}
+}
+
 // Tables with differing digests are not sent at each heartbeat.
 func TestDifferingTablesAreResentRarely(t *testing.T) {
 	c := clock.NewFake()
@@ -131,6 +184,12 @@
 		f.Fatal(err)
 	}
 	f.Add(seed)
+	if seed, err = proto.Marshal(&wire.Frame{PromptPartRecords: []*wire.PromptPartRecord{{
+		Part: 7, Deaths: []*wire.TargetDeath{{Target: "t", AgeMs: 5000}, {Target: "u", AgeMs: 5}}, Answered: true, AnsweredAgeMs: 1 << 31,
+	}}}); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
 	f.Fuzz(func(t *testing.T, content []byte) {
 		frame := &wire.Frame{}
 		if proto.Unmarshal(content, frame) != nil {
--- a/services/quarantine/quarantine_test.go
+++ b/services/quarantine/quarantine_test.go
@@ -170,6 +170,38 @@
 	return s
 }
 
+// onePart is a prompt with one shared part.
+type onePart struct{}
+
+func (onePart) PromptParts() []quarantine.Part { return []quarantine.Part{5} }
+
+// A refused part must be in the archive, be refused again by a process that reads it, and leave the
+// archive once it is answered.
+func TestRefusedPartIsArchived(t *testing.T) {
+	a := newArchive()
+	f := newFixture(t, a, true)
+	for i := range quarantine.PartThreshold {
+		f.clock.Advance(2 * time.Second)
+		died := f.NewAttempt(quarantine.Identity{URI: fmt.Sprint(i)}, onePart{})
+		died.TargetDied(fmt.Sprint("t", i), f.clock.Now().Add(-time.Second), false)
+	}
+	f.expectCall(t, a, "put part")
+	later := newFixture(t, a, false)
+	later.expectCall(t, a, "read")
+	for later.Parts().RefusedCount() == 0 {
+		runtime.Gosched()
+	}
+	attempt := later.NewAttempt(quarantine.Identity{URI: "/other"}, onePart{})
+	if err := attempt.Check(); err == nil {
+		t.Error("the part is not refused after a restart")
+	}
+	attempt.Answered()
+	later.expectCall(t, a, "drop parts")
+	if len(a.parts) != 0 {
+		t.Errorf("got %d parts in the archive after an answer, want 0", len(a.parts))
+	}
+}
+
 // Guards against a quarantined request that is forgotten if the archive is down at first or if
 // the gateway restarts.
 func TestQuarantineSurvivesRestart(t *testing.T) {
