--- a/core/quarantine/part_test.go
+++ b/core/quarantine/part_test.go
@@ -54,12 +54,15 @@
 // Guards against refusing prompts for the parts that stand beside the one that ends targets.
 func TestOnlyPartThatEndsTargetsIsRefused(t *testing.T) {
 	p := newPartTester()
-	for i := range quarantine.PartThreshold {
-		if v := p.check(badPart, commonPart); v.Refused {
-			t.Fatal("refused before the threshold")
+	for i := range quarantine.PartThreshold + 1 {
+		if v := p.check(badPart, commonPart); v.Refused != (i >= quarantine.PartThreshold) {
+			t.Fatalf("got %+v after %d deaths", v, i)
+		}
+		prompts := [][]quarantine.Part{{commonPart, groupPart, badPart}, {commonPart, otherGroup}}
+		if i == 0 {
+			prompts = [][]quarantine.Part{{commonPart, badPart}}
 		}
-		beside := []quarantine.Part{commonPart, otherGroup}
-		p.die([]quarantine.Part{commonPart, groupPart, badPart}, beside[:2-i/2])
+		p.die(prompts...)
 		p.Answered(p.now, []quarantine.Part{commonPart})
 	}
 	if v := p.check(commonPart, groupPart, badPart); !v.Refused || v.RetryAfter < time.Minute {
