forward, lab: Split the forwarding of a stream's parts; a soak of overlapping faults

forwardStream had grown to 50 lines; taking a part is a function of its own, and the ID of an event is read only where another target could continue after it.

--- a/lab/platform/site.go
+++ b/lab/platform/site.go
@@ -150,9 +150,14 @@
 
 // address returns a listen address of a gateway. Each site of each process uses its own loopback
 // addresses, so that concurrent runs do not conflict.
-func (s *Site) address(gateway, port int) string {
+func (s *Site) address(gateway, port int) string { return s.hostAddress(1+gateway, port) }
+
+// workerHost is the last byte of the workers' loopback address.
+const workerHost = 254
+
+func (s *Site) hostAddress(host, port int) string {
 	const loopbackNets = 250
-	return fmt.Sprintf("127.%d.%d.%d:%d", 1+os.Getpid()%loopbackNets, s.number%loopbackNets, 1+gateway, port)
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+os.Getpid()%loopbackNets, s.number%loopbackNets, host, port)
 }
 
 func (s *Site) startGateway(g *gatewayNode) error {
@@ -197,6 +202,8 @@
 		cfg = WorkerConfig{Service: modelService, Slots: 16, Queue: 16, Model: true, PrefillRate: 40_000, Step: 8 * time.Millisecond, CacheTokens: 40_000, CopyRate: copyRate, PeerAt: s.workerAt}
 	}
 	cfg.Software = software
+	// Outgoing connections take ports of 127.0.0.1 only, so that a worker can restart at its address.
+	cfg.Listen = s.hostAddress(workerHost, 0)
 	cfg.Hall, cfg.OnCrash = fmt.Sprint("hall-", s.nextID%3), s.recordCrash
 	w, err := StartWorker(fmt.Sprint("worker-", s.nextID), cfg, s.store, s.ledger, s.opts.Seed+uint64(s.nextID))
 	if err == nil {
--- a/lab/platform/site_test.go
+++ b/lab/platform/site_test.go
@@ -4,6 +4,7 @@
 package platform
 
 import (
+	"fmt"
 	"io"
 	"sort"
 	"testing"
@@ -61,3 +62,28 @@
 		})
 	}
 }
+
+// Guarantees must hold under series of faults of gateways, workers and the store that overlap.
+func TestSiteSoak(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			o := SmallSite(seed, 12*time.Second)
+			o.Trouble = "soak"
+			s, err := Start(o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			r, err := s.Run()
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, v := range r.Violations {
+				t.Error(v)
+			}
+			t.Logf("%+v", r.Counts)
+		})
+	}
+}
--- a/lab/platform/trouble.go
+++ b/lab/platform/trouble.go
@@ -39,6 +39,7 @@
 		"software-versions":        func(s *Site) { s.runVersions() },
 		"request-ends-workers":     func(s *Site) { s.sendPoison() },
 		"prompt-part-ends-workers": func(s *Site) { s.sendPoisonPart() },
+		"soak":                     func(s *Site) { s.soak() },
 		"gateway-kill":             func(s *Site) { s.killAndRestart(0) },
 		"gateways-kill": func(s *Site) {
 			for i := range s.gateways {
--- a/lab/platform/worker.go
+++ b/lab/platform/worker.go
@@ -38,6 +38,7 @@
 	Service     string
 	Hall        string
 	Software    string // version, "v1" if empty
+	Listen      string // address with port 0, "127.0.0.1:0" if empty
 	Slots       int
 	Queue       int
 	Model       bool
@@ -102,7 +103,10 @@
 
 // StartWorker starts a worker and writes its entry into the store.
 func StartWorker(id string, cfg WorkerConfig, store *Store, ledger *Ledger, seed uint64) (*Worker, error) {
-	return startWorker(id, cfg, store, ledger, seed, "127.0.0.1:0", time.Now().UnixMilli())
+	if cfg.Listen == "" {
+		cfg.Listen = "127.0.0.1:0"
+	}
+	return startWorker(id, cfg, store, ledger, seed, cfg.Listen, time.Now().UnixMilli())
 }
 
 // Restart crashes the worker and starts a new incarnation under the same ID and address, with an
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -69,6 +69,14 @@
 	return out
 }
 
+// lastEvent returns the ID of the last complete event, if another target can continue after it.
+func (b *streamBody) lastEvent() (id string, ok bool) {
+	if !b.holdsBack {
+		return "", false
+	}
+	return b.events.LastID()
+}
+
 // endingOf returns the ending of the body, which was read until err.
 func (b *streamBody) endingOf(err error, f upstream.Framing) ending {
 	switch {
@@ -97,39 +105,45 @@
 	for {
 		n, err := a.Body.Read(chunk)
 		if n > 0 {
-			now := j.s.opts.Clock.Now()
-			if j.receivedAt.IsZero() {
-				j.receivedAt = now
-			}
-			if j.timing.recordPart(now, j.r.Received) {
-				if !slowTimer.Stop() && j.retryReserved.Load() {
-					j.reason = "cut for its slowness"
-					return j.ended(p, attempt.Cut)
-				}
-				p.began()
+			if outcome := j.forwardPart(p, a, flusher, body.take(chunk[:n]), slowTimer); outcome != 0 {
+				return outcome
 			}
-			out := body.take(chunk[:n])
-			if id, ok := body.events.LastID(); ok && body.holdsBack {
+			if id, ok := body.lastEvent(); ok {
 				j.lastEvent = id
 			}
-			if len(out) > 0 && !j.forwardEvents(a, flusher, out) {
-				p.canceled()
-				return attempt.Cut
-			}
-			if err == nil {
-				j.recordAnswered(false)
-				j.coalesce()
-			}
 		}
-		if err == nil && len(body.incomplete) > maxHeldEvent {
-			err = errEventTooLarge
-		}
-		if err != nil {
+		switch {
+		case err != nil:
 			return j.endStream(p, a, flusher, body.endingOf(err, a.Framing), err)
+		case len(body.incomplete) > maxHeldEvent:
+			return j.endStream(p, a, flusher, endedOtherwise, errEventTooLarge)
 		}
+		j.recordAnswered(false)
+		j.coalesce()
 	}
 }
 
+// forwardPart notes that a part of the body has come and forwards the bytes in out, which may be
+// none. It returns 0 if the attempt goes on.
+func (j *job) forwardPart(p placement, a *upstream.Answer, flusher *http.ResponseController, out []byte, slowTimer clock.Timer) attempt.Outcome {
+	now := j.s.opts.Clock.Now()
+	if j.receivedAt.IsZero() {
+		j.receivedAt = now
+	}
+	if j.timing.recordPart(now, j.r.Received) {
+		if !slowTimer.Stop() && j.retryReserved.Load() {
+			j.reason = "cut for its slowness"
+			return j.ended(p, attempt.Cut)
+		}
+		p.began()
+	}
+	if len(out) > 0 && !j.forwardEvents(a, flusher, out) {
+		p.canceled()
+		return attempt.Cut
+	}
+	return 0
+}
+
 // coalesce waits for further events if this gateway, or the one that handed the request
 // over, is overloaded.
 func (j *job) coalesce() {
