member: Tell leaving gateways of quarantined requests and refused parts

A leaving member was no longer among those that records are passed to, though it serves its open connections for seconds.

TestLeavingProcessIsToldOfRecords fails before, for parts and for requests, and passes now.

--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -124,8 +124,8 @@
 const maxSyncRecords = 4096
 
 // GossipPeers returns the live members that this one exchanges heartbeats with: its
-// monitors and the members it monitors. Gossip along these links reaches the whole
-// fleet in O(log n) hops.
+// monitors and the members it monitors, also those that are leaving, as they still serve.
+// Gossip along these links reaches the whole fleet in O(log n) hops.
 func (l *List) GossipPeers(now time.Time) []string {
 	l.updateMonitors(now)
 	var ids []string
@@ -135,7 +135,7 @@
 		}
 	}
 	for id := range l.monitored {
-		if l.members[id].State == StateAlive && !slices.Contains(l.monitors, id) {
+		if state := l.members[id].State; (state == StateAlive || state == StateLeaving) && !slices.Contains(l.monitors, id) {
 			ids = append(ids, id)
 		}
 	}
--- a/services/peerwire/records_test.go
+++ b/services/peerwire/records_test.go
@@ -156,6 +156,21 @@
 	}
 }
 
+// A process that is leaving still serves, so that it must be told of what the others refuse.
+func TestLeavingProcessIsToldOfRecords(t *testing.T) {
+	c := clock.NewFake()
+	a, b, leaving := newNode("a", c, "b", "d"), newNode("b", c, "a", "d"), newNode("d", c, "a", "b")
+	for _, n := range []*testNode{a, b} {
+		n.members.Step(c.Now(), member.HeartbeatSeen{From: member.Record{ID: "d", Incarnation: 1, State: member.StateLeaving, Address: "a"}})
+	}
+	a.endPart("t1", "t2", "t3")
+	a.endTargets("t4", "t5", "t6")
+	deliver(a, b, leaving)
+	if !leaving.refusesPart() || leaving.standing() != core.Quarantined {
+		t.Errorf("the leaving process refuses the part: %v, judges the request as %v", leaving.refusesPart(), leaving.standing())
+	}
+}
+
 // Tables with differing digests are not sent at each heartbeat.
 func TestDifferingTablesAreResentRarely(t *testing.T) {
 	c := clock.NewFake()
