quarantine: Deaths of the archive do not count again where a part is known

Found in the soak's log: rows of the archive hold no times, so a gateway that read them gave its deaths new ones, which then passed for further deaths of the same targets (worker-2 three times in one record after three restarts) and began the hold of five minutes anew at each start. Parts of which deaths are known here are not taken from the archive.

--- a/core/quarantine/parttable.go
+++ b/core/quarantine/parttable.go
@@ -37,6 +37,12 @@
 // Len returns the number of records.
 func (t *PartTable) Len() int { return len(t.records) }
 
+// Knows reports whether there is a record with deaths under a part.
+func (t *PartTable) Knows(p Part) bool {
+	r := t.records[p]
+	return r != nil && len(r.Deaths) > 0
+}
+
 // TargetDied records that a target died under a request with the parts, sent at the given time. The
 // death counts against them unless the target had begun to answer the request, which clears them. It
 // returns the changes. Nothing counts if the target had died before the request was sent.
--- a/services/quarantine/archive.go
+++ b/services/quarantine/archive.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -126,6 +127,7 @@
 	for _, r := range s.Merge("archive", records, func(quarantine.Fingerprint) bool { return false }) {
 		s.opts.Share(r)
 	}
+	parts = slices.DeleteFunc(parts, func(r quarantine.PartRecord) bool { return s.parts.knows(r.Part) })
 	for i := range parts {
 		deaths := parts[i].Deaths
 		for n := range deaths {
--- a/services/quarantine/parts.go
+++ b/services/quarantine/parts.go
@@ -50,6 +50,14 @@
 // Known reports whether there is any record.
 func (p *Parts) Known() bool { return p.known.Load() > 0 }
 
+// knows reports whether deaths under a part are known. Those of the archive, which have no times, would
+// count as further ones.
+func (p *Parts) knows(part quarantine.Part) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Knows(part)
+}
+
 // check decides on a prompt, see PartTable.Check.
 func (p *Parts) check(prompt []quarantine.Part, held quarantine.Part) quarantine.PartVerdict {
 	p.mu.Lock()
--- a/services/quarantine/quarantine_test.go
+++ b/services/quarantine/quarantine_test.go
@@ -191,6 +191,13 @@
 	for later.Parts().RefusedCount() == 0 {
 		runtime.Gosched()
 	}
+	deaths := len(later.Parts().Shared()[0].Deaths)
+	later.clock.Advance(time.Minute)
+	later.readArchive(later.t, a)
+	if again := len(later.Parts().Shared()[0].Deaths); again != deaths {
+		t.Errorf("got %d deaths after another read of the archive, want %d", again, deaths)
+	}
+	<-a.calls
 	attempt := later.NewAttempt(quarantine.Identity{URI: "/other"}, onePart{})
 	if err := attempt.Check(); err == nil {
 		t.Error("the part is not refused after a restart")
