quarantine: Determine refused parts once for a death

A record that is evicted leaves the refused parts at once; Expire returns nothing that anybody reads.

--- a/core/quarantine/part_test.go
+++ b/core/quarantine/part_test.go
@@ -238,6 +238,20 @@
 	for i := range 2000 {
 		p.TargetDied(p.now, []quarantine.Part{quarantine.Part(1000 + i)}, "last", p.now, false)
 	}
+	crowd := make([]quarantine.Part, 64)
+	for group := range 10 {
+		for i := range crowd {
+			crowd[i] = quarantine.Part(5000 + 64*group + i)
+		}
+		for range quarantine.PartThreshold {
+			p.die(crowd)
+		}
+		p.TargetDied(p.now, []quarantine.Part{quarantine.Part(9000 + group)}, "answering", p.now, true)
+		p.Refused() // must not look for a part that has just been evicted
+	}
+	for range quarantine.PartThreshold + 1 {
+		p.die([]quarantine.Part{badPart})
+	}
 	if p.Len() > 512 || !p.check(badPart).Refused {
 		t.Errorf("got %d records, part refused %v", p.Len(), p.check(badPart).Refused)
 	}
--- a/core/quarantine/parttable.go
+++ b/core/quarantine/parttable.go
@@ -64,6 +64,7 @@
 		}
 		news = t.appendNews(now, news, r, change)
 	}
+	t.localizeIf(len(news) > 0)
 	return news
 }
 
@@ -76,6 +77,7 @@
 			news = t.appendNews(now, news, r, func() bool { return r.answered(now) })
 		}
 	}
+	t.localizeIf(len(news) > 0)
 	return news
 }
 
@@ -85,10 +87,16 @@
 	if !t.update(now, r, change) {
 		return news
 	}
-	t.culprits = localize(t.records)
 	return append(news, PartNews{Record: r.clone(), Added: true, LevelChanged: r.takeLevelChange()})
 }
 
+// localizeIf determines anew what is refused if records have changed.
+func (t *PartTable) localizeIf(changed bool) {
+	if changed {
+		t.culprits = localize(t.records)
+	}
+}
+
 // Merge merges the record of another gateway. It reports whether there is any news.
 func (t *PartTable) Merge(now time.Time, other PartRecord) (PartNews, bool) {
 	if !isValidPart(now, &other) {
@@ -106,9 +114,7 @@
 		}
 		return added
 	})
-	if added {
-		t.culprits = localize(t.records)
-	}
+	t.localizeIf(added)
 	n := PartNews{Record: r.clone(), Added: added, AnswerKnown: other.answered(known)}
 	n.LevelChanged = added && r.takeLevelChange()
 	return n, n.Added || n.AnswerKnown
@@ -198,12 +204,10 @@
 // last change.
 func (t *PartTable) Digest() (digest uint64, changed time.Time) { return t.digest, t.changed }
 
-// Expire deletes old deaths and records. It returns the deleted records.
-func (t *PartTable) Expire(now time.Time) []PartRecord {
-	var expired []PartRecord
+// Expire deletes old deaths and records.
+func (t *PartTable) Expire(now time.Time) {
 	for _, r := range t.records {
 		if len(r.Deaths) > 0 && !now.Before(r.expires()) {
-			expired = append(expired, *r)
 			t.drop(r)
 			continue
 		}
@@ -221,7 +225,6 @@
 		}
 	}
 	t.culprits = localize(t.records)
-	return expired
 }
 
 // compareEviction orders records by what their loss costs: the fewest deaths that count first, the
@@ -265,4 +268,5 @@
 func (t *PartTable) drop(r *PartRecord) {
 	t.digest ^= r.digest()
 	delete(t.records, r.Part)
+	t.culprits = slices.DeleteFunc(t.culprits, func(c culprit) bool { return slices.Contains(c.parts, r.Part) })
 }
