quarantine: Count that unsuspected prompts cost nothing; capacity

TestUnsuspectedPromptIsNotLookedAt: no allocation and no look at a prompt's parts for a request while no part is known. FuzzScanner is among the fuzz runs of the Makefile.

--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzRecords -fuzztime 60s ./services/peerwire
 	$(GO) test -run '^$$' -fuzz FuzzAnswer -fuzztime 60s ./services/upstream
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 60s ./modules/httphead
+	$(GO) test -run '^$$' -fuzz FuzzScanner -fuzztime 60s ./modules/eventstream
 	$(GO) test -run '^$$' -fuzz FuzzDecoder -fuzztime 60s ./services/relay
 
 clean:
--- a/services/quarantine/quarantine_test.go
+++ b/services/quarantine/quarantine_test.go
@@ -175,6 +175,32 @@
 
 func (onePart) PromptParts() []quarantine.Part { return []quarantine.Part{5} }
 
+// countedPrompt counts how often its parts are asked for.
+type countedPrompt struct{ asked int }
+
+func (p *countedPrompt) PromptParts() []quarantine.Part {
+	p.asked++
+	return []quarantine.Part{5}
+}
+
+// Guards against work for requests while no part is suspected.
+func TestUnsuspectedPromptIsNotLookedAt(t *testing.T) {
+	f := newFixture(t, newArchive(), true)
+	prompt := &countedPrompt{}
+	allocations := testing.AllocsPerRun(100, func() {
+		a := f.NewAttempt(quarantine.Identity{URI: "/p"}, prompt)
+		if a.Check() != nil {
+			t.Error("refused")
+		}
+		a.Answered()
+		a.Succeeded()
+		a.End()
+	})
+	if allocations != 0 || prompt.asked != 0 {
+		t.Errorf("got %v allocations for a request, and %d looks at its prompt, want none", allocations, prompt.asked)
+	}
+}
+
 // A refused part must be in the archive, be refused again by a process that reads it, and leave the
 // archive once it is answered.
 func TestRefusedPartIsArchived(t *testing.T) {
