--- a/services/quarantine/try.go
+++ b/services/quarantine/try.go
@@ -58,9 +58,15 @@
 // Check returns an error if the request must not be sent to a target, since it would probably
 // kill the target together with all other requests there.
 func (a *Attempt) Check() error {
-	if err := a.checkParts(); err != nil {
+	if err := a.checkRequest(); err != nil {
 		return err
 	}
+	return a.checkParts()
+}
+
+// checkRequest returns an error if this very request must not be sent, which tells its caller more
+// than the refusal of a part.
+func (a *Attempt) checkRequest() error {
 	if !a.s.Knows(a.id) {
 		return nil
 	}
