--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,4 +7,4 @@
 if [ ! -x review/bin/standins ] || [ ! -x target/madderway ]; then
 	review/build.sh >&2 || exit 2
 fi
-exec review/bin/standins versions target/madderway "$here/record.txt"
+exec review/bin/standins stop target/madderway "$here/record.txt"
--- a/review/standins/bodies.go
+++ b/review/standins/bodies.go
@@ -33,16 +33,17 @@
 type bookingWorker struct {
 	run    *run
 	id     string
+	work   time.Duration
 	begun  sync.Map // attempts that began to run
 	server *http.Server
 }
 
-func (r *run) startBookingWorker(id, zone string) (*bookingWorker, error) {
+func (r *run) startBookingWorker(id, zone string, work time.Duration) (*bookingWorker, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	w := &bookingWorker{run: r, id: id}
+	w := &bookingWorker{run: r, id: id, work: work}
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Second}
 	go func() { _ = w.server.Serve(l) }()
 	r.store.put("servers", id, map[string]any{
@@ -66,7 +67,7 @@
 		return
 	}
 	w.begun.Store(attempt, true)
-	time.Sleep(workTime)
+	time.Sleep(w.work)
 	body := fmt.Sprintf("done %s %d", attempt, size)
 	rw.Header().Set("Attempt-Id", attempt)
 	rw.Header().Set("Response-Signature", w.id+"."+attempt)
@@ -239,7 +240,7 @@
 	r.putBodiesConfig()
 	var workers []*bookingWorker
 	for i, zone := range []string{"abdali-hall", "sweileh-hall", "marka-hall"} {
-		w, err := r.startBookingWorker(fmt.Sprintf("i-booking-%d", i+1), zone)
+		w, err := r.startBookingWorker(fmt.Sprintf("i-booking-%d", i+1), zone, workTime)
 		if err != nil {
 			return r.fail("%v", err)
 		}
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -14,7 +14,7 @@
 )
 
 // timeLimit ends a case that hangs.
-const timeLimit = 110 * time.Second
+const timeLimit = 115 * time.Second
 
 // Exit codes of a case.
 const (
@@ -28,7 +28,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standins CASE GATEWAY-PROGRAM RECORD-FILE; TROUBLE=0 leaves the disruption out")
 		os.Exit(cannotRun)
 	}
-	cases := map[string]func(r *run) int{"versions": versionsCase, "bodies": bodiesCase}
+	cases := map[string]func(r *run) int{"versions": versionsCase, "bodies": bodiesCase, "stop": stopCase, "rest": restCase}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
