origin, forward: Log what a continued stream is bound by

A gateway refused streams at 9.5 s and sent the same ones at 15.5 s, and no line told why. The lines of requests now name the version (bound_to) and how it was found (bound_by), and a line tells when and on whose word all versions are known. No decision changes.

--- a/services/forward/bind.go
+++ b/services/forward/bind.go
@@ -10,6 +10,7 @@
 	coreorigin "madderway/core/origin"
 	"madderway/models/result"
 	"madderway/models/routing"
+	"madderway/services/origin"
 )
 
 // boundFactor times the objective is the time in which a stream that continues should go on. It is
@@ -24,6 +25,7 @@
 type binding struct {
 	bound    bool
 	software string
+	basis    origin.Basis
 }
 
 // allows reports whether the stream may be sent to a target.
@@ -55,13 +57,13 @@
 	if j.binding.bound {
 		return nil
 	}
-	software, err := j.s.opts.Origins.Resolve(j.ctx, j.r.streamKey(), j.r.Service.Name)
+	began, err := j.s.opts.Origins.Resolve(j.ctx, j.r.streamKey(), j.r.Service.Name)
 	if err != nil {
 		j.disregardUnasked()
 		j.s.log.Request("Origin of a stream is not known.", "id", j.r.Call.ID, "resumes", j.r.Call.Resumes, "service", j.r.Service.Name, "in_answer", j.headOut, "error", err)
 		return result.Wrap(result.OriginUnknown, err).WithRetryAfter(unknownOriginRetryAfter)
 	}
-	j.binding = binding{true, software}
+	j.binding = binding{true, began.Software, began.Basis}
 	return nil
 }
 
--- a/services/forward/requestlog.go
+++ b/services/forward/requestlog.go
@@ -132,7 +132,7 @@
 		values = append(values, "framing", j.framing, "end", j.ending)
 	}
 	if j.r.Call.Resuming {
-		values = append(values, "resumes", j.r.Call.Resumes, "from_event", j.r.Call.LastEvent)
+		values = append(values, "resumes", j.r.Call.Resumes, "from_event", j.r.Call.LastEvent, "bound_to", j.binding.software, "bound_by", j.binding.basis)
 	}
 	return values
 }
--- a/services/origin/origin.go
+++ b/services/origin/origin.go
@@ -163,7 +163,16 @@
 // knowsVersions reports whether all versions are known whose streams may continue; the caller holds
 // mu.
 func (s *Service) knowsVersions(now time.Time) bool {
-	return s.complete || now.Sub(s.started) >= learnTime
+	if !s.complete && now.Sub(s.started) >= learnTime {
+		s.setComplete(now, "the age of the process")
+	}
+	return s.complete
+}
+
+// setComplete records why all versions are known; the caller holds mu.
+func (s *Service) setComplete(now time.Time, from string) {
+	s.complete = true
+	s.log.Info("All software versions are known.", "from", from, "process_age", now.Sub(s.started))
 }
 
 // expire drops old records; the caller holds mu.
@@ -210,7 +219,9 @@
 			records = append(records, s.unshared(now, u.Service)...)
 		}
 	}
-	s.complete = s.complete || complete
+	if complete && !s.complete {
+		s.setComplete(now, peer)
+	}
 	s.mu.Unlock()
 	s.share(records)
 }
--- a/services/origin/origin_test.go
+++ b/services/origin/origin_test.go
@@ -102,8 +102,8 @@
 func (f *fleet) expect(what, id, attempt, want string) {
 	f.t.Helper()
 	got, err := f.gateways[id].Resolve(f.t.Context(), coreorigin.KeyOf(account, attempt), service)
-	if got != want || (want == "") != IsErrUnknown(err) {
-		f.t.Errorf("%s: got version %q, error %v, want %q", what, got, err, want)
+	if got.Software != want || (want == "") != IsErrUnknown(err) {
+		f.t.Errorf("%s: got version %q, error %v, want %q", what, got.Software, err, want)
 	}
 }
 
--- a/services/origin/resolve.go
+++ b/services/origin/resolve.go
@@ -49,22 +49,41 @@
 // lookup waits for the replies of other gateways.
 type lookup struct{ replies chan Reply }
 
-// Resolve returns the software version at which a stream of a service began, or an ErrUnknown.
-func (s *Service) Resolve(ctx context.Context, k coreorigin.Key, service string) (string, error) {
-	software, err := s.resolve(ctx, k, service)
-	if err != nil {
+// Basis is how the software version of a stream was found.
+type Basis string
+
+// Ways to find the version of a stream.
+const (
+	FromRecord        Basis = "record"
+	FromSingleVersion Basis = "single_version"
+)
+
+// Origin is the software version at which a stream began.
+type Origin struct {
+	Software string
+	Basis    Basis
+}
+
+// Resolve returns where a stream of a service began, or an ErrUnknown.
+func (s *Service) Resolve(ctx context.Context, k coreorigin.Key, service string) (Origin, error) {
+	o, err := s.resolve(ctx, k, service)
+	switch {
+	case err != nil:
 		s.counters.unknown.Inc()
+	case o.Basis == FromSingleVersion:
+		s.counters.unasked.Inc()
+	default:
+		s.counters.found.Inc()
 	}
-	return software, err
+	return o, err
 }
 
-func (s *Service) resolve(ctx context.Context, k coreorigin.Key, service string) (string, error) {
+func (s *Service) resolve(ctx context.Context, k coreorigin.Key, service string) (Origin, error) {
 	reply := s.Lookup(k)
 	if !reply.Found {
 		s.awaitPeers(ctx)
 		if software, ok := s.onlyVersion(service); ok {
-			s.counters.unasked.Inc()
-			return software, nil
+			return Origin{software, FromSingleVersion}, nil
 		}
 	}
 	if !reply.Found || reply.Record.Sender != s.opts.Sender {
@@ -72,20 +91,19 @@
 	}
 	switch {
 	case reply.Ambiguous:
-		return "", ErrUnknown{"two gateways have attempts of this ID"}
+		return Origin{}, ErrUnknown{"two gateways have attempts of this ID"}
 	case !reply.Found:
-		return "", ErrUnknown{"no gateway has a record"}
+		return Origin{}, ErrUnknown{"no gateway has a record"}
 	}
 	if s.mustConfirm(service) {
 		if err := s.opts.Confirm(ctx); err != nil {
-			return "", ErrUnknown{"targets may have restarted with other software: " + err.Error()}
+			return Origin{}, ErrUnknown{"targets may have restarted with other software: " + err.Error()}
 		}
 	}
 	if !s.holds(reply.Record) {
-		return "", ErrUnknown{"the target restarted with other software at about that time"}
+		return Origin{}, ErrUnknown{"the target restarted with other software at about that time"}
 	}
-	s.counters.found.Inc()
-	return reply.Record.Software, nil
+	return Origin{reply.Record.Software, FromRecord}, nil
 }
 
 // awaitPeers waits for the first heartbeat of another gateway if this one has just started: without
