origin: Know all versions by evidence, not by the age of the process

And with one version in use each stream that came back within 10 s of the loss was refused.

Cause: a process that was 10 s old took the versions that it had seen for all versions whose streams may continue, although streams continue for 20 s to two minutes; a heartbeat passed that on. What had been listed before was in the memory of processes only.

Evidence: the line "All software versions are known." from="the age of the process" at 10.27 s at all three gateways, and bound_by="single_version" for the streams that went to v2.

Fix: the versions of each service lie in a row of the platform's store, with the time since when they are all. A process knows all versions for as long as it has followed the list, or as the row or a peer with such evidence says; a standstill or a loss of contact begins that time anew. A row of an older era proves nothing, nor does a peer of an older release. Why it works: what a process did not see itself it learns from something that outlasts it, and where nothing tells it refuses.

Tests: the lab's gateways start with first_start at the fleet's first start, as the platform has it. "version that comes later" waits until the records have arrived: its gateways had shared all records in their first 10 s. In services/origin the fleet is started for the first time instead of aged by learnTime, which is gone; each expectation stands.

--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -95,7 +95,7 @@
 // the version that is left.
 func TestUnlistedVersionIsRemembered(t *testing.T) {
 	const memory = 40 * time.Second
-	v := NewVersions()
+	v := NewVersions(time.Time{})
 	v.Apply(start, []routing.TargetChange{{After: listed("a", "v1")}, {After: listed("b", "v1")}})
 	if only, ok := v.Only("s"); !ok || only != "v1" || v.Mixed(start, "s", memory) {
 		t.Errorf("got version %q, %v, mixed %v, want v1 only", only, ok, v.Mixed(start, "s", memory))
@@ -111,9 +111,9 @@
 	if !v.Mixed(gone.Add(memory-1), "s", memory) || v.Mixed(gone.Add(memory), "s", memory) {
 		t.Error("want the service mixed for as long as the memory")
 	}
-	other := NewVersions()
+	other := NewVersions(time.Time{})
 	other.Apply(start, []routing.TargetChange{{After: listed("a", "v2")}})
-	for _, u := range v.Unlisted(gone.Add(10*time.Second), memory) {
+	for _, u := range v.Unlisted(gone.Add(10 * time.Second)) {
 		other.Learn(start, u)
 	}
 	if !other.Mixed(start.Add(29*time.Second), "s", memory) || other.Mixed(start.Add(30*time.Second), "s", memory) {
--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -16,6 +16,7 @@
 // concurrent use.
 type Versions struct {
 	services map[string]map[string]*listing
+	coverage Coverage
 }
 
 // listing counts the targets of one service and version.
@@ -24,8 +25,20 @@
 	unlistedAt time.Time // when the last target was removed, if targets is 0
 }
 
-// NewVersions returns a tracker without targets.
-func NewVersions() *Versions { return &Versions{services: map[string]map[string]*listing{}} }
+// NewVersions returns a tracker without targets that is to be told of all versions from a time on, or
+// of all that ever were if the time is zero.
+func NewVersions(since time.Time) *Versions {
+	return &Versions{services: map[string]map[string]*listing{}, coverage: Coverage{Since: since}}
+}
+
+// Uncover records that versions may have been listed unnoticed before now.
+func (v *Versions) Uncover(now time.Time) { v.coverage = Coverage{Since: now} }
+
+// Cover records that all versions are known that another gateway knows.
+func (v *Versions) Cover(c Coverage) { v.coverage = v.coverage.Join(c) }
+
+// Coverage returns since when all versions are known.
+func (v *Versions) Coverage() Coverage { return v.coverage }
 
 // Apply applies the changes of a list of targets. It returns the services in which a version was
 // added or removed. Its cost depends on the number of changes.
@@ -111,13 +124,13 @@
 	Age               time.Duration
 }
 
-// Unlisted returns the versions without targets that are within the memory, and drops older ones.
-func (v *Versions) Unlisted(now time.Time, memory time.Duration) []Unlisted {
+// Unlisted returns the versions without targets that are remembered, and drops the others.
+func (v *Versions) Unlisted(now time.Time) []Unlisted {
 	var out []Unlisted
 	for service, versions := range v.services {
 		for software, l := range versions {
 			switch {
-			case !l.remembered(now, memory):
+			case !l.remembered(now, MaxMemory):
 				delete(versions, software)
 			case l.targets == 0:
 				out = append(out, Unlisted{service, software, now.Sub(l.unlistedAt)})
--- a/lab/platform/site.go
+++ b/lab/platform/site.go
@@ -118,9 +118,12 @@
 	}
 	for _, g := range s.gateways {
 		g.setting.Seeds = seeds
+		again := *g.setting
+		g.setting.FirstStart = true
 		if err := s.startGateway(g); err != nil {
 			return err
 		}
+		g.setting = &again
 	}
 	return nil
 }
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -157,8 +157,8 @@
 	auth := peernet.NewSharedKey(s.ID, s.PeerKey)
 	store := platform.NewStore(s.Store, s.StoreCall.Duration)
 	g.origins = origin.New(log.New("origin").With(s.ID), origin.Options{
-		Clock: g.clock, MetricsPrefix: "madderway_gateway", Sender: uint32(place.Score(s.ID, g.self.Incarnation)), FirstStart: s.FirstStart, InContact: g.inContact,
-		Share:   func(records []coreorigin.Record) { g.loop.ShareOrigins(records) },
+		Clock: g.clock, MetricsPrefix: "madderway_gateway", Sender: uint32(place.Score(s.ID, g.self.Incarnation)), FirstStart: s.FirstStart, InContact: g.inContact, CutOff: g.cutOff,
+		Share:   func(records []coreorigin.Record, urgent bool) { g.loop.ShareOrigins(records, urgent) },
 		Ask:     func(k coreorigin.Key) []string { return g.loop.AskOrigin(k) },
 		Confirm: func(ctx context.Context) error { return g.follow.Confirm(ctx) },
 	})
@@ -185,6 +185,7 @@
 		FetchCachedParts: client.CachedParts, FairWindow: s.FairWindow.Duration, Scheduling: schedulingOf(s), OnMembers: g.setRelayPeers, OnIncarnationEnd: g.relay.Disconnect,
 	})
 	g.quarantine.RunArchive(&g.t, quarantine.ArchiveOptions{Archive: platform.NewQuarantineArchive(store), IsReader: g.loop.Watches, FirstStart: s.FirstStart})
+	g.origins.RunArchive(&g.t, origin.ArchiveOptions{Archive: platform.NewSoftwareArchive(store), Fleet: func() (bool, int) { return g.loop.Watches(), g.loop.Members() }})
 	discover.Start(&g.t, log.New("discover").With(s.ID), discover.Options{
 		Self: discover.Entry{ID: s.ID, Address: s.Peers}, Registry: platform.NewGatewayRegistry(store), Peers: g.loop, Clock: g.clock, Era: g.follow.Era,
 		EmptyRegistry: s.FirstStart,
@@ -289,6 +290,7 @@
 // storeRestored writes records again that a store restored from an older copy may lack. Only
 // the few gateways that watch the store do so.
 func (g *Gateway) storeRestored() {
+	g.origins.EraChanged()
 	if g.loop.Watches() {
 		g.quarantine.RewriteArchive()
 	}
@@ -302,14 +304,21 @@
 	lossDetection = 10 * time.Second
 )
 
-// inContact reports whether the list of targets is as new as that of the rest of the fleet: no other
-// gateway has a newer one, and it was complete lately, or most gateways that were there then are
-// still in contact.
+// inContact reports whether the list of targets is as new as that of the rest of the fleet.
 func (g *Gateway) inContact() bool {
 	freshAt, behind := g.follow.TargetsFreshAt()
-	if behind {
-		return false
-	}
+	return !behind && g.followsTargets(freshAt)
+}
+
+// cutOff reports whether updates of the list of targets may have been missed since it was complete.
+func (g *Gateway) cutOff() bool {
+	freshAt, _ := g.follow.TargetsFreshAt()
+	return !freshAt.IsZero() && !g.followsTargets(freshAt)
+}
+
+// followsTargets reports whether the list of targets was complete lately, or most gateways that
+// were there then are still in contact.
+func (g *Gateway) followsTargets(freshAt time.Time) bool {
 	if g.clock.Now().Sub(freshAt) < maxContactAge {
 		return true
 	}
--- a/router/standstill.go
+++ b/router/standstill.go
@@ -45,6 +45,7 @@
 	g.standstill.endAt.Store(&now)
 	g.standstill.count.Add(1)
 	g.log.Warn("Process was stalled or suspended.", "for", d.Round(time.Millisecond), "suspended_total", clock.Suspended().Round(time.Millisecond))
+	g.origins.NoteGap("standstill")
 	g.pool.CloseIdle()
 }
 
--- a/router/streamversions_test.go
+++ b/router/streamversions_test.go
@@ -4,6 +4,8 @@
 package router_test
 
 import (
+	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -24,6 +26,8 @@
 		"at a gateway that stood still":     testContinueAtSuspended,
 		"version that comes later":          testContinueWhenVersionsBeginToDiffer,
 		"loss of all gateways":              testContinueAfterLossOfAll,
+		"loss of all, one version":          testContinueOneVersionAfterLossOfAll,
+		"loss of all after a release":       testContinueAfterReleaseAndLossOfAll,
 		"all of a version have left":        testContinueWithoutVersion,
 		"upgrade in place, store is away":   testContinueAfterUpgrade,
 		"unusable reference to the attempt": testContinueUnknown,
@@ -77,6 +81,18 @@
 	}
 }
 
+// awaitRecords waits until gateways have the records of all streams.
+func (s *versionSite) awaitRecords(gateways ...int) {
+	s.t.Helper()
+	for _, g := range gateways {
+		s.await("a gateway has the records", func() bool {
+			var figures strings.Builder
+			s.Gateway(g).WriteMetrics(&figures)
+			return strings.Contains(figures.String(), fmt.Sprintf("madderway_gateway_stream_origins %d\n", streamCount))
+		})
+	}
+}
+
 // setFault sets the fault of all model workers.
 func (s *versionSite) setFault(f platform.Fault) {
 	for _, w := range s.Workers(s.kind) {
@@ -204,6 +220,7 @@
 	s := newVersionSite(t, 3, 0)
 	s.begin(1)
 	s.addNew(6)
+	s.awaitRecords(1, 2)
 	s.RestartGateway(0)
 	s.expectShare(s.comeBack(1, 2), 0.5)
 }
@@ -219,6 +236,38 @@
 	s.comeBack(0, 1, 2)
 }
 
+// testContinueOneVersionAfterLossOfAll kills all gateways while there is one version only.
+func testContinueOneVersionAfterLossOfAll(t *testing.T) {
+	s := newVersionSite(t, 3, 0)
+	s.begin(3)
+	s.KillGateways()
+	if err := s.AwaitReady(waitTimeout); err != nil {
+		t.Fatal(err)
+	}
+	s.expectShare(s.comeBack(0, 1, 2), 0.9)
+}
+
+// testContinueAfterReleaseAndLossOfAll replaces all workers by those of another version before all
+// gateways are killed, so that the gateways which start again list the new version only.
+func testContinueAfterReleaseAndLossOfAll(t *testing.T) {
+	s := newVersionSite(t, 3, 0)
+	s.begin(3)
+	old := s.Workers(s.kind)
+	s.addNew(2)
+	listed := s.Gateway(0).Dump().Targets
+	for _, w := range old {
+		w.Stop()
+	}
+	s.awaitTargets(listed - len(old))
+	s.KillGateways()
+	if err := s.AwaitReady(waitTimeout); err != nil {
+		t.Fatal(err)
+	}
+	if whole := s.comeBack(0, 1, 2); whole > 0 {
+		t.Errorf("got %d streams whole whose version has no target, want 0", whole)
+	}
+}
+
 // testContinueWithoutVersion ends all workers of the old version, so that its streams are
 // refused at once, also at a gateway that never listed it.
 func testContinueWithoutVersion(t *testing.T) {
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -254,7 +254,7 @@
 	case partNewsIn:
 		l.records.SharePart(now, e.news, "")
 	case originsIn:
-		l.shareOrigins(now, e.records)
+		l.shareOrigins(now, e)
 	case routingIn:
 		l.setRouting(now, e.index, e.targets)
 		l.announce(now)
--- a/services/mesh/origin.go
+++ b/services/mesh/origin.go
@@ -11,14 +11,18 @@
 	"madderway/services/origin"
 )
 
-type originsIn struct{ records []coreorigin.Record }
+type originsIn struct {
+	records []coreorigin.Record
+	urgent  bool
+}
 
 func (originsIn) isInput() {}
 
 // ShareOrigins sends records of streams to the gateways that keep them. It is also called on the
 // loop's goroutine, so it does not wait for room; a stream without its record is refused later.
-func (l *Loop) ShareOrigins(records []coreorigin.Record) {
-	if !l.inputs.TryPut(originsIn{records}) {
+// Urgent records are of streams whose callers have events already.
+func (l *Loop) ShareOrigins(records []coreorigin.Record, urgent bool) {
+	if !l.inputs.TryPut(originsIn{records, urgent}) {
 		l.log.Request("Records of streams not sent, too much waits.", "records", len(records))
 	}
 }
@@ -45,10 +49,10 @@
 
 // shareOrigins adds records to the frames of the gateways that keep them. The first event of a
 // stream takes longer than a lazy frame.
-func (l *Loop) shareOrigins(now time.Time, records []coreorigin.Record) {
-	for _, r := range records {
+func (l *Loop) shareOrigins(now time.Time, in originsIn) {
+	for _, r := range in.records {
 		for _, id := range coreorigin.Replicas(l.originKeepers, l.opts.Self.ID, r.Key) {
-			f := l.out.Frame(now, id, true)
+			f := l.out.Frame(now, id, !in.urgent)
 			f.StreamOrigins = append(f.StreamOrigins, originToWire(now, r))
 		}
 	}
@@ -95,18 +99,31 @@
 	}
 }
 
-func softwareToWire(unlisted []coreorigin.Unlisted, complete bool) *wire.SoftwareMemory {
-	m := &wire.SoftwareMemory{Complete: complete}
-	for _, u := range unlisted {
-		m.Unlisted = append(m.Unlisted, &wire.UnlistedSoftware{Service: u.Service, Software: u.Software, AgeMs: uint32(u.Age.Milliseconds())})
+// maxToldCoverage bounds the coverage in a message. Streams do not continue for longer.
+const maxToldCoverage = 2 * coreorigin.MaxMemory
+
+func softwareToWire(m origin.Memory) *wire.SoftwareMemory {
+	w := &wire.SoftwareMemory{Complete: m.Complete, CoveredMs: coveredToWire(m.Coverage.All), Archived: m.Archived}
+	for _, u := range m.Unlisted {
+		w.Unlisted = append(w.Unlisted, &wire.UnlistedSoftware{Service: u.Service, Software: u.Software, AgeMs: uint32(u.Age.Milliseconds())})
 	}
-	return m
+	for service, covered := range m.Coverage.Later {
+		w.CoveredLater = append(w.CoveredLater, &wire.CoveredService{Service: service, CoveredMs: coveredToWire(covered)})
+	}
+	return w
 }
 
-func unlistedFromWire(m *wire.SoftwareMemory) []coreorigin.Unlisted {
-	var out []coreorigin.Unlisted
-	for _, u := range m.GetUnlisted() {
-		out = append(out, coreorigin.Unlisted{Service: u.Service, Software: u.Software, Age: time.Duration(u.AgeMs) * time.Millisecond})
+func coveredToWire(d time.Duration) uint32 { return uint32(min(d, maxToldCoverage).Milliseconds()) }
+
+func softwareFromWire(w *wire.SoftwareMemory) origin.Memory {
+	m := origin.Memory{Coverage: coreorigin.CoverageAge{All: coveredFromWire(w.GetCoveredMs()), Later: map[string]time.Duration{}}, Complete: w.GetComplete(), Archived: w.GetArchived()}
+	for _, u := range w.GetUnlisted() {
+		m.Unlisted = append(m.Unlisted, coreorigin.Unlisted{Service: u.Service, Software: u.Software, Age: time.Duration(u.AgeMs) * time.Millisecond})
+	}
+	for _, c := range w.GetCoveredLater() {
+		m.Coverage.Later[c.Service] = coveredFromWire(c.CoveredMs)
 	}
-	return out
+	return m
 }
+
+func coveredFromWire(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/services/mesh/step.go
+++ b/services/mesh/step.go
@@ -97,10 +97,11 @@
 		return
 	}
 	l.stepMembers(now, seen)
-	l.opts.Follow.ObservePeerVersions(peer, versionsFromWire(hb.Versions))
+	versions := versionsFromWire(hb.Versions)
+	l.opts.Follow.ObservePeerVersions(peer, versions)
 	l.records.Compare(now, peer, hb.RequestDigest)
 	if hb.Software != nil {
-		l.opts.Origins.Learn(peer, unlistedFromWire(hb.Software), hb.Software.Complete)
+		l.opts.Origins.Learn(peer, softwareFromWire(hb.Software), versions.Targets)
 	}
 }
 
--- a/services/origin/origin.go
+++ b/services/origin/origin.go
@@ -23,18 +23,8 @@
 	"madderway/modules/log"
 )
 
-const (
-	// learnTime is the age from which a process knows what versions matter without having heard
-	// it from others. Callers whose streams broke off earlier have come back or given up by then.
-	learnTime = 10 * time.Second
-	// Life of records and memory of versions: timeoutFactor times the longest timeout of a stream,
-	// since a caller may come back several times, and the time to come back.
-	timeoutFactor = 2
-	returnTime    = 10 * time.Second
-	maxLife       = 2 * time.Minute
-	// expireInterval is the least time between two removals of old records.
-	expireInterval = time.Second
-)
+// expireInterval is the least time between two removals of old records.
+const expireInterval = time.Second
 
 // Options are the dependencies and settings of a Service.
 type Options struct {
@@ -45,11 +35,12 @@
 	Sender uint32
 	// FirstStart is set if the fleet has never run before, so that no stream has begun.
 	FirstStart bool
-	// InContact reports whether the list of targets is as new as that of the rest of the fleet.
-	InContact func() bool
-	// Share sends records to the gateways that are to hold them, Ask asks those that may hold the
-	// record of a stream and returns their IDs.
-	Share func(records []coreorigin.Record)
+	// InContact reports whether the list of targets is as new as that of the rest of the fleet, and
+	// CutOff whether updates of it may have been missed.
+	InContact, CutOff func() bool
+	// Share sends records to the gateways that are to hold them, urgent ones at once. Ask asks those
+	// that may hold the record of a stream and returns their IDs.
+	Share func(records []coreorigin.Record, urgent bool)
 	Ask   func(k coreorigin.Key) []string
 	// Confirm reads the changes of targets from the store.
 	Confirm func(ctx context.Context) error
@@ -67,10 +58,11 @@
 	targets  *routing.TargetSet
 	table    *coreorigin.Table
 	lookups  map[coreorigin.Key][]*lookup
-	complete bool // versions includes what other gateways remember
-	life     time.Duration
+	life     lifetime
 	// of which life was taken
 	configuration *routing.Configuration
+	archiving     archiving
+	covered       bool // as of the last log line
 	lastExpiry    time.Time
 	dropped       uint64 // as of the last log line
 
@@ -80,10 +72,15 @@
 // New returns a service that knows no targets.
 func New(logger log.Logger, o Options) *Service {
 	s := &Service{
-		log: logger, opts: o, started: o.Clock.Now(), versions: coreorigin.NewVersions(), targets: routing.NewTargetSet(0), table: coreorigin.NewTable(),
-		lookups: map[coreorigin.Key][]*lookup{}, complete: o.FirstStart, life: maxLife,
+		log: logger, opts: o, started: o.Clock.Now(), targets: routing.NewTargetSet(0), table: coreorigin.NewTable(),
+		lookups: map[coreorigin.Key][]*lookup{}, life: lifetime{current: maxLife}, archiving: archiving{wake: make(chan struct{}, 1)},
+		covered: o.FirstStart,
+	}
+	s.versions = coreorigin.NewVersions(s.started)
+	if o.FirstStart {
+		s.versions = coreorigin.NewVersions(time.Time{})
 	}
-	s.counters = newCounters(o.MetricsPrefix, s.records)
+	s.counters = newCounters(o.MetricsPrefix, s)
 	return s
 }
 
@@ -94,23 +91,11 @@
 	if s.configuration == c {
 		return
 	}
-	s.configuration, s.life = c, lifeOf(c)
-}
-
-// lifeOf returns how long a stream may continue after it has begun.
-func lifeOf(c *routing.Configuration) time.Duration {
-	life := returnTime
-	for i := range c.Routes {
-		r := &c.Routes[i]
-		switch {
-		case !r.Stream || !r.Resumable:
-		case r.Timeout <= 0:
-			return maxLife
-		default:
-			life = max(life, timeoutFactor*r.Timeout+returnTime)
-		}
+	if s.configuration == nil {
+		s.life = lifetime{}
 	}
-	return min(life, maxLife)
+	s.configuration = c
+	s.life.set(s.opts.Clock.Now(), lifeOf(c))
 }
 
 // SetTargets takes a new list of targets. If a service begins to have several versions, the records
@@ -120,7 +105,13 @@
 	s.mu.Lock()
 	now := s.opts.Clock.Now()
 	changed := s.versions.Apply(now, targets.Changes(s.targets))
+	if s.targets.Revision == 0 && !s.opts.FirstStart {
+		s.versions.Uncover(now)
+	}
 	s.targets = targets
+	if len(changed) > 0 {
+		s.versionsChanged(now)
+	}
 	for _, service := range changed {
 		s.log.Info("Software versions changed.", "service", service, "revision", targets.Revision, "targets", s.versions.Listed(service))
 		records = append(records, s.unshared(now, service)...)
@@ -132,18 +123,19 @@
 // unshared returns the records that others are to have since the service has several versions; the
 // caller holds mu and shares them.
 func (s *Service) unshared(now time.Time, service string) []coreorigin.Record {
-	if !s.versions.Mixed(now, service, s.life) {
+	if !s.versions.Mixed(now, service, s.life.at(now)) {
 		return nil
 	}
 	return s.table.Unshared(service)
 }
 
+// share sends the records of streams that have begun.
 func (s *Service) share(records []coreorigin.Record) {
 	if len(records) == 0 {
 		return
 	}
 	s.counters.shared.Add(len(records))
-	s.opts.Share(records)
+	s.opts.Share(records, true)
 }
 
 // Sent records that an attempt that begins a stream is sent to a target of a service. The number of
@@ -152,27 +144,47 @@
 	now := s.opts.Clock.Now()
 	r := coreorigin.Record{Key: k, Target: t.ID, Software: t.Software, Sender: s.opts.Sender, Try: uint32(try), SentAt: now.UnixMilli(), At: now}
 	s.mu.Lock()
-	shared := s.table.PutLocal(r, service, s.versions.Mixed(now, service, s.life) || !s.knowsVersions(now))
+	shared := s.table.PutLocal(r, service, s.versions.Mixed(now, service, s.life.at(now)) || !s.covers(now, service))
 	s.expire(now)
 	s.mu.Unlock()
 	if shared {
-		s.share([]coreorigin.Record{r})
+		s.counters.shared.Inc()
+		s.opts.Share([]coreorigin.Record{r}, false)
 	}
 }
 
-// knowsVersions reports whether all versions are known whose streams may continue; the caller holds
-// mu.
-func (s *Service) knowsVersions(now time.Time) bool {
-	if !s.complete && now.Sub(s.started) >= learnTime {
-		s.setComplete(now, "the age of the process")
+// covers reports whether all versions of a service are known whose streams may continue; the caller
+// holds mu.
+func (s *Service) covers(now time.Time, service string) bool {
+	return s.versions.Coverage().Covers(now, service, s.life.at(now))
+}
+
+// coversAll reports whether that is so for all listed services; the caller holds mu.
+func (s *Service) coversAll(now time.Time) bool {
+	if s.targets.Revision == 0 {
+		return false
 	}
-	return s.complete
+	c, life := s.versions.Coverage(), s.life.at(now)
+	for service := range c.Later {
+		if !c.Covers(now, service, life) {
+			return false
+		}
+	}
+	return c.Covers(now, "", life)
 }
 
-// setComplete records why all versions are known; the caller holds mu.
-func (s *Service) setComplete(now time.Time, from string) {
-	s.complete = true
-	s.log.Info("All software versions are known.", "from", from, "process_age", now.Sub(s.started))
+// noteCoverage logs when all versions become known, and when they are no longer; the caller holds mu.
+func (s *Service) noteCoverage(now time.Time, from string) {
+	covered := s.coversAll(now)
+	if covered == s.covered || s.targets.Revision == 0 {
+		return
+	}
+	s.covered = covered
+	if covered {
+		s.log.Info("All software versions are known.", "from", from, "process_age", now.Sub(s.started), "life", s.life.at(now))
+	} else {
+		s.log.Info("Software versions may be missing.", "from", from, "targets_revision", s.targets.Revision)
+	}
 }
 
 // expire drops old records; the caller holds mu.
@@ -181,7 +193,7 @@
 		return
 	}
 	s.lastExpiry = now
-	s.table.Expire(now.Add(-s.life))
+	s.table.Expire(now.Add(-s.life.at(now)))
 	if n := s.table.Dropped(); n > s.dropped {
 		s.log.Warn("Records of streams dropped, the table is full.", "dropped", n-s.dropped, "records", s.table.Len())
 		s.counters.dropped.Add(int(n - s.dropped))
@@ -199,49 +211,83 @@
 	s.expire(s.opts.Clock.Now())
 }
 
-// Memory returns what other gateways must know of versions that are no longer listed, and whether
-// that is all.
-func (s *Service) Memory() (unlisted []coreorigin.Unlisted, complete bool) {
+// Memory is what a gateway tells others of the versions at which streams began.
+type Memory struct {
+	// Unlisted are the versions that are no longer listed.
+	Unlisted []coreorigin.Unlisted
+	// Coverage tells since when those and the listed ones are all.
+	Coverage coreorigin.CoverageAge
+	// Complete reports that no stream may continue that began earlier.
+	Complete bool
+	// Archived is the digest of the listed versions, if they are in the archive.
+	Archived uint64
+}
+
+// Memory returns what other gateways are to know.
+func (s *Service) Memory() Memory {
 	now := s.opts.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.versions.Unlisted(now, s.life), s.knowsVersions(now)
+	m := Memory{Unlisted: s.versions.Unlisted(now), Complete: s.coversAll(now), Archived: s.archiving.digest}
+	if s.targets.Revision > 0 {
+		m.Coverage = s.versions.Coverage().Age(now, maxLife)
+	}
+	return m
 }
 
-// Learn takes the memory of another gateway.
-func (s *Service) Learn(peer string, unlisted []coreorigin.Unlisted, complete bool) {
+// Learn takes the memory of another gateway, which has a list of targets of a revision.
+func (s *Service) Learn(peer string, m Memory, revision routing.Revision) {
 	var records []coreorigin.Record
 	s.mu.Lock()
 	now := s.opts.Clock.Now()
-	for _, u := range unlisted {
+	for _, u := range m.Unlisted {
 		if s.versions.Learn(now, u) {
 			s.log.Info("Learned of a software version.", "service", u.Service, "software", u.Software, "unlisted_for", u.Age, "from", peer)
 			records = append(records, s.unshared(now, u.Service)...)
 		}
 	}
-	if complete && !s.complete {
-		s.setComplete(now, peer)
+	// A peer with an older list may have listed a version that this gateway never has.
+	if s.targets.Revision > 0 && revision >= s.archiving.changedAt {
+		s.versions.Cover(m.Coverage.At(now))
+		s.noteCoverage(now, peer)
+		s.noteArchived(m.Archived)
 	}
 	s.mu.Unlock()
 	s.share(records)
 }
 
-func (s *Service) records() float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return float64(s.table.Len())
+// gauge returns a function that reads a figure under the lock.
+func (s *Service) gauge(read func() float64) func() float64 {
+	return func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return read()
+	}
+}
+
+func boolToFloat(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
 }
 
 // counters are the metrics of a Service.
 type counters struct {
-	set                     *metrics.Set
-	shared, asked, dropped  *metrics.Counter
-	found, unknown, unasked *metrics.Counter // streams that callers continue
+	set                                          *metrics.Set
+	shared, asked, dropped                       *metrics.Counter
+	found, unknown, unasked                      *metrics.Counter // streams that callers continue
+	archiveReads, archiveWrites, archiveFailures *metrics.Counter
 }
 
-func newCounters(prefix string, records func() float64) counters {
+func newCounters(prefix string, s *Service) counters {
 	set := metrics.NewSet()
-	set.NewGauge(prefix+"_stream_origins", records)
+	set.NewGauge(prefix+"_stream_origins", s.gauge(func() float64 { return float64(s.table.Len()) }))
+	set.NewGauge(prefix+"_software_versions_known", s.gauge(func() float64 { return boolToFloat(s.coversAll(s.opts.Clock.Now())) }))
+	set.NewGauge(prefix+"_software_versions_archived", s.gauge(func() float64 { return boolToFloat(!s.archiving.pending()) }))
+	archived := func(call, outcome string) *metrics.Counter {
+		return set.NewCounter(prefix + `_software_versions_archive_calls_total{call="` + call + `",outcome="` + outcome + `"}`)
+	}
 	resolved := func(how string) *metrics.Counter {
 		return set.NewCounter(prefix + `_stream_origins_resolved_total{how="` + how + `"}`)
 	}
@@ -249,6 +295,7 @@
 		set: set, shared: set.NewCounter(prefix + "_stream_origins_shared_total"), asked: set.NewCounter(prefix + "_stream_origins_asked_total"),
 		dropped: set.NewCounter(prefix + "_stream_origins_dropped_total"),
 		found:   resolved("record"), unknown: resolved("unknown"), unasked: resolved("single_version"),
+		archiveReads: archived("read", "ok"), archiveWrites: archived("write", "ok"), archiveFailures: archived("any", "failed"),
 	}
 }
 
--- a/services/origin/origin_test.go
+++ b/services/origin/origin_test.go
@@ -7,6 +7,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,6 +29,8 @@
 	asks     int             // gateways asked
 	targets  *routing.TargetSet
 	confirm  error
+	archive  *fakeArchive
+	silent   bool // heartbeats are not exchanged
 }
 
 const (
@@ -34,21 +38,51 @@
 	account = "account"
 )
 
+// newFleet starts a fleet for the first time.
 func newFleet(t *testing.T, n int, targets ...routing.Target) *fleet {
-	f := &fleet{t: t, clock: clock.NewFake(), gateways: map[string]*Service{}, outOf: map[string]bool{}, targets: routing.NewTargetSet(1, targets...)}
+	c := clock.NewFake()
+	f := &fleet{t: t, clock: c, gateways: map[string]*Service{}, outOf: map[string]bool{}, targets: routing.NewTargetSet(1, targets...), archive: newFakeArchive(c)}
 	for i := range n {
-		f.start(fmt.Sprint("g", i))
+		f.launch(fmt.Sprint("g", i), true)
 	}
-	f.clock.Advance(learnTime)
+	f.settle()
+	f.clock.Advance(patience)
 	return f
 }
 
+// patience is a time for which callers come back, shorter than that for which a stream may continue.
+const patience = 10 * time.Second
+
 // start starts a gateway, or starts it anew without its records.
 func (f *fleet) start(id string) {
+	f.launch(id, false)
+	f.clock.Advance(joinTime)
+}
+
+// loseAll kills all gateways and starts them anew.
+func (f *fleet) loseAll() {
+	f.killAll()
+	f.startAll()
+}
+
+func (f *fleet) killAll() { clear(f.gateways) }
+
+func (f *fleet) startAll() {
+	for i := range fleetSize {
+		f.launch(fmt.Sprint("g", i), false)
+	}
+	f.settle()
+}
+
+// fleetSize is the number of gateways that startAll starts.
+const fleetSize = 3
+
+func (f *fleet) launch(id string, first bool) {
 	f.gateways[id] = New(log.New("origin"), Options{
-		Clock: f.clock, MetricsPrefix: "test", Sender: uint32(place.Score(id, uint64(f.clock.Now().UnixNano()))),
+		Clock: f.clock, MetricsPrefix: "test", Sender: uint32(place.Score(id, uint64(f.clock.Now().UnixNano()))), FirstStart: first,
 		InContact: func() bool { return !f.outOf[id] },
-		Share: func(records []coreorigin.Record) {
+		CutOff:    func() bool { return f.outOf[id] },
+		Share: func(records []coreorigin.Record, _ bool) {
 			for _, r := range records {
 				for _, to := range coreorigin.Replicas(f.nodes(id), id, r.Key) {
 					f.shared++
@@ -69,9 +103,40 @@
 		Confirm: func(context.Context) error { return f.confirm },
 	})
 	f.gateways[id].SetTargets(f.targets)
-	f.clock.Advance(joinTime)
 }
 
+// settle has the gateways use the archive and exchange heartbeats, as they do within a second.
+func (f *fleet) settle() {
+	archivists := func() (bool, int) { return true, len(f.gateways) }
+	for range 2 {
+		for _, id := range f.ids() {
+			g := f.gateways[id]
+			g.checkContact()
+			if g.archiveDue(archivists, 0) {
+				if err := g.syncArchive(f.t.Context(), f.archive); err != nil {
+					f.t.Logf("%s: archive: %v", id, err)
+				}
+			}
+		}
+		if !f.silent {
+			f.exchange()
+		}
+	}
+}
+
+// exchange sends the heartbeats of all gateways in contact to each other.
+func (f *fleet) exchange() {
+	for _, from := range f.ids() {
+		for _, to := range f.ids() {
+			if from != to && !f.outOf[from] && !f.outOf[to] {
+				f.gateways[to].Learn(from, f.gateways[from].Memory(), f.gateways[from].targets.Revision)
+			}
+		}
+	}
+}
+
+func (f *fleet) ids() []string { return slices.Sorted(maps.Keys(f.gateways)) }
+
 // nodes returns the gateways that a gateway is in contact with.
 func (f *fleet) nodes(id string) []place.Node {
 	var out []place.Node
@@ -139,10 +204,8 @@
 	if _, err := f.gateways["g1"].Resolve(t.Context(), coreorigin.KeyOf("another account", "one"), service); !IsErrUnknown(err) {
 		t.Errorf("for another account: got error %v, want ErrUnknown", err)
 	}
-	for id := range f.gateways {
-		f.start(id)
-	}
-	f.clock.Advance(learnTime)
+	f.loseAll()
+	f.clock.Advance(patience)
 	f.expect("after the loss of all", "g1", "one", "")
 }
 
@@ -193,15 +256,13 @@
 	f.list(target("b", "v2"))
 	f.start("g0")
 	f.expect("before it has heard of others", "g0", "lost", "")
-	f.gateways["g0"].Learn("g1", nil, false)
+	f.gateways["g0"].Learn("g1", Memory{}, f.targets.Revision)
 	f.expect("after a heartbeat of another restarted gateway", "g0", "lost", "")
-	unlisted, complete := f.gateways["g1"].Memory()
-	f.gateways["g0"].Learn("g1", unlisted, complete)
+	f.gateways["g0"].Learn("g1", f.gateways["g1"].Memory(), f.targets.Revision)
 	f.expect("after a heartbeat", "g0", "lost", "")
 	f.start("g2")
 	f.clock.Advance(maxLife)
-	unlisted, complete = f.gateways["g1"].Memory()
-	f.gateways["g2"].Learn("g1", unlisted, complete)
+	f.gateways["g2"].Learn("g1", f.gateways["g1"].Memory(), f.targets.Revision)
 	f.expect("once the old version is forgotten", "g2", "lost", "v2")
 }
 
--- a/services/origin/resolve.go
+++ b/services/origin/resolve.go
@@ -17,7 +17,7 @@
 	// a record was found: a later one may replace it.
 	lookupTimeout = 300 * time.Millisecond
 	graceTime     = 30 * time.Millisecond
-	// joinTime is the age up to which a gateway may not have heard of others.
+	// joinTime is the age up to which a gateway may not have heard of others, nor read the archive.
 	joinTime         = 800 * time.Millisecond
 	joinPollInterval = 20 * time.Millisecond
 	// clockSlack bounds the difference between the clocks of a gateway and a target.
@@ -81,7 +81,7 @@
 func (s *Service) resolve(ctx context.Context, k coreorigin.Key, service string) (Origin, error) {
 	reply := s.Lookup(k)
 	if !reply.Found {
-		s.awaitPeers(ctx)
+		s.awaitCoverage(ctx, service)
 		if software, ok := s.onlyVersion(service); ok {
 			return Origin{software, FromSingleVersion}, nil
 		}
@@ -106,10 +106,10 @@
 	return Origin{reply.Record.Software, FromRecord}, nil
 }
 
-// awaitPeers waits for the first heartbeat of another gateway if this one has just started: without
-// it the versions are not known, and there is nobody to ask.
-func (s *Service) awaitPeers(ctx context.Context) {
-	for ctx.Err() == nil && s.isJoining() {
+// awaitCoverage waits until all versions of a service are known if this gateway has just started:
+// the archive or a heartbeat of another gateway is about to tell.
+func (s *Service) awaitCoverage(ctx context.Context, service string) {
+	for ctx.Err() == nil && s.isJoining(service) {
 		select {
 		case <-ctx.Done():
 		case <-s.opts.Clock.After(joinPollInterval):
@@ -117,11 +117,11 @@
 	}
 }
 
-func (s *Service) isJoining() bool {
+func (s *Service) isJoining(service string) bool {
 	now := s.opts.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.knowsVersions(now) && now.Sub(s.started) < joinTime
+	return !s.covers(now, service) && now.Sub(s.started) < joinTime
 }
 
 // Lookup returns what this gateway knows of a stream.
@@ -139,7 +139,7 @@
 	now := s.opts.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !inContact || !s.knowsVersions(now) || s.versions.Mixed(now, service, s.life) {
+	if !inContact || !s.covers(now, service) || s.versions.Mixed(now, service, s.life.at(now)) {
 		return "", false
 	}
 	return s.versions.Only(service)
@@ -231,7 +231,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	targets := s.targets.ByService(service)
-	return len(targets) > 0 && targets[0].Born != 0 && s.versions.Mixed(now, service, s.life)
+	return len(targets) > 0 && targets[0].Born != 0 && s.versions.Mixed(now, service, s.life.at(now))
 }
 
 // holds reports whether a record's version is right: the target had not restarted with other
