gateway: A connection no longer waits for ever when the next request comes early

What callers saw: a connection that hangs, with its next request unread, when that request's first byte arrives at the moment at which the HTTP server stops watching the connection for a close, just after the answer before it. The connection and two goroutines stay until the process ends.

Cause: SetReadDeadline signalled the watch before it set the deadline. A watch that began in between dropped the signal as one left over, read the byte, and waited for the next signal.

Fix: the deadline is set first. A watch that drops the signal then finds the deadline, and one that has read a byte gets the signal. The server waits in this call, so that no signal is left for a later watch.

--- a/handlers/gateway/callerconn.go
+++ b/handlers/gateway/callerconn.go
@@ -41,10 +41,12 @@
 
 // SetReadDeadline implements net.Conn.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
+	err := c.countedConn.SetReadDeadline(t)
+	// A watch that begins between the two drops the signal, and must then find the deadline.
 	if !t.IsZero() && !t.After(time.Now()) {
 		c.stopWatching()
 	}
-	return c.countedConn.SetReadDeadline(t)
+	return err
 }
 
 // Close implements net.Conn.
