drain, gateway: A planned stop cuts no request that has begun to arrive

Cause: between the last look at what is in flight and the close of a connection requests were taken; and a request whose head had not come whole was not in flight for that look.

Fix: once nothing is in flight the gateway refuses first, then closes the connections at rest, and exits when none is open. The reader of a connection and whoever closes it agree under a lock, so that no byte is read and then dropped. Refusals on the routers' own interface and answers on the metrics address are let to their end, too.

--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -5,7 +5,8 @@
 //
 // The load balancer takes seconds to notice that a process stops, and keeps sending if many
 // stop together. The process therefore serves new requests while there is time to finish
-// them, then refuses them, and exits once nothing is in flight.
+// them, then refuses them. Once nothing is in flight it closes the connections on which no
+// request has begun, and exits when none is left.
 package drain
 
 import "time"
@@ -16,6 +17,7 @@
 const (
 	Serve  Phase = iota + 1 // new requests are served
 	Refuse                  // new requests are refused, those in flight continue
+	Close                   // as Refuse, and connections at rest are closed
 	Exit                    // the process ends
 )
 
@@ -34,19 +36,32 @@
 	Grace   time.Duration // time until the process is killed
 }
 
-// Phase returns the phase at a time with the given number of requests in flight.
-func (p Plan) Phase(now time.Time, inFlight int) Phase {
-	since := now.Sub(p.Started)
+// Machine runs through the phases of a shutdown. No phase comes back: a request that is read after
+// the last one has ended is refused.
+type Machine struct {
+	plan  Plan
+	phase Phase
+}
+
+// NewMachine returns a machine in the phase Serve.
+func NewMachine(p Plan) *Machine { return &Machine{p, Serve} }
+
+// Step returns the phase at a time with so many requests in flight and open connections of callers.
+func (m *Machine) Step(now time.Time, inFlight, open int) Phase {
+	since := now.Sub(m.plan.Started)
+	next := m.phase
 	switch {
-	case since >= fraction(p.Grace, exitShare):
-		return Exit
-	case inFlight == 0 && since >= min(p.Linger, fraction(p.Grace, exitShare)):
-		return Exit
-	case since >= fraction(p.Grace, serveShare):
-		return Refuse
-	default:
-		return Serve
+	case since >= fraction(m.plan.Grace, exitShare):
+		next = Exit
+	case m.phase == Close && inFlight == 0 && open == 0:
+		next = Exit
+	case inFlight == 0 && since >= min(m.plan.Linger, fraction(m.plan.Grace, exitShare)):
+		next = Close
+	case since >= fraction(m.plan.Grace, serveShare):
+		next = Refuse
 	}
+	m.phase = max(m.phase, next)
+	return m.phase
 }
 
 func fraction(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
--- /dev/null
+++ b/handlers/gateway/rest_test.go
@@ -0,0 +1,134 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+const (
+	postHead = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
+	postBody = "book"
+)
+
+// exchange sends a request and reads its whole answer. It returns 0 without one.
+func exchange(c net.Conn, r *bufio.Reader, request string) int {
+	if _, err := io.WriteString(c, request); err != nil {
+		return 0
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// onlyConn returns the only open connection of a server.
+func onlyConn(s *Server) *callerConn {
+	for {
+		s.connsMu.Lock()
+		for c := range s.conns {
+			s.connsMu.Unlock()
+			return c
+		}
+		s.connsMu.Unlock()
+	}
+}
+
+func (r *rest) isBusy() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.busy
+}
+
+// Guards against a stop that cuts a request of which a part has come, at any byte.
+func TestBegunRequestOutlastsCloseAtRest(t *testing.T) {
+	request := postHead + postBody
+	for name, sent := range map[string]int{
+		"first byte": 1, "all but the last byte of the head": len(postHead) - 1, "head": len(postHead), "all but the last byte of the body": len(request) - 1,
+	} {
+		for _, kept := range []bool{false, true} {
+			s, address := serve(t, 0, 10, readAllHandler(nil, nil))
+			c := dial(t, address)
+			r := bufio.NewReader(c)
+			if kept && exchange(c, r, request) != http.StatusOK {
+				t.Fatalf("%s: the first request was not served", name)
+			}
+			_, _ = io.WriteString(c, request[:sent])
+			for conn := onlyConn(s); !conn.rest.isBusy(); { // until the server has read it
+			}
+			s.StopAccepting()
+			s.CloseAtRest()
+			if got := exchange(c, r, request[sent:]); got != http.StatusOK {
+				t.Errorf("%s, kept %v: got status %d, want 200", name, kept, got)
+			}
+			for s.Open() > 0 { // the answered connection is at rest soon
+				s.CloseAtRest()
+			}
+		}
+	}
+}
+
+// readAllHandler reads the body, counts and answers. It closes the connection while closes is set.
+func readAllHandler(served *atomic.Int64, closes *atomic.Bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if served != nil {
+			served.Add(1)
+		}
+		if closes != nil && closes.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+// Guards against a request that is read between the decision to close its connection and the close.
+func TestCloseAtRestCutsNoRequest(t *testing.T) {
+	const rounds, clients = 20, 50
+	for range rounds {
+		var served, answered atomic.Int64
+		var closes atomic.Bool
+		s, address := serve(t, 0, 2*clients, readAllHandler(&served, &closes))
+		var begun, done sync.WaitGroup
+		begun.Add(clients)
+		for range clients {
+			c := dial(t, address)
+			done.Go(func() {
+				r := bufio.NewReader(c)
+				for first := true; exchange(c, r, postHead+postBody) == http.StatusOK; first = false {
+					answered.Add(1)
+					if first {
+						begun.Done()
+					}
+				}
+			})
+		}
+		begun.Wait()
+		s.StopAccepting()
+		for range 20 {
+			s.CloseAtRest()
+		}
+		closes.Store(true)
+		for s.Open() > 0 {
+			s.CloseAtRest()
+		}
+		done.Wait()
+		if served.Load() != answered.Load() {
+			t.Fatalf("%d requests were served, %d answered", served.Load(), answered.Load())
+		}
+	}
+}
--- a/handlers/gateway/server.go
+++ b/handlers/gateway/server.go
@@ -7,8 +7,10 @@
 	"errors"
 	"io"
 	stdlog "log"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +53,9 @@
 	early      EarlyAdmission // nil if no request is decided early
 	relay      Relay          // nil if no request is handed over
 
+	connsMu sync.Mutex
+	conns   map[*callerConn]bool // open connections
+
 	mu      sync.Mutex
 	limits  routing.Limits
 	current *chanListener
@@ -61,7 +66,7 @@
 // NewServer returns a server with default limits that holds at most maxOpen connections and
 // counts their bytes in traffic. Serve runs it.
 func NewServer(logger log.Logger, l net.Listener, h http.Handler, maxOpen int, traffic *netopt.Traffic) *Server {
-	s := &Server{log: logger, listener: l, maxOpen: int64(maxOpen), traffic: traffic}
+	s := &Server{log: logger, listener: l, maxOpen: int64(maxOpen), traffic: traffic, conns: map[*callerConn]bool{}}
 	s.handler = s.closeWhenCrowded(h)
 	s.startServer(routing.Limits{})
 	return s
@@ -157,7 +162,9 @@
 			s.turnAway(c)
 			continue
 		}
-		s.passConn(&callerConn{countedConn: &countedConn{Conn: s.traffic.Wrap(c), open: &s.open}, server: s, stopWatch: make(chan struct{}, 1)})
+		conn := &callerConn{countedConn: &countedConn{Conn: s.traffic.Wrap(c), open: &s.open}, server: s, stopWatch: make(chan struct{}, 1)}
+		s.track(conn)
+		s.passConn(conn)
 	}
 }
 
@@ -220,6 +227,32 @@
 	}
 }
 
+func (s *Server) track(c *callerConn) {
+	s.connsMu.Lock()
+	defer s.connsMu.Unlock()
+	s.conns[c] = true
+}
+
+// forget removes a connection that is being closed.
+func (s *Server) forget(c *callerConn) {
+	s.connsMu.Lock()
+	defer s.connsMu.Unlock()
+	delete(s.conns, c)
+}
+
+// StopAccepting closes the listener. Open connections stay.
+func (s *Server) StopAccepting() { _ = s.listener.Close() }
+
+// CloseAtRest closes the connections on which no request has begun.
+func (s *Server) CloseAtRest() {
+	s.connsMu.Lock()
+	conns := slices.Collect(maps.Keys(s.conns))
+	s.connsMu.Unlock()
+	for _, c := range conns {
+		c.closeAtRest()
+	}
+}
+
 // Close closes the listener and all connections.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -52,6 +52,7 @@
 	// garbage collection took up the processor.
 	callerConnShare   = 0.45
 	drainPollInterval = 20 * time.Millisecond
+	operatorsTimeout  = 100 * time.Millisecond
 	probeInterval     = 25 * time.Millisecond
 	// Limit on the records of a heartbeat, about 80 bytes each: enough to spread the loss of 150
 	// machines within two seconds.
@@ -401,26 +402,52 @@
 func (g *Gateway) Drain() {
 	g.drainOnce.Do(func() {
 		s := g.settings.Load()
-		plan := drain.Plan{Started: g.clock.Now(), Linger: s.Linger.Duration, Grace: s.Grace.Duration}
-		g.log.Info("Drain started.", "in_flight", g.inFlight())
+		started := g.clock.Now()
+		machine := drain.NewMachine(drain.Plan{Started: started, Linger: s.Linger.Duration, Grace: s.Grace.Duration})
+		g.log.Info("Drain started.", "in_flight", g.inFlight(), "connections", g.callers.Open())
 		close(g.draining)
 		g.handler.SetMode(gateway.ServeClosing)
 		g.loop.Leave()
-		for {
-			phase := plan.Phase(g.clock.Now(), g.inFlight())
-			if phase == drain.Exit {
-				break
-			}
-			if phase == drain.Refuse {
-				g.handler.SetMode(gateway.RefuseAll)
-			}
+		phase := drain.Serve
+		for phase != drain.Exit {
 			<-g.clock.After(drainPollInterval)
+			phase = g.stepDrain(machine, phase)
 		}
-		g.log.Info("Drain ended.", "aborted", g.inFlight(), "took", g.clock.Now().Sub(plan.Started))
+		g.closeOperators()
+		g.log.Info("Drain ended.", "aborted", g.inFlight(), "connections", g.callers.Open(), "took", g.clock.Now().Sub(started))
 		g.Stop()
 	})
 }
 
+// closeOperators lets answers on the metrics address end.
+func (g *Gateway) closeOperators() {
+	if g.operators == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), operatorsTimeout)
+	defer cancel()
+	if err := g.operators.Shutdown(ctx); err != nil {
+		g.log.Warn("Answers on the metrics address were cut.", "error", err)
+	}
+}
+
+// stepDrain moves a drain on, and returns its phase. A request that the handler has not begun when
+// it starts to refuse is refused; the requests in flight are counted after that.
+func (g *Gateway) stepDrain(m *drain.Machine, before drain.Phase) drain.Phase {
+	phase := m.Step(g.clock.Now(), g.inFlight(), g.callers.Open())
+	if phase != before {
+		g.log.Info("Drain goes on.", "phase", phase, "in_flight", g.inFlight(), "connections", g.callers.Open())
+	}
+	if phase != drain.Serve {
+		g.handler.SetMode(gateway.RefuseAll)
+	}
+	if phase == drain.Close {
+		g.callers.StopAccepting()
+		g.callers.CloseAtRest()
+	}
+	return phase
+}
+
 // inFlight returns the number of requests in flight, including those handed over.
 func (g *Gateway) inFlight() int { return g.handler.InFlight() + g.callers.HandedOver() }
 
--- a/router/router.go
+++ b/router/router.go
@@ -312,6 +312,10 @@
 		defer cancel()
 		ended := r.caller.Drain(ctx)
 		closed := r.claims.Wait(ctx)
+		// Refusals that are being written must arrive.
+		if err := r.callerHTTP.Shutdown(ctx); err != nil {
+			r.log.Warn("Connections of callers were cut.", "error", err)
+		}
 		r.log.Info("Drain ended.", "requests_ended", ended, "claims_closed", closed)
 		r.Stop()
 	})
