gateway: Reserve the bytes of a body before they are read

Cause: the bound was checked before a body was read, and the body was counted after that. Its buffer had the whole announced length from the first byte.

Evidence: TestBodiesBeingReadAreBounded on the code as it was: of 60 bodies of 1 MB that lacked their last byte none was refused, with a length and in chunks.

Fix: bytes are reserved by account before a buffer is made, and the buffer grows as the body arrives. An account may hold four times what is free. What does not fit is refused at once with 429, not run.

Not counted yet: heads, responses held for slow readers, requests handed over, unread kernel buffers.

--- a/handlers/gateway/gateway.go
+++ b/handlers/gateway/gateway.go
@@ -12,7 +12,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -26,7 +25,6 @@
 	"madderway/models/result"
 	"madderway/models/routing"
 	"madderway/modules/clock"
-	"madderway/modules/netopt"
 	"madderway/services/follow"
 	"madderway/services/forward"
 	"madderway/services/relay"
@@ -38,7 +36,6 @@
 	notReadyRetryAfter = 300 * time.Millisecond
 	// Long enough for the caller to be sent to another gateway.
 	drainingRetryAfter = 50 * time.Millisecond
-	minBodyReserve     = 4 << 10 // counted for bodies of unknown or smaller length
 )
 
 // Options configure a Handler.
@@ -55,14 +52,14 @@
 
 // Handler serves callers' requests.
 type Handler struct {
-	opts      Options
-	mode      atomic.Int32
-	inFlight  atomic.Int64
-	bodyBytes atomic.Int64
+	opts     Options
+	mode     atomic.Int32
+	inFlight atomic.Int64
+	bodies   bodyQuota
 }
 
 // New returns a handler.
-func New(o Options) *Handler { return &Handler{opts: o} }
+func New(o Options) *Handler { return &Handler{opts: o, bodies: newBodyQuota(o.MaxTotalBodyBytes)} }
 
 // Mode is the handling of new requests, which changes during a drain.
 type Mode int32
@@ -104,10 +101,9 @@
 		h.refuse(w, call.ID, result.New(result.Draining, "the gateway is stopping").WithRetryAfter(drainingRetryAfter))
 		return
 	}
-	request, err := h.readRequest(w, r, call)
+	request, held, err := h.readRequest(w, r, call)
+	defer held.release()
 	if err == nil {
-		h.bodyBytes.Add(int64(len(request.Body)))
-		defer h.bodyBytes.Add(-int64(len(request.Body)))
 		err = h.opts.Forward.Serve(r.Context(), w, request)
 	}
 	switch {
@@ -132,56 +128,58 @@
 	api.WriteJSON(w, result.Lookup(e.Code).Status, body)
 }
 
-// readRequest authenticates and admits a request, and reads its body.
-func (h *Handler) readRequest(w http.ResponseWriter, r *http.Request, call upstream.Call) (*forward.Request, error) {
+// readRequest authenticates and admits a request, and reads its body. What is held for the body must
+// be released also if there is an error.
+func (h *Handler) readRequest(w http.ResponseWriter, r *http.Request, call upstream.Call) (*forward.Request, *heldBody, error) {
 	received := h.opts.Clock.Now()
 	index := h.opts.Follow.Index()
 	if index == nil {
-		return nil, result.New(result.NotReady, "no configuration is known").WithRetryAfter(notReadyRetryAfter)
+		return nil, nil, result.New(result.NotReady, "no configuration is known").WithRetryAfter(notReadyRetryAfter)
 	}
 	if h.opts.Resyncing != nil && h.opts.Resyncing() {
-		return nil, result.New(result.NotReady, "the process stood still and has not heard anew what holds").WithRetryAfter(notReadyRetryAfter)
+		return nil, nil, result.New(result.NotReady, "the process stood still and has not heard anew what holds").WithRetryAfter(notReadyRetryAfter)
 	}
 	if headerExceeds(r.Header, index.Configuration.Limits.MaxHeaderBytes) {
-		return nil, result.New(result.HeaderTooLarge, "over %d bytes", index.Configuration.Limits.MaxHeaderBytes)
+		return nil, nil, result.New(result.HeaderTooLarge, "over %d bytes", index.Configuration.Limits.MaxHeaderBytes)
 	}
 	uri := requestURI(r)
 	path, _, _ := strings.Cut(uri, "?")
 	route := index.Route(hostWithoutPort(r.Host), path)
 	if route == nil {
-		return nil, result.New(result.NotFound, "no route")
+		return nil, nil, result.New(result.NotFound, "no route")
 	}
 	var account *routing.ClientAccount
 	if index.Configuration.RequireAccount && !route.Public {
 		if account = index.Account(call.Key); account == nil {
-			return nil, result.New(result.Unauthorized, "unknown key")
+			return nil, nil, result.New(result.Unauthorized, "unknown key")
 		}
 	}
 	service := index.Service(route.PickService(serviceDraw(&call, route, account)))
 	if service == nil {
-		return nil, result.New(result.NoTarget, "the route has no service").WithRetryAfter(notReadyRetryAfter)
+		return nil, nil, result.New(result.NoTarget, "the route has no service").WithRetryAfter(notReadyRetryAfter)
 	}
 	if !consumeAdmitted(r.Context()) {
 		if _, err := h.opts.Forward.Admit(&call, service, account, false); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
 	timeout := route.Timeout
 	if call.Timeout > 0 && (call.Timeout < timeout || timeout == 0) {
 		timeout = call.Timeout
 	}
-	body, err := h.readBody(w, r, index.Configuration.Limits, received.Add(timeout))
+	held := h.bodies.hold(account.GetName())
+	body, err := h.readBody(w, r, held, index.Configuration.Limits, received.Add(timeout))
 	if err != nil {
-		return nil, err
+		return nil, held, err
 	}
 	if h.opts.Forward.Overloaded() && callerIsDisconnected(r.Context()) {
-		return nil, context.Canceled
+		return nil, held, context.Canceled
 	}
 	return &forward.Request{
 		Call: call, Method: r.Method, URI: uri, Host: r.Host, Header: r.Header, Body: body, Route: route, Service: service,
 		Account: account, Received: received, Deadline: received.Add(timeout), HandedOverBy: relay.HandedOverBy(r.Context()),
 		CallerDisconnected: func() bool { return callerConnClosed(r.Context()) },
-	}, nil
+	}, held, nil
 }
 
 // serviceDraw returns the draw for the service of a request. All attempts of a stream that can be
@@ -197,48 +195,6 @@
 	return place.Unit(uint64(coreorigin.KeyOf(account.GetName(), first)))
 }
 
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits, deadline time.Time) ([]byte, error) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
-	}
-	if limits.MaxBodyBytes > 0 && r.ContentLength > limits.MaxBodyBytes {
-		return nil, result.New(result.BodyTooLarge, "over %d bytes", limits.MaxBodyBytes)
-	}
-	if h.bodyBytes.Load()+max(r.ContentLength, minBodyReserve) > h.opts.MaxTotalBodyBytes {
-		return nil, result.New(result.QueueFull, "too many bytes are held").WithRetryAfter(notReadyRetryAfter)
-	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(netopt.DeadlineIn(deadline.Sub(h.opts.Clock.Now())))
-	reader := io.Reader(r.Body)
-	if limits.MaxBodyBytes > 0 {
-		reader = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
-	}
-	body, err := readAll(reader, r.ContentLength)
-	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	var timeout net.Error
-	switch {
-	case err == nil:
-		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, result.New(result.BodyTooLarge, "over %d bytes", limits.MaxBodyBytes)
-	case errors.As(err, &timeout) && timeout.Timeout():
-		return nil, result.New(result.BodyTooSlow, "the body did not arrive in time")
-	default:
-		return nil, result.New(result.BadRequest, "body: %v", err)
-	}
-}
-
-// readAll reads a body, in one piece if its length is known.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length <= 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
-
 // requestURI returns the path and query as received.
 func requestURI(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
