pushback: An answer to an earlier request does not end a target's pause

Cause: an accepted request of a slow start doubled the limit even if the target had asked for another pause since the request was sent; three of them deleted the pause.

Evidence: TestAnswersToEarlierRequestsDoNotEndPause fails without the comparison (a mutation that is the code as it was).

Fix: a request carries how often the target had asked for a pause; an answer clears a pause only if that is still the number. A ticket of an entry that is gone does not count against a later one (TestSlowStartExpires, fails without it).

--- a/core/pushback/pushback.go
+++ b/core/pushback/pushback.go
@@ -33,6 +33,13 @@
 	until    time.Time
 	limit    int // requests in flight allowed during the slow start
 	inFlight int // requests of the slow start without a response header
+	asked    int // how often the target has asked for a pause
+}
+
+// Ticket is a request of a slow start. The zero Ticket is a request that is not counted.
+type Ticket struct {
+	pause *pause
+	asked int // as of the start of the request
 }
 
 // Table holds the pauses of all targets. It is not safe for concurrent use.
@@ -56,6 +63,7 @@
 		t.pauses[target] = p
 	}
 	p.limit = slowStartInitial
+	p.asked++
 	if until := now.Add(min(d, MaxPause)); until.After(p.until) {
 		p.until = until
 	}
@@ -86,28 +94,29 @@
 	return 0, false
 }
 
-// TryStart reports whether a request may be sent to a target. If counted is true, the caller
-// must call Done when the response begins or the request fails.
-func (t *Table) TryStart(now time.Time, target string) (counted, ok bool) {
+// TryStart reports whether a request may be sent to a target. The caller must call Done when the
+// response begins or the request fails.
+func (t *Table) TryStart(now time.Time, target string) (ticket Ticket, ok bool) {
 	p := t.pauses[target]
 	if p == nil {
-		return false, true
+		return Ticket{}, true
 	}
 	if _, blocked := t.Blocked(now, target); blocked {
-		return false, false
+		return Ticket{}, false
 	}
 	p.inFlight++
-	return true, true
+	return Ticket{p, p.asked}, true
 }
 
-// Done ends a request counted by TryStart.
-func (t *Table) Done(target string, accepted bool) {
+// Done ends a request. That the target accepted it counts only if the target has not asked for
+// another pause since: the request was sent before that.
+func (t *Table) Done(target string, ticket Ticket, accepted bool) {
 	p := t.pauses[target]
-	if p == nil {
+	if p == nil || p != ticket.pause {
 		return
 	}
-	p.inFlight = max(p.inFlight-1, 0)
-	if !accepted {
+	p.inFlight--
+	if !accepted || ticket.asked != p.asked {
 		return
 	}
 	p.limit *= 2
--- a/core/pushback/pushback_test.go
+++ b/core/pushback/pushback_test.go
@@ -19,6 +19,18 @@
 	return ok
 }
 
+// startAll starts as many requests as are allowed, a few more than a slow start has at most.
+func startAll(t *Table, now time.Time) (tickets []Ticket) {
+	for len(tickets) <= 2*slowStartDone {
+		ticket, ok := t.TryStart(now, "t")
+		if !ok {
+			break
+		}
+		tickets = append(tickets, ticket)
+	}
+	return tickets
+}
+
 func TestNoRequestsDuringPause(t *testing.T) {
 	for _, d := range []time.Duration{200 * time.Millisecond, 3 * time.Second, 30 * time.Second} {
 		table := New()
@@ -57,51 +69,75 @@
 func TestSlowStartAfterPause(t *testing.T) {
 	table := New()
 	table.Pause(at(0), "t", time.Second)
-	startAll := func() int {
-		n := 0
-		for mayStart(table, at(1)) {
-			if n++; n > 2*slowStartDone {
-				break
-			}
-		}
-		return n
-	}
 	for _, want := range []int{1, 2, 4} {
-		if n := startAll(); n != want {
-			t.Errorf("got %d requests in flight, want %d", n, want)
+		tickets := startAll(table, at(1))
+		if len(tickets) != want {
+			t.Errorf("got %d requests in flight, want %d", len(tickets), want)
 		}
-		for i := range want {
-			table.Done("t", i == 0)
+		for i, ticket := range tickets {
+			table.Done("t", ticket, i == 0)
 		}
 	}
-	if n := startAll(); n <= slowStartDone || table.Len() != 0 {
+	if n := len(startAll(table, at(1))); n <= slowStartDone || table.Len() != 0 {
 		t.Errorf("after the slow start: got %d requests in flight, want no limit and no entry", n)
 	}
 	table.Pause(at(1), "t", time.Second)
-	table.TryStart(at(2), "t")
+	ticket, _ := table.TryStart(at(2), "t")
 	table.Pause(at(2), "t", time.Second)
-	table.Done("t", false)
+	table.Done("t", ticket, false)
 	if mayStart(table, at(2.5)) || !mayStart(table, at(3)) || mayStart(table, at(3)) {
 		t.Error("second pause: request allowed during it, or not exactly one after it")
 	}
 }
 
+// Guards against a pause that is ended by answers to requests sent before it.
+func TestAnswersToEarlierRequestsDoNotEndPause(t *testing.T) {
+	table := New()
+	table.Pause(at(0), "t", time.Second)
+	var sent []Ticket
+	for range 2 {
+		tickets := startAll(table, at(1))
+		table.Done("t", tickets[0], true)
+		sent = append(sent, tickets[1:]...)
+	}
+	if sent = append(sent, startAll(table, at(1))...); len(sent) < 3 {
+		t.Fatalf("got %d requests in flight, want enough to end a slow start", len(sent))
+	}
+	table.Pause(at(1), "t", 5*time.Second)
+	for _, ticket := range sent {
+		table.Done("t", ticket, true)
+	}
+	for _, now := range []time.Time{at(1), at(3), at(5.9)} {
+		if mayStart(table, now) {
+			t.Errorf("at %v: request allowed during the pause", now.Sub(start))
+		}
+	}
+	if n := len(startAll(table, at(6))); n != slowStartInitial {
+		t.Errorf("after the pause: got %d requests in flight, want %d", n, slowStartInitial)
+	}
+}
+
 // Guards against an endless slow start without requests, and one that ends while a request is
 // in flight.
 func TestSlowStartExpires(t *testing.T) {
 	table := New()
 	table.Pause(at(0), "t", time.Second)
-	table.TryStart(at(1), "t")
+	ticket, _ := table.TryStart(at(1), "t")
 	table.Expire(at(1).Add(slowStartTimeout))
 	if table.Len() != 1 {
 		t.Error("expired with a request in flight")
 	}
-	table.Done("t", false)
+	table.Done("t", ticket, false)
 	table.Expire(at(1).Add(slowStartTimeout))
 	if table.Len() != 0 {
 		t.Error("not expired")
 	}
-	table.Done("t", true) // late response
+	table.Done("t", ticket, true) // late response
+	table.Pause(at(9), "t", time.Second)
+	table.Done("t", ticket, true) // later than that
+	if n := len(startAll(table, at(10))); n != slowStartInitial {
+		t.Errorf("a response to a request of an earlier entry: got %d requests in flight, want %d", n, slowStartInitial)
+	}
 }
 
 func TestTableIsBounded(t *testing.T) {
--- a/services/notice/notice.go
+++ b/services/notice/notice.go
@@ -133,6 +133,7 @@
 type Permit struct {
 	s      *Service
 	target string
+	ticket pushback.Ticket
 }
 
 // Start returns a permit if the target may get a request now. Call it right before the request
@@ -142,14 +143,14 @@
 		return Permit{}, nil
 	}
 	var err error
-	counted := false
+	var ticket pushback.Ticket
 	s.update(func(now time.Time) {
 		if _, leaves := s.leaving.Since(target); leaves {
 			err = ErrLeaving
 			return
 		}
 		ok := false
-		if counted, ok = s.pauses.TryStart(now, target); !ok {
+		if ticket, ok = s.pauses.TryStart(now, target); !ok {
 			err = ErrPaused
 		}
 	})
@@ -157,17 +158,17 @@
 		s.counters.withheld.Inc()
 		return Permit{}, err
 	}
-	if !counted {
+	if ticket == (pushback.Ticket{}) {
 		return Permit{}, nil
 	}
-	return Permit{s, target}, nil
+	return Permit{s, target, ticket}, nil
 }
 
 // End reports that the response began or the request failed, and whether the target accepted
 // the request.
 func (p Permit) End(accepted bool) {
 	if p.s != nil {
-		p.s.update(func(time.Time) { p.s.pauses.Done(p.target, accepted) })
+		p.s.update(func(time.Time) { p.s.pauses.Done(p.target, p.ticket, accepted) })
 	}
 }
 
