budget: Divide the extra retries by all known gateways

Cause: a gateway divided the fleet's extra retries by the gateways that it heard: alone, it took them all.

Fix: silence reduces no count. A gateway that has just started and knows nobody makes no extra retries for one window.

Open: gateways that start anew on several sides of a cut each know only their side.

--- a/core/budget/window.go
+++ b/core/budget/window.go
@@ -60,3 +60,17 @@
 	w.retries[i]++
 	return true
 }
+
+// extraMargin is the part of a fleet's extra retries that is given out, since counts and windows of
+// gateways differ for a while.
+const extraMargin = 0.7
+
+// ExtraShare returns how many of a fleet's extra retries one gateway may make. known counts all
+// gateways that it ever heard of, itself included: those that it no longer hears may only be cut off.
+// One that has just started and knows no other may be one of many.
+func ExtraShare(extra float64, known int, age, window time.Duration) float64 {
+	if known <= 1 && age < window {
+		return 0
+	}
+	return extraMargin * extra / float64(max(known, 1))
+}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -44,8 +44,8 @@
 	Extra  float64 // retries beyond the ratio, of all gateways together
 }
 
-// budgetShare is a margin for gateways whose counts or membership lists differ for a while.
-const budgetShare = 0.7
+// ratioMargin is a margin for gateways whose counts of first attempts differ for a while.
+const ratioMargin = 0.7
 
 // Targets provides the current list of targets; follow.Service implements it.
 type Targets interface {
@@ -81,8 +81,9 @@
 
 // Service forwards requests.
 type Service struct {
-	log  log.Logger
-	opts Options
+	log     log.Logger
+	opts    Options
+	started time.Time
 
 	mu         sync.Mutex // guards balancer, windows, throttle, retryTimes and opts.Retry
 	balancer   *balance.Balancer
@@ -98,7 +99,7 @@
 }
 
 func New(logger log.Logger, o Options) *Service {
-	return &Service{log: logger, opts: o, balancer: balance.New(o.DataHall, rand.Float64), windows: map[string]*budget.Window{}, throttle: throttle.New(), counters: newCounters()}
+	return &Service{log: logger, opts: o, started: o.Clock.Now(), balancer: balance.New(o.DataHall, rand.Float64), windows: map[string]*budget.Window{}, throttle: throttle.New(), counters: newCounters()}
 }
 
 // Request is an authenticated request of a caller.
@@ -147,8 +148,9 @@
 func (s *Service) takeFromRetryBudget(service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	extra := budgetShare * s.opts.Retry.Extra / float64(s.opts.Mesh.Members())
-	ok := s.window(service).Retry(s.opts.Clock.Now(), extra)
+	now := s.opts.Clock.Now()
+	extra := budget.ExtraShare(s.opts.Retry.Extra, s.opts.Mesh.Known(), now.Sub(s.started), s.opts.Retry.Window)
+	ok := s.window(service).Retry(now, extra)
 	if !ok {
 		s.counters.budgetSpent.Inc()
 	}
@@ -164,7 +166,7 @@
 func (s *Service) window(service string) *budget.Window {
 	w := s.windows[service]
 	if w == nil {
-		w = budget.NewWindow(s.opts.Retry.Window, budgetShare*s.opts.Retry.Ratio)
+		w = budget.NewWindow(s.opts.Retry.Window, ratioMargin*s.opts.Retry.Ratio)
 		s.windows[service] = w
 	}
 	return w
