balance: An attempt at a removed target is no sample of latency

Cause: an attempt that ends after its target was removed was timed from the zero time, and the mean latency of all targets became 256,204 hours.

Evidence: TestAttemptAtRemovedTargetIsNoSample failed with that figure, and with the removed target's state made again.

Fix: an attempt whose target is gone ends without a sample, also if it failed or was canceled.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -144,9 +144,11 @@
 
 // Done records a successful response.
 func (b *Balancer) Done(now time.Time, p *Pick) {
-	s := b.state(p.Target.ID)
-	took := now.Sub(s.inFlight[p.number])
-	delete(s.inFlight, p.number)
+	s, sentAt, known := b.end(p)
+	if !known {
+		return
+	}
+	took := now.Sub(sentAt)
 	s.recent.observe(now, took-b.latencyOf(s))
 	if s.latency == 0 {
 		s.latency = took
@@ -157,16 +159,28 @@
 	s.failures = 0
 }
 
+// end ends an attempt and returns when it was sent. known is false if the target was removed since.
+func (b *Balancer) end(p *Pick) (s *targetState, sentAt time.Time, known bool) {
+	if s = b.states[p.Target.ID]; s == nil {
+		return nil, time.Time{}, false
+	}
+	sentAt, known = s.inFlight[p.number]
+	delete(s.inFlight, p.number)
+	return s, sentAt, known
+}
+
 // Canceled records that the caller disconnected.
-func (b *Balancer) Canceled(p *Pick) { delete(b.state(p.Target.ID).inFlight, p.number) }
+func (b *Balancer) Canceled(p *Pick) { b.end(p) }
 
 // Failed records a failed attempt.
 func (b *Balancer) Failed(now time.Time, p *Pick, o attempt.Outcome) {
-	s := b.state(p.Target.ID)
-	if excess := now.Sub(s.inFlight[p.number]) - b.latencyOf(s); excess > 0 {
+	s, sentAt, known := b.end(p)
+	if !known {
+		return
+	}
+	if excess := now.Sub(sentAt) - b.latencyOf(s); excess > 0 {
 		s.recent.observe(now, excess)
 	}
-	delete(s.inFlight, p.number)
 	s.errors += errorGain * (1 - s.errors)
 	if o == attempt.Failed {
 		return
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -202,3 +202,24 @@
 		t.Errorf("%d requests while cold, want at least 6; %d once warm, want some", len(got), after)
 	}
 }
+
+// Guards against a latency that is taken from no start: an attempt that ends after its target was
+// removed would make all targets seem to need years.
+func TestAttemptAtRemovedTargetIsNoSample(t *testing.T) {
+	for name, end := range map[string]func(b *Balancer, p *Pick){
+		"done":   func(b *Balancer, p *Pick) { b.Done(start.Add(time.Second), p) },
+		"failed": func(b *Balancer, p *Pick) { b.Failed(start.Add(time.Second), p, attempt.Failed) },
+	} {
+		b := newBalancer("h1")
+		targets := threeTargets()
+		p := b.Choose(start, targets[:1], nil, Limits{})
+		b.Keep(routing.NewTargetSet(1, *targets[1], *targets[2]))
+		end(b, p)
+		if got := b.Latency("b"); got > time.Minute {
+			t.Errorf("%s: got a latency of %v for a target without an answer", name, got)
+		}
+		if len(b.states) > 1 {
+			t.Errorf("%s: got the state of a removed target", name)
+		}
+	}
+}
