peernet: A failed accept does not end the process

What callers saw: nothing yet; a gateway without file descriptors would end, with all its streams.

Cause: the peers' listener returned any error of accept to the tomb.

Evidence: TestServerRetriesFailedAccept failed: the process ended, "too many open files".

Fix: failed accepts are logged and retried with a backoff, as at the callers' listener.

--- a/modules/peernet/server.go
+++ b/modules/peernet/server.go
@@ -21,6 +21,9 @@
 const (
 	maxConnections = 2048
 	callTimeout    = 30 * time.Second
+
+	acceptBackoff    = 10 * time.Millisecond
+	maxAcceptBackoff = time.Second
 )
 
 // Handler handles the messages of peers.
@@ -112,15 +115,29 @@
 	}
 }
 
+// accept accepts connections until the process ends. It retries failed accepts, such as those for lack
+// of file descriptors, with a backoff.
 func (s *Server) accept() error {
+	backoff := acceptBackoff
 	for {
 		conn, err := s.listener.Accept()
+		if !s.t.Alive() || errors.Is(err, net.ErrClosed) {
+			if err == nil {
+				_ = conn.Close()
+			}
+			return nil
+		}
 		if err != nil {
-			if !s.t.Alive() || errors.Is(err, net.ErrClosed) {
+			s.log.Warn("Failed to accept a connection of a peer, will retry.", "error", err, "retry_in", backoff)
+			select {
+			case <-s.t.Dying():
 				return nil
+			case <-time.After(backoff):
 			}
-			return err
+			backoff = min(2*backoff, maxAcceptBackoff)
+			continue
 		}
+		backoff = acceptBackoff
 		select {
 		case s.slots <- struct{}{}:
 		default:
