origin, gateway: Names of the field; a read that is older than a gap proves nothing

Read in the code: an answer of the archive that lay in a buffer while the process was suspended made it take the versions that came and went meanwhile for never used; and a gap noted during a read was forgotten at its end.

Fix: gaps are counted, and a read during which one was noted is repeated. TestReadBeforeGapProvesNothing fails without the comparison (mutation).

Also: idle connections are called so (idleState, CloseIdle), the gateways that use the archive are the watchers, phases of a drain have names in the log.

--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -17,10 +17,15 @@
 const (
 	Serve  Phase = iota + 1 // new requests are served
 	Refuse                  // new requests are refused, those in flight continue
-	Close                   // as Refuse, and connections at rest are closed
+	Close                   // as Refuse, and idle connections are closed
 	Exit                    // the process ends
 )
 
+// String implements fmt.Stringer.
+func (p Phase) String() string {
+	return [...]string{Serve: "serve", Refuse: "refuse", Close: "close", Exit: "exit"}[p]
+}
+
 const (
 	// serveShare is the part of the grace period in which new requests are served. A long
 	// request that starts later might not finish before the process is killed. After
--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -14,8 +14,7 @@
 // MaxMemory is the longest time for which a version is remembered after its last target was removed.
 const MaxMemory = 2 * time.Minute
 
-// History is what must outlast the loss of all gateways: the versions at which streams may have
-// begun.
+// History holds the versions at which streams may have begun, for a store that outlasts all gateways.
 type History struct {
 	Coverage CoverageAge
 	Versions []VersionState // sorted by service and software
--- a/handlers/gateway/body.go
+++ b/handlers/gateway/body.go
@@ -40,7 +40,7 @@
 // hold returns a body of an account for which nothing is held yet.
 func (q bodyQuota) hold(account string) *heldBody { return &heldBody{bodies: q, account: account} }
 
-// heldBody is what is held for the body of one request.
+// heldBody counts the bytes that are held for the body of one request.
 type heldBody struct {
 	bodies  bodyQuota
 	account string
--- a/handlers/gateway/callerconn.go
+++ b/handlers/gateway/callerconn.go
@@ -31,7 +31,7 @@
 	inServer           bool          // the HTTP server reads a request, or all that follows
 	unread             int64         // bytes of its request that the HTTP server has not read; negative if it has read more
 	admitted           bool          // the request in the HTTP server was counted and admitted
-	rest               rest
+	idle               idleState
 }
 
 // unknownLength is the unread part of a request whose end is not known.
@@ -40,7 +40,7 @@
 // onIdle is called when the HTTP server has ended a request and waits for the next one.
 func (c *callerConn) onIdle() {
 	c.inServer, c.admitted = c.unread != 0, false
-	c.rest.begin()
+	c.idle.answered()
 }
 
 // SetReadDeadline implements net.Conn.
@@ -60,10 +60,10 @@
 	return c.countedConn.Close()
 }
 
-// closeAtRest closes the connection if no byte of a next request has come. What the caller may send
+// closeIfIdle closes the connection if no byte of a next request has come. What the caller may send
 // meanwhile is not read.
-func (c *callerConn) closeAtRest() {
-	if c.rest.end(func() bool { return netopt.Peek(c.countedConn.Conn) != netopt.PeekData }) {
+func (c *callerConn) closeIfIdle() {
+	if c.idle.startClose(func() bool { return netopt.Peek(c.countedConn.Conn) != netopt.PeekData }) {
 		_ = c.Close()
 	}
 }
@@ -112,11 +112,11 @@
 		if c.inServer && c.unread == 0 && len(p) == 1 && len(c.buffered) == 0 {
 			return c.watchForClose(p)
 		}
-		if !c.rest.startRead(len(c.buffered) == 0) {
+		if !c.idle.startRead(len(c.buffered) == 0) {
 			return 0, io.EOF
 		}
 		n, err := c.readNext(p)
-		if !c.rest.endRead(n) {
+		if !c.idle.endRead(n) {
 			return 0, io.EOF
 		}
 		if c.inServer {
@@ -148,7 +148,7 @@
 				return c.returnToServer(p)
 			}
 			c.answeredEarly = true
-			c.rest.begin()
+			c.idle.answered()
 		case Refused:
 			if err := c.refuse(decision.Answer, rest); err != nil {
 				return 0, err
@@ -156,7 +156,7 @@
 			if closes {
 				return 0, io.EOF
 			}
-			c.rest.begin()
+			c.idle.answered()
 		default:
 			return n, c.passRequest(decision.Verdict, rest)
 		}
--- a/handlers/gateway/rest_test.go
+++ b/handlers/gateway/idle_test.go
@@ -46,14 +46,14 @@
 	}
 }
 
-func (r *rest) isBusy() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.busy
+func (s *idleState) hasBegun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.begun
 }
 
 // Guards against a stop that cuts a request of which a part has come, at any byte.
-func TestBegunRequestOutlastsCloseAtRest(t *testing.T) {
+func TestBegunRequestOutlastsCloseIdle(t *testing.T) {
 	request := postHead + postBody
 	for name, sent := range map[string]int{
 		"first byte": 1, "all but the last byte of the head": len(postHead) - 1, "head": len(postHead), "all but the last byte of the body": len(request) - 1,
@@ -66,15 +66,15 @@
 				t.Fatalf("%s: the first request was not served", name)
 			}
 			_, _ = io.WriteString(c, request[:sent])
-			for conn := onlyConn(s); !conn.rest.isBusy(); { // until the server has read it
+			for conn := onlyConn(s); !conn.idle.hasBegun(); { // until the server has read it
 			}
 			s.StopAccepting()
-			s.CloseAtRest()
+			s.CloseIdle()
 			if got := exchange(c, r, request[sent:]); got != http.StatusOK {
 				t.Errorf("%s, kept %v: got status %d, want 200", name, kept, got)
 			}
-			for s.Open() > 0 { // the answered connection is at rest soon
-				s.CloseAtRest()
+			for s.Open() > 0 { // the answered connection is idle soon
+				s.CloseIdle()
 			}
 		}
 	}
@@ -97,7 +97,7 @@
 }
 
 // Guards against a request that is read between the decision to close its connection and the close.
-func TestCloseAtRestCutsNoRequest(t *testing.T) {
+func TestCloseIdleCutsNoRequest(t *testing.T) {
 	const rounds, clients = 20, 50
 	for range rounds {
 		var served, answered atomic.Int64
@@ -120,11 +120,11 @@
 		begun.Wait()
 		s.StopAccepting()
 		for range 20 {
-			s.CloseAtRest()
+			s.CloseIdle()
 		}
 		closes.Store(true)
 		for s.Open() > 0 {
-			s.CloseAtRest()
+			s.CloseIdle()
 		}
 		done.Wait()
 		if served.Load() != answered.Load() {
--- a/handlers/gateway/server.go
+++ b/handlers/gateway/server.go
@@ -243,13 +243,13 @@
 // StopAccepting closes the listener. Open connections stay.
 func (s *Server) StopAccepting() { _ = s.listener.Close() }
 
-// CloseAtRest closes the connections on which no request has begun.
-func (s *Server) CloseAtRest() {
+// CloseIdle closes the connections on which no request has begun.
+func (s *Server) CloseIdle() {
 	s.connsMu.Lock()
 	conns := slices.Collect(maps.Keys(s.conns))
 	s.connsMu.Unlock()
 	for _, c := range conns {
-		c.closeAtRest()
+		c.closeIfIdle()
 	}
 }
 
--- a/lab/platform/stop_test.go
+++ b/lab/platform/stop_test.go
@@ -42,7 +42,7 @@
 		_, _ = io.WriteString(c, text[:sent])
 		return begunRequest{c, text, sent}
 	}
-	atRest := open(0)
+	idle := open(0)
 	inHead := []begunRequest{open(1), open(len(head) - 1)}
 	inBody := []begunRequest{open(len(head)), open(len(request) - 1)}
 	for s.Gateway(0).Dump().InFlight < len(inBody) || s.Gateway(0).Dump().CallerConnections < len(inBody)+len(inHead)+1 { // until all are read
@@ -52,8 +52,8 @@
 	for !s.Gateway(0).Dump().Draining { // until the stop has begun
 	}
 	expectAnswers(t, inBody, http.StatusOK, "")
-	if _, err := atRest.conn.Read(make([]byte, 1)); err != io.EOF {
-		t.Fatalf("a connection at rest: got %v, want it closed", err)
+	if _, err := idle.conn.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatalf("an idle connection: got %v, want it closed", err)
 	}
 	expectAnswers(t, inHead, http.StatusServiceUnavailable, `"ran":"no"`)
 	<-s.Gateway(0).Dead()
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -443,7 +443,7 @@
 	}
 	if phase == drain.Close {
 		g.callers.StopAccepting()
-		g.callers.CloseAtRest()
+		g.callers.CloseIdle()
 	}
 	return phase
 }
--- a/services/origin/archive.go
+++ b/services/origin/archive.go
@@ -38,6 +38,9 @@
 	AsOf           watch.StoreTime  // of the read
 }
 
+// errGap reports that what was read may be older than a gap in the list of targets.
+var errGap = errors.New("the list of targets was not followed during the read")
+
 // complete reports whether nothing that was written later has been lost since.
 func (h StoredHistory) complete() bool { return h.Found && h.WrittenIn == h.Era }
 
@@ -45,8 +48,8 @@
 	archiveTimeout = time.Second
 	// archivePollInterval is the time between checks of contact, and of what is to be archived.
 	archivePollInterval = 100 * time.Millisecond
-	// Other gateways write if none of these few has, for otherDelay and a random part of
-	// otherDelayPerMember for each gateway.
+	// Other gateways than the watchers write if none of these has, for otherDelay and a random part
+	// of otherDelayPerMember for each gateway.
 	otherDelay          = 2 * time.Second
 	otherDelayPerMember = 10 * time.Millisecond
 	minArchiveBackoff   = 100 * time.Millisecond
@@ -61,21 +64,26 @@
 	changedAt routing.Revision
 	since     time.Time // of the first change that is not archived
 	digest    uint64    // of the listed versions if these are archived, else 0
+	gaps      uint64    // noted by NoteGap
 }
 
 func (a *archiving) pending() bool { return a.archived < a.changes }
 
-// versionsChanged notes that the archive must be read and may have to be written; the caller holds
-// mu.
-func (s *Service) versionsChanged(now time.Time) {
+// requestSync notes that the archive must be read and may have to be written; the caller holds mu.
+func (s *Service) requestSync(now time.Time) {
 	a := &s.archiving
 	if !a.pending() {
 		a.since = now
 	}
 	a.changes++
 	a.changedAt, a.digest = s.targets.Revision, 0
+}
+
+// versionsChanged is requestSync without waiting for the next poll; the caller holds mu.
+func (s *Service) versionsChanged(now time.Time) {
+	s.requestSync(now)
 	select {
-	case a.wake <- struct{}{}:
+	case s.archiving.wake <- struct{}{}:
 	default:
 	}
 }
@@ -100,9 +108,9 @@
 // ArchiveOptions configure the use of an archive.
 type ArchiveOptions struct {
 	Archive Archive
-	// Fleet returns whether this gateway is one of the few that use the archive for all, and the
-	// number of gateways.
-	Fleet func() (archivist bool, members int)
+	// Fleet returns whether this gateway is one of the watchers, which use the archive for all, and
+	// the number of gateways.
+	Fleet func() (watcher bool, members int)
 }
 
 // RunArchive starts reading from and writing to the archive, until the tomb dies.
@@ -159,16 +167,15 @@
 		return
 	}
 	s.versions.Uncover(now)
+	s.archiving.gaps++
 	s.noteCoverage(now, reason)
-	if !s.archiving.pending() {
-		s.versionsChanged(now)
-	}
+	s.requestSync(now)
 }
 
 // archiveDue reports whether the archive is to be read now. share is a random number from 0 to 1
 // that spreads the gateways.
 func (s *Service) archiveDue(fleet func() (bool, int), share float64) bool {
-	archivist, members := fleet()
+	watcher, members := fleet()
 	inContact := s.opts.InContact()
 	now := s.opts.Clock.Now()
 	s.mu.Lock()
@@ -176,7 +183,7 @@
 	switch {
 	case !s.archiving.pending() || !inContact:
 		return false
-	case archivist:
+	case watcher:
 		return true
 	}
 	wait := otherDelay + time.Duration(share*float64(members)*float64(otherDelayPerMember))
@@ -187,11 +194,15 @@
 func (s *Service) syncArchive(ctx context.Context, a Archive) error {
 	ctx, cancel := context.WithTimeout(ctx, archiveTimeout)
 	defer cancel()
+	gaps := s.gapCount()
 	stored, err := a.Read(ctx)
 	if err != nil {
 		return err
 	}
 	s.counters.archiveReads.Inc()
+	if s.gapCount() != gaps {
+		return errGap
+	}
 	own, changes := s.learnStored(stored)
 	if !stored.complete() || !stored.Includes(own) {
 		if err := a.Write(ctx, stored, own); err != nil {
@@ -209,6 +220,12 @@
 	return nil
 }
 
+func (s *Service) gapCount() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.archiving.gaps
+}
+
 // learnStored learns a stored history. It returns the history that the archive is to hold, with the
 // number of the last change in it.
 func (s *Service) learnStored(stored StoredHistory) (own coreorigin.History, changes uint64) {
--- a/services/origin/archive_test.go
+++ b/services/origin/archive_test.go
@@ -23,6 +23,7 @@
 	stored, saved fakeHistory
 	era, revision uint64
 	calls         int
+	onRead        func() // called before the answer is used; may be nil
 }
 
 type fakeHistory struct {
@@ -44,6 +45,9 @@
 		return StoredHistory{}, errDown
 	}
 	s := a.stored
+	if a.onRead != nil {
+		a.onRead()
+	}
 	return StoredHistory{History: aged(s.history, a.clock.Now().Sub(s.writtenAt)), Found: s.found, Era: a.era, WrittenIn: s.writtenIn, Revision: routing.Revision(s.revision)}, nil
 }
 
@@ -328,6 +332,23 @@
 	f.expect("the archive was read", "g0", "lost", "v1")
 }
 
+// Guards against an answer of the archive that is older than a gap, as it lay in a buffer while the
+// process was suspended.
+func TestReadBeforeGapProvesNothing(t *testing.T) {
+	f := newFleet(t, fleetSize, target("a", "v1"))
+	f.silent = true
+	g := f.gateways["g0"]
+	g.NoteGap("standstill")
+	f.archive.onRead = func() { g.NoteGap("standstill") }
+	if err := g.syncArchive(t.Context(), f.archive); !errors.Is(err, errGap) {
+		t.Errorf("got %v, want errGap", err)
+	}
+	f.expect("the read was older", "g0", "lost", "")
+	f.archive.onRead = nil
+	f.settle()
+	f.expect("read anew", "g0", "lost", "v1")
+}
+
 // Guards against a service whose versions nobody has archived, and against an archive of an updated
 // fleet that is taken for one since its beginning.
 func TestCoverageBeginsWithTheArchive(t *testing.T) {
@@ -388,14 +409,14 @@
 }
 
 // Guards against a version that nobody archives since the store refuses those who do it for all.
-func TestOthersArchiveWhenArchivistsFail(t *testing.T) {
+func TestOthersArchiveWhenWatchersFail(t *testing.T) {
 	f := newFleet(t, fleetSize, target("a", "v1"))
 	f.silent = true
 	f.list(target("a", "v1"), target("b", "v2"))
 	other := func() (bool, int) { return false, fleetSize }
 	g := f.gateways["g2"]
 	if g.archiveDue(other, 1) {
-		t.Error("due at once, want a while left to the archivists")
+		t.Error("due at once, want a while left to the watchers")
 	}
 	f.clock.Advance(otherDelay + fleetSize*otherDelayPerMember)
 	if !g.archiveDue(other, 1) {
@@ -411,9 +432,9 @@
 // Guards against calls of the archive that grow with the fleet.
 func TestArchiveCallsOfLargeFleet(t *testing.T) {
 	const (
-		size       = 1970
-		archivists = 3
-		maxCalls   = 4 * archivists
+		size     = 1970
+		watchers = 3
+		maxCalls = 4 * watchers
 	)
 	f := newFleet(t, 0, target("a", "v1"))
 	for i := range size {
@@ -430,7 +451,7 @@
 					from := f.gateways[fmt.Sprint("g", rng.IntN(size))]
 					g.Learn("peer", from.Memory(), from.targets.Revision)
 				}
-				if g.archiveDue(func() (bool, int) { return i < archivists, size }, float64(i)/size) {
+				if g.archiveDue(func() (bool, int) { return i < watchers, size }, float64(i)/size) {
 					if err := g.syncArchive(t.Context(), f.archive); err != nil {
 						t.Fatal(err)
 					}
--- a/services/origin/lifetime.go
+++ b/services/origin/lifetime.go
@@ -18,8 +18,8 @@
 	maxLife       = coreorigin.MaxMemory
 )
 
-// lifetime is how long a stream may continue after it has begun. When it becomes shorter, streams
-// that began before keep the longer one.
+// lifetime holds the time for which a stream may continue after it has begun. When it becomes shorter,
+// streams that began before keep the longer one.
 type lifetime struct {
 	current, previous time.Duration
 	previousUntil     time.Time
--- a/services/origin/origin.go
+++ b/services/origin/origin.go
@@ -211,7 +211,7 @@
 	s.expire(s.opts.Clock.Now())
 }
 
-// Memory is what a gateway tells others of the versions at which streams began.
+// Memory holds the versions at which streams may have begun, for other gateways.
 type Memory struct {
 	// Unlisted are the versions that are no longer listed.
 	Unlisted []coreorigin.Unlisted
--- a/services/origin/origin_test.go
+++ b/services/origin/origin_test.go
@@ -107,12 +107,12 @@
 
 // settle has the gateways use the archive and exchange heartbeats, as they do within a second.
 func (f *fleet) settle() {
-	archivists := func() (bool, int) { return true, len(f.gateways) }
+	watchers := func() (bool, int) { return true, len(f.gateways) }
 	for range 2 {
 		for _, id := range f.ids() {
 			g := f.gateways[id]
 			g.checkContact()
-			if g.archiveDue(archivists, 0) {
+			if g.archiveDue(watchers, 0) {
 				if err := g.syncArchive(f.t.Context(), f.archive); err != nil {
 					f.t.Logf("%s: archive: %v", id, err)
 				}
--- a/services/origin/resolve.go
+++ b/services/origin/resolve.go
@@ -49,7 +49,7 @@
 // lookup waits for the replies of other gateways.
 type lookup struct{ replies chan Reply }
 
-// Basis is how the software version of a stream was found.
+// Basis names the evidence for the software version of a stream.
 type Basis string
 
 // Ways to find the version of a stream.
