relay: A request handed over is in flight from its first byte to the last of its answer

What callers saw: nothing yet; a planned stop of the gateway that takes a request over could cut it while it is received, or while its answer is being sent.

Cause: only the handler counted, which begins when the request is whole and ends before the answer's last frame is written.

Open: a request whose first byte arrives between the last look and the end of the process.

--- a/router/gateway.go
+++ b/router/gateway.go
@@ -80,6 +80,7 @@
 	loop       *mesh.Loop
 	follow     *follow.Service
 	relay      *relay.Service
+	relayed    *relay.Server // of requests that other gateways hand over
 	quarantine *quarantine.Service
 	notices    *notice.Service
 	origins    *origin.Service
@@ -121,7 +122,8 @@
 		return nil, err
 	}
 	g.assemble()
-	g.peers = peernet.NewRelayServer(&g.t, log.New("peer").With(s.ID), peernet.NewSharedKey(s.ID, s.PeerKey), g.meter, listeners[0], g.loop, relay.NewServer(log.New("relay").With(s.ID), g.handler))
+	g.relayed = relay.NewServer(log.New("relay").With(s.ID), g.handler)
+	g.peers = peernet.NewRelayServer(&g.t, log.New("peer").With(s.ID), peernet.NewSharedKey(s.ID, s.PeerKey), g.meter, listeners[0], g.loop, g.relayed)
 	g.serve(listeners[1:])
 	probe, err := lateness.Start(&g.t, probeInterval, g.noteLateness)
 	if err != nil {
@@ -434,7 +436,7 @@
 // stepDrain moves a drain on, and returns its phase. A request that the handler has not begun when
 // it starts to refuse is refused; the requests in flight are counted after that.
 func (g *Gateway) stepDrain(m *drain.Machine, before drain.Phase) drain.Phase {
-	phase := m.Step(g.clock.Now(), g.inFlight(), g.callers.Open())
+	phase := m.Step(g.clock.Now(), g.unfinished(), g.callers.Open())
 	if phase != before {
 		g.log.Info("Drain goes on.", "phase", phase, "in_flight", g.inFlight(), "connections", g.callers.Open())
 	}
@@ -448,9 +450,13 @@
 	return phase
 }
 
-// inFlight returns the number of requests in flight, including those handed over.
+// inFlight returns the number of requests in flight, including those handed over to others.
 func (g *Gateway) inFlight() int { return g.handler.InFlight() + g.callers.HandedOver() }
 
+// unfinished returns 0 if no request is in flight, nor received from another gateway, nor its answer
+// being sent there.
+func (g *Gateway) unfinished() int { return g.inFlight() + g.relayed.InFlight() }
+
 // Stop stops the gateway at once.
 func (g *Gateway) Stop() {
 	g.t.Kill(nil)
--- a/services/relay/serve.go
+++ b/services/relay/serve.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"madderway/modules/log"
 	"madderway/modules/netopt"
@@ -29,12 +30,16 @@
 
 // Server serves requests that other gateways hand over.
 type Server struct {
-	log     log.Logger
-	handler http.Handler
+	log      log.Logger
+	handler  http.Handler
+	inFlight atomic.Int64 // requests being received, served or answered
 }
 
 // NewServer returns a server that passes requests to the handler.
-func NewServer(logger log.Logger, h http.Handler) *Server { return &Server{logger, h} }
+func NewServer(logger log.Logger, h http.Handler) *Server { return &Server{log: logger, handler: h} }
+
+// InFlight returns the number of requests of which a part has come and whose answers are not sent.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
 type peerKey struct{}
 
@@ -50,6 +55,7 @@
 	defer cancel()
 	c := &serverConn{s: s, ctx: ctx, conn: conn, requests: map[uint32]*incomingRequest{}}
 	defer conn.Close()
+	defer c.dropIncomplete()
 	buffer := make([]byte, readBufferSize)
 	var d decoder
 	for {
@@ -104,10 +110,12 @@
 	if r == nil {
 		r = &incomingRequest{}
 		c.requests[number] = r
+		c.s.inFlight.Add(1)
 	}
 	r.raw = append(r.raw, piece...)
 	if r.cancel != nil || len(r.raw) > maxRequestSize || len(c.requests) > maxRequests {
 		delete(c.requests, number)
+		c.s.inFlight.Add(-1)
 		go c.sendControl(kindAborted, number)
 		return
 	}
@@ -133,6 +141,19 @@
 	if r := c.requests[number]; r != nil {
 		r.cancel()
 		delete(c.requests, number)
+		c.s.inFlight.Add(-1)
+	}
+}
+
+// dropIncomplete forgets the requests whose rest will not come.
+func (c *serverConn) dropIncomplete() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for number, r := range c.requests {
+		if r.cancel == nil {
+			delete(c.requests, number)
+			c.s.inFlight.Add(-1)
+		}
 	}
 }
 
