--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -74,7 +74,7 @@
 	return news
 }
 
-// ageSlack is a difference in ages that is not worth a write.
+// ageSlack is a difference in ages for which the store is not written again.
 const ageSlack = 5 * time.Second
 
 // Includes reports whether a stored history tells all that another one does.
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -16,7 +16,6 @@
 	"gopkg.in/tomb.v2"
 
 	"madderway/core/cell"
-	"madderway/core/drain"
 	"madderway/core/member"
 	coreorigin "madderway/core/origin"
 	"madderway/core/place"
@@ -50,10 +49,8 @@
 	// Share of the file descriptors for callers' connections. Each may need another one to a
 	// target, and takes about 25 KB of memory. With 0.6, 2,460 of them on a machine of 184 MB,
 	// garbage collection took up the processor.
-	callerConnShare   = 0.45
-	drainPollInterval = 20 * time.Millisecond
-	operatorsTimeout  = 100 * time.Millisecond
-	probeInterval     = 25 * time.Millisecond
+	callerConnShare = 0.45
+	probeInterval   = 25 * time.Millisecond
 	// Limit on the records of a heartbeat, about 80 bytes each: enough to spread the loss of 150
 	// machines within two seconds.
 	maxRumors = 128
@@ -398,65 +395,6 @@
 	return nil
 }
 
-// Drain stops the gateway gracefully: it tells the balancer and the peers, serves requests that
-// still arrive while time permits and waits for those in flight. The listener stays open to
-// the end, as the balancer may still use it.
-func (g *Gateway) Drain() {
-	g.drainOnce.Do(func() {
-		s := g.settings.Load()
-		started := g.clock.Now()
-		machine := drain.NewMachine(drain.Plan{Started: started, Linger: s.Linger.Duration, Grace: s.Grace.Duration})
-		g.log.Info("Drain started.", "in_flight", g.inFlight(), "connections", g.callers.Open())
-		close(g.draining)
-		g.handler.SetMode(gateway.ServeClosing)
-		g.loop.Leave()
-		phase := drain.Serve
-		for phase != drain.Exit {
-			<-g.clock.After(drainPollInterval)
-			phase = g.stepDrain(machine, phase)
-		}
-		g.closeOperators()
-		g.log.Info("Drain ended.", "aborted", g.inFlight(), "connections", g.callers.Open(), "took", g.clock.Now().Sub(started))
-		g.Stop()
-	})
-}
-
-// closeOperators lets answers on the metrics address end.
-func (g *Gateway) closeOperators() {
-	if g.operators == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), operatorsTimeout)
-	defer cancel()
-	if err := g.operators.Shutdown(ctx); err != nil {
-		g.log.Warn("Answers on the metrics address were cut.", "error", err)
-	}
-}
-
-// stepDrain moves a drain on, and returns its phase. A request that the handler has not begun when
-// it starts to refuse is refused; the requests in flight are counted after that.
-func (g *Gateway) stepDrain(m *drain.Machine, before drain.Phase) drain.Phase {
-	phase := m.Step(g.clock.Now(), g.unfinished(), g.callers.Open())
-	if phase != before {
-		g.log.Info("Drain goes on.", "phase", phase, "in_flight", g.inFlight(), "connections", g.callers.Open())
-	}
-	if phase != drain.Serve {
-		g.handler.SetMode(gateway.RefuseAll)
-	}
-	if phase == drain.Close {
-		g.callers.StopAccepting()
-		g.callers.CloseIdle()
-	}
-	return phase
-}
-
-// inFlight returns the number of requests in flight, including those handed over to others.
-func (g *Gateway) inFlight() int { return g.handler.InFlight() + g.callers.HandedOver() }
-
-// unfinished returns 0 if no request is in flight, nor received from another gateway, nor its answer
-// being sent there.
-func (g *Gateway) unfinished() int { return g.inFlight() + g.relayed.InFlight() }
-
 // Stop stops the gateway at once.
 func (g *Gateway) Stop() {
 	g.t.Kill(nil)
--- a/router/streamversions_test.go
+++ b/router/streamversions_test.go
@@ -73,6 +73,19 @@
 	s.awaitTargets(before + workers)
 }
 
+// replaceAll replaces all workers by two of the new version, and returns how many they were.
+func (s *versionSite) replaceAll() int {
+	s.t.Helper()
+	old := s.Workers(s.kind)
+	s.addNew(2)
+	listed := s.Gateway(0).Dump().Targets
+	for _, w := range old {
+		w.Stop()
+	}
+	s.awaitTargets(listed - len(old))
+	return len(old)
+}
+
 // awaitTargets waits until all gateways list so many targets.
 func (s *versionSite) awaitTargets(n int) {
 	s.t.Helper()
@@ -252,13 +265,7 @@
 func testContinueAfterReleaseAndLossOfAll(t *testing.T) {
 	s := newVersionSite(t, 3, 0)
 	s.begin(3)
-	old := s.Workers(s.kind)
-	s.addNew(2)
-	listed := s.Gateway(0).Dump().Targets
-	for _, w := range old {
-		w.Stop()
-	}
-	s.awaitTargets(listed - len(old))
+	s.replaceAll()
 	s.KillGateways()
 	if err := s.AwaitReady(waitTimeout); err != nil {
 		t.Fatal(err)
@@ -273,18 +280,12 @@
 func testContinueWithoutVersion(t *testing.T) {
 	s := newVersionSite(t, 3, 0)
 	s.begin(1)
-	old := s.Workers(s.kind)
-	s.addNew(2)
-	listed := s.Gateway(0).Dump().Targets
-	for _, w := range old {
-		w.Stop()
-	}
-	s.awaitTargets(listed - len(old))
+	replaced := s.replaceAll()
 	s.RestartGateway(0)
 	if err := s.AwaitReady(waitTimeout); err != nil {
 		t.Fatal(err)
 	}
-	before := arrivals(s.Workers(s.kind)[len(old):])
+	before := arrivals(s.Workers(s.kind)[replaced:])
 	s.open.Wait()
 	for i, c := range s.callers {
 		start := time.Now()
@@ -292,7 +293,7 @@
 			t.Errorf("stream %d: got %+v after %v, want a refusal with a retry delay", i, a, time.Since(start))
 		}
 	}
-	if n := arrivals(s.Workers(s.kind)[len(old):]) - before; n > 0 {
+	if n := arrivals(s.Workers(s.kind)[replaced:]) - before; n > 0 {
 		t.Errorf("got %d streams at workers of another version, want 0", n)
 	}
 }
