lab: A worker is restarted once by overlapping faults

Cause: two faults of the soak held the same worker and restarted it one after the other; the second found the address taken by the first's new incarnation.

Evidence: TestWorkerIsRestartedOnce restarts one worker twice; before, it failed with that error.

Fix: restarts are serialized, and one that finds the worker replaced returns the new one.

--- a/lab/platform/single.go
+++ b/lab/platform/single.go
@@ -77,8 +77,13 @@
 }
 
 // UpgradeWorker restarts a worker under the same ID with another version of its software, and
-// returns its new incarnation.
+// returns its new incarnation. If another fault has restarted it meanwhile, it returns that one.
 func (s *Site) UpgradeWorker(old *Worker, software string) (*Worker, error) {
+	s.restarting.Lock()
+	defer s.restarting.Unlock()
+	if current := s.incarnationOf(old); current != old {
+		return current, nil
+	}
 	w, err := old.Upgrade(software)
 	if err != nil {
 		return nil, err
@@ -93,6 +98,18 @@
 	return w, nil
 }
 
+// incarnationOf returns the listed worker with the ID of another one, or that one.
+func (s *Site) incarnationOf(w *Worker) *Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, current := range s.workers {
+		if current.ID == w.ID {
+			return current
+		}
+	}
+	return w
+}
+
 // AskPoison sends a request that crashes every worker that starts it. Requests of the same kind
 // and account differ in their headers only. It returns whether the request was refused, and the
 // Retry-After.
--- a/lab/platform/site.go
+++ b/lab/platform/site.go
@@ -44,6 +44,8 @@
 	ledger *Ledger
 	rng    *rand.Rand
 
+	restarting sync.Mutex // held while a worker is restarted
+
 	mu          sync.Mutex
 	gateways    []*gatewayNode
 	workers     []*Worker
