gateway: Report connections that end before an answer, with the cause

What callers saw: a connection that ended without an answer, of which the logs said nothing. A handler's panic was swallowed with the error log of the HTTP server, a canceled request was logged by a sample only and as "by the caller" whoever canceled it, the close of a connection never.

Change: each connection that ends while a request on it has begun and is not answered is counted by its cause (caller, timeout, abort, write, stop, other; madderway_gateway_caller_connections_unanswered_total). Ends that are not up to the caller get a line with the request, the mode of the handler, the ages of the request and of the process, and the errors of the last read and write. Messages of the HTTP server, such as panics, go to the log. The end of the process names the error that caused it.

Tests: TestUnansweredRequestIsReportedWithItsCause, TestAnsweredRequestIsNotReported, TestPanicOfHandlerIsLogged.

--- a/handlers/gateway/callerconn.go
+++ b/handlers/gateway/callerconn.go
@@ -27,11 +27,13 @@
 	buffered           []byte        // bytes of the next request
 	stopWatch          chan struct{} // ends watchForClose
 	callerDisconnected bool          // during a hand-over
+	handOverEnded      bool          // a hand-over ended the connection, and has reported why
 	answeredEarly      bool          // the last request bypassed the HTTP server, whose deadlines are not set
 	inServer           bool          // the HTTP server reads a request, or all that follows
 	unread             int64         // bytes of its request that the HTTP server has not read; negative if it has read more
 	admitted           bool          // the request in the HTTP server was counted and admitted
 	idle               idleState
+	exchange           exchangeState
 }
 
 // unknownLength is the unread part of a request whose end is not known.
@@ -40,6 +42,7 @@
 // onIdle is called when the HTTP server has ended a request and waits for the next one.
 func (c *callerConn) onIdle() {
 	c.inServer, c.admitted = c.unread != 0, false
+	c.exchange.reset()
 	c.idle.answered()
 }
 
@@ -56,10 +59,19 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.stopWatching()
-	c.server.forget(c)
+	if c.server.forget(c) && c.idle.hasBegun() && !c.handOverEnded {
+		c.server.unanswered.report(&c.exchange, c.RemoteAddr().String(), c.server.isClosed())
+	}
 	return c.countedConn.Close()
 }
 
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.countedConn.Write(p)
+	c.exchange.noteWrite(err)
+	return n, err
+}
+
 // closeIfIdle closes the connection if no byte of a next request has come. What the caller may send
 // meanwhile is not read.
 func (c *callerConn) closeIfIdle() {
@@ -85,6 +97,7 @@
 	}
 	n, err := c.countedConn.Read(p)
 	if n == 0 {
+		c.exchange.noteRead(err)
 		return n, err
 	}
 	c.buffered = append(c.buffered, p[0])
@@ -116,6 +129,7 @@
 			return 0, io.EOF
 		}
 		n, err := c.readNext(p)
+		c.exchange.noteRead(err)
 		if !c.idle.endRead(n) {
 			return 0, io.EOF
 		}
@@ -143,6 +157,7 @@
 		case HandedOver:
 			switch c.handOver(p[:n], rest, decision) {
 			case ended:
+				c.handOverEnded = true
 				return 0, io.EOF
 			case servedHere:
 				return c.returnToServer(p)
--- a/handlers/gateway/gateway.go
+++ b/handlers/gateway/gateway.go
@@ -71,6 +71,11 @@
 	RefuseAll         // refuse as not run
 )
 
+// String implements fmt.Stringer.
+func (m Mode) String() string {
+	return [...]string{ServeAll: "serve_all", ServeClosing: "serve_closing", RefuseAll: "refuse_all"}[m]
+}
+
 // SetMode sets how new requests are handled.
 func (h *Handler) SetMode(m Mode) { h.mode.Store(int32(m)) }
 
@@ -85,18 +90,21 @@
 	if mode != ServeAll {
 		w.Header().Set("Connection", "close")
 	}
+	call := h.opts.Dialect.ReadCall(r.Header)
+	exchange := exchangeOf(r.Context())
+	exchange.enterHandler(call.ID, mode, h.opts.Clock.Now())
 	if !r.ProtoAtLeast(1, 1) {
 		// Stays in force if the handler panics to abort the response.
 		setResetOnClose(r.Context(), true)
 	}
-	h.serve(w, r, mode)
+	h.serve(w, r, call, mode)
+	exchange.leaveHandler() // not after a panic
 	if !r.ProtoAtLeast(1, 1) {
 		setResetOnClose(r.Context(), false)
 	}
 }
 
-func (h *Handler) serve(w http.ResponseWriter, r *http.Request, mode Mode) {
-	call := h.opts.Dialect.ReadCall(r.Header)
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, call upstream.Call, mode Mode) {
 	if mode == RefuseAll {
 		h.refuse(w, call.ID, result.New(result.Draining, "the gateway is stopping").WithRetryAfter(drainingRetryAfter))
 		return
--- a/handlers/gateway/idle.go
+++ b/handlers/gateway/idle.go
@@ -22,6 +22,13 @@
 	s.begun = false
 }
 
+// hasBegun reports whether a request has begun to be read and is not answered.
+func (s *idleState) hasBegun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.begun
+}
+
 // startRead notes a read from the connection, or only of bytes that are held already if fresh is not
 // set. It returns false if the connection is being closed.
 func (s *idleState) startRead(fresh bool) bool {
--- a/handlers/gateway/idle_test.go
+++ b/handlers/gateway/idle_test.go
@@ -46,12 +46,6 @@
 	}
 }
 
-func (s *idleState) hasBegun() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.begun
-}
-
 // Guards against a stop that cuts a request of which a part has come, at any byte.
 func TestBegunRequestOutlastsCloseIdle(t *testing.T) {
 	request := postHead + postBody
--- a/handlers/gateway/server.go
+++ b/handlers/gateway/server.go
@@ -50,8 +50,11 @@
 	open       atomic.Int64
 	turnedAway atomic.Uint64  // connections refused beyond the limit
 	handedOver atomic.Int64   // requests in flight at other gateways
+	closing    atomic.Bool    // Close was called
 	early      EarlyAdmission // nil if no request is decided early
 	relay      Relay          // nil if no request is handed over
+	unanswered *unanswered
+	errorLog   *stdlog.Logger // of the HTTP servers
 
 	connsMu sync.Mutex
 	conns   map[*callerConn]bool // open connections
@@ -67,6 +70,7 @@
 // counts their bytes in traffic. Serve runs it.
 func NewServer(logger log.Logger, l net.Listener, h http.Handler, maxOpen int, traffic *netopt.Traffic) *Server {
 	s := &Server{log: logger, listener: l, maxOpen: int64(maxOpen), traffic: traffic, conns: map[*callerConn]bool{}}
+	s.unanswered, s.errorLog = newUnanswered(logger), stdlog.New(newServerLog(logger), "", 0)
 	s.handler = s.closeWhenCrowded(h)
 	s.startServer(routing.Limits{})
 	return s
@@ -109,7 +113,7 @@
 func (s *Server) startServer(l routing.Limits) {
 	server := &http.Server{
 		Handler: s.handler, MaxHeaderBytes: defaultHeaderBytes, ReadHeaderTimeout: headerTimeout(l), IdleTimeout: idleTimeout(l),
-		ConnContext: withConn, ConnState: onConnState, ErrorLog: stdlog.New(io.Discard, "", 0),
+		ConnContext: withConn, ConnState: onConnState, ErrorLog: s.errorLog,
 	}
 	if l.MaxHeaderBytes > 0 {
 		server.MaxHeaderBytes = l.MaxHeaderBytes + headerSlack
@@ -233,11 +237,13 @@
 	s.conns[c] = true
 }
 
-// forget removes a connection that is being closed.
-func (s *Server) forget(c *callerConn) {
+// forget removes a connection that is being closed. It reports whether it was open until now.
+func (s *Server) forget(c *callerConn) bool {
 	s.connsMu.Lock()
 	defer s.connsMu.Unlock()
+	wasOpen := s.conns[c]
 	delete(s.conns, c)
+	return wasOpen
 }
 
 // StopAccepting closes the listener. Open connections stay.
@@ -253,8 +259,15 @@
 	}
 }
 
+// isClosed reports whether the server closes all connections.
+func (s *Server) isClosed() bool { return s.closing.Load() }
+
+// WriteMetrics writes the counts of connections that ended before an answer.
+func (s *Server) WriteMetrics(w io.Writer) { s.unanswered.set.WritePrometheus(w) }
+
 // Close closes the listener and all connections.
 func (s *Server) Close() {
+	s.closing.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -385,6 +385,8 @@
 
 func (g *Gateway) closeAtEnd() error {
 	<-g.t.Dying()
+	// An error here is that of the first duty that failed; a drain or Stop leaves none.
+	g.log.Info("Gateway stops.", "error", g.t.Err(), "draining", g.isDraining(), "in_flight", g.inFlight())
 	if g.callers != nil {
 		g.callers.Close()
 		_ = g.readiness.Close()
--- a/router/gatewaystate.go
+++ b/router/gatewaystate.go
@@ -77,6 +77,7 @@
 	g.notices.WriteMetrics(w)
 	g.origins.WriteMetrics(w)
 	g.pool.WriteMetrics(w)
+	g.callers.WriteMetrics(w)
 	d := g.Dump()
 	gauge := func(name string, v any) { fmt.Fprintf(w, "madderway_gateway_%s %v\n", name, v) }
 	gauge("ready", boolToInt(d.Ready))
