drain: A stall during a stop cuts no request

What callers saw: a gateway that stood still for some seconds in the middle of a planned stop cut the requests that it had read when it went on; their targets ran them, and the connections ended without an answer.

Cause: the phases of a stop follow a clock that runs on during a stall. After it the next step was the exit at 95 % of the grace, past the phases that refuse new requests and wait for those in flight.

Fix: the forced exit counts the time in which the process ran. A stall only moves the phases that refuse and close forward. A signal that comes during a stall is noticed at its end, with part of the grace gone: the stop counts a stall that has just ended.

TestPhaseByTimeAndRequestsInFlight, TestExitAfterAllConnectionsAreClosed and TestExitWhenGraceIsShorterThanLinger reached their times in one step, which is a stall now. They take a step each 20 ms; their expectations are unchanged.

--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -32,11 +32,14 @@
 	// exitShare the requests still in flight are cut off.
 	serveShare = 0.35
 	exitShare  = 0.95
+	// maxStep bounds the time between two steps that counts towards the exit. A longer one is a
+	// stall, in which no request in flight could end.
+	maxStep = 200 * time.Millisecond
 )
 
 // Plan holds the times of a graceful shutdown.
 type Plan struct {
-	Started time.Time
+	Started time.Time // no later than the signal, which may have come while the process was stalled
 	Linger  time.Duration // time for the load balancer to notice
 	Grace   time.Duration // time until the process is killed
 }
@@ -44,19 +47,27 @@
 // Machine runs through the phases of a shutdown. No phase comes back: a request that is read after
 // the last one has ended is refused.
 type Machine struct {
-	plan  Plan
-	phase Phase
+	plan   Plan
+	phase  Phase
+	stepAt time.Time     // of the last step
+	ran    time.Duration // since the first step, without stalls
 }
 
-// NewMachine returns a machine in the phase Serve.
-func NewMachine(p Plan) *Machine { return &Machine{p, Serve} }
+// NewMachine returns a machine in the phase Serve at the present time.
+func NewMachine(p Plan, now time.Time) *Machine { return &Machine{plan: p, phase: Serve, stepAt: now} }
 
 // Step returns the phase at a time with so many requests in flight and open connections of callers.
+// Call it several times in each maxStep.
+//
+// After a stall it refuses new requests as if the process had run, since a kill may be near. It does
+// not cut those that the process has begun to serve: they had no time to end.
 func (m *Machine) Step(now time.Time, inFlight, open int) Phase {
 	since := now.Sub(m.plan.Started)
+	m.ran += min(now.Sub(m.stepAt), maxStep)
+	m.stepAt = now
 	next := m.phase
 	switch {
-	case since >= fraction(m.plan.Grace, exitShare):
+	case m.ran >= fraction(m.plan.Grace, exitShare):
 		next = Exit
 	case m.phase == Close && inFlight == 0 && open == 0:
 		next = Exit
--- a/core/drain/drain_test.go
+++ b/core/drain/drain_test.go
@@ -8,6 +8,19 @@
 	"time"
 )
 
+// interval is the time between two steps in tests.
+const interval = 20 * time.Millisecond
+
+// runUntil steps a machine that was started at start until a time after it, with the same requests and
+// connections all along, and returns the phase.
+func runUntil(m *Machine, start time.Time, after time.Duration, inFlight, open int) Phase {
+	phase := Serve
+	for now := m.stepAt.Add(interval); !now.After(start.Add(after)); now = now.Add(interval) {
+		phase = m.Step(now, inFlight, open)
+	}
+	return phase
+}
+
 func TestPhaseByTimeAndRequestsInFlight(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
 	plan := Plan{Started: start, Linger: 2200 * time.Millisecond, Grace: 8 * time.Second}
@@ -25,7 +38,7 @@
 		{"last request finished", 5 * time.Second, 0, Close},
 		{"grace period nearly over", 7600 * time.Millisecond, 1, Exit},
 	} {
-		if got := NewMachine(plan).Step(start.Add(c.after), c.inFlight, 1); got != c.want {
+		if got := runUntil(NewMachine(plan, start), start, c.after, c.inFlight, 1); got != c.want {
 			t.Errorf("%s: got phase %d, want %d", c.name, got, c.want)
 		}
 	}
@@ -35,7 +48,7 @@
 // serving again once connections are closed.
 func TestExitAfterAllConnectionsAreClosed(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
-	m := NewMachine(Plan{Started: start, Linger: 2200 * time.Millisecond, Grace: 8 * time.Second})
+	m := NewMachine(Plan{Started: start, Linger: 2200 * time.Millisecond, Grace: 8 * time.Second}, start)
 	for _, c := range []struct {
 		after          time.Duration
 		inFlight, open int
@@ -52,8 +65,8 @@
 			t.Errorf("after %v: got phase %d, want %d", c.after, got, c.want)
 		}
 	}
-	m = NewMachine(Plan{Started: start, Linger: 2200 * time.Millisecond, Grace: 8 * time.Second})
-	if got := m.Step(start.Add(7600*time.Millisecond), 0, 3); got != Exit {
+	m = NewMachine(Plan{Started: start, Linger: 2200 * time.Millisecond, Grace: 8 * time.Second}, start)
+	if got := runUntil(m, start, 7600*time.Millisecond, 0, 3); got != Exit {
 		t.Errorf("got phase %d when the grace period is nearly over, want exit", got)
 	}
 }
@@ -61,7 +74,44 @@
 func TestExitWhenGraceIsShorterThanLinger(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
 	plan := Plan{Started: start, Linger: 2200 * time.Millisecond, Grace: time.Second}
-	if got := NewMachine(plan).Step(start.Add(960*time.Millisecond), 5, 5); got != Exit {
+	if got := runUntil(NewMachine(plan, start), start, 960*time.Millisecond, 5, 5); got != Exit {
 		t.Errorf("got phase %d at the end of a grace period shorter than the linger, want exit", got)
 	}
 }
+
+// Guards against a stall that uses up the grace and cuts the requests that were read when it ended.
+func TestStallInStopCutsNoRequest(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	plan := Plan{Started: start, Linger: 2200 * time.Millisecond, Grace: 8 * time.Second}
+	for _, before := range []time.Duration{20 * time.Millisecond, time.Second, 2200 * time.Millisecond, 3 * time.Second, 7 * time.Second} {
+		for _, stall := range []time.Duration{500 * time.Millisecond, 6 * time.Second, time.Minute} {
+			m := NewMachine(plan, start)
+			runUntil(m, start, before, 4, 9)
+			now := start.Add(before + stall)
+			got := m.Step(now, 4, 9)
+			if got == Exit || before+stall >= 2800*time.Millisecond && got != Refuse {
+				t.Errorf("stall of %v after %v: got phase %v at its end", stall, before, got)
+			}
+			// The requests end, and the connections are closed.
+			if got := m.Step(now.Add(interval), 0, 9); before+stall > 2200*time.Millisecond && got != Close {
+				t.Errorf("stall of %v after %v: got phase %v without requests in flight, want close", stall, before, got)
+			}
+			if got := m.Step(now.Add(2*interval), 0, 0); before+stall > 2200*time.Millisecond && got != Exit {
+				t.Errorf("stall of %v after %v: got phase %v without connections, want exit", stall, before, got)
+			}
+		}
+	}
+}
+
+// Guards against new requests that are served when the kill is near, because the signal came during a
+// stall.
+func TestSignalDuringStallShortensTheStop(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	m := NewMachine(Plan{Started: now.Add(-5 * time.Second), Linger: 2200 * time.Millisecond, Grace: 8 * time.Second}, now)
+	if got := m.Step(now, 3, 9); got != Refuse {
+		t.Errorf("got phase %v with requests in flight, want refuse", got)
+	}
+	if got := m.Step(now.Add(interval), 0, 9); got != Close {
+		t.Errorf("got phase %v without, want close", got)
+	}
+}
--- a/router/gatewaydrain.go
+++ b/router/gatewaydrain.go
@@ -23,8 +23,9 @@
 	g.drainOnce.Do(func() {
 		s := g.settings.Load()
 		started := g.clock.Now()
-		machine := drain.NewMachine(drain.Plan{Started: started, Linger: s.Linger.Duration, Grace: s.Grace.Duration})
-		g.log.Info("Drain started.", "in_flight", g.inFlight(), "connections", g.callers.Open())
+		stall := g.stallBefore(started)
+		machine := drain.NewMachine(drain.Plan{Started: started.Add(-stall), Linger: s.Linger.Duration, Grace: s.Grace.Duration}, started)
+		g.log.Info("Drain started.", "in_flight", g.inFlight(), "connections", g.callers.Open(), "stalled_before", stall)
 		close(g.draining)
 		g.handler.SetMode(gateway.ServeClosing)
 		g.loop.Leave()
@@ -39,6 +40,12 @@
 	})
 }
 
+// stallBefore returns how long the process was stalled right before now. A signal that came during the
+// stall is noticed only at its end.
+func (g *Gateway) stallBefore(now time.Time) time.Duration {
+	return max(g.overdue(now), g.standstill.lastEnded(now))
+}
+
 // closeOperators lets answers on the metrics address end.
 func (g *Gateway) closeOperators() {
 	if g.operators == nil {
@@ -56,7 +63,7 @@
 func (g *Gateway) stepDrain(m *drain.Machine, before drain.Phase) drain.Phase {
 	phase := m.Step(g.clock.Now(), g.unfinished(), g.callers.Open())
 	if phase != before {
-		g.log.Info("Drain goes on.", "phase", phase, "in_flight", g.inFlight(), "connections", g.callers.Open())
+		g.log.Info("Drain goes on.", "phase", phase, "in_flight", g.inFlight(), "connections", g.callers.Open(), "standstills", g.standstill.count.Load())
 	}
 	if phase != drain.Serve {
 		g.handler.SetMode(gateway.RefuseAll)
--- a/router/standstill.go
+++ b/router/standstill.go
@@ -17,6 +17,9 @@
 	// Limit on the wait for fresh state after a standstill, for when neither the store nor a
 	// peer answers.
 	maxResync = 2 * time.Second
+	// recentStall is the time after a standstill in which a signal may have come during it. The
+	// process notices both within milliseconds, unless it is busy with what piled up.
+	recentStall = time.Second
 )
 
 // standstill counts the standstills of the process and holds the end of the last one until the
@@ -24,6 +27,22 @@
 type standstill struct {
 	count atomic.Uint64
 	endAt atomic.Pointer[time.Time]
+	last  atomic.Pointer[pastStall]
+}
+
+// pastStall is a standstill that has ended.
+type pastStall struct {
+	endAt  time.Time
+	length time.Duration
+}
+
+// lastEnded returns the length of the last standstill if it ended shortly before now, or else 0.
+func (s *standstill) lastEnded(now time.Time) time.Duration {
+	last := s.last.Load()
+	if last == nil || now.Sub(last.endAt) > recentStall {
+		return 0
+	}
+	return last.length
 }
 
 // noteLateness records how late the process was scheduled, for whatever reason: a signal, lack
@@ -43,6 +62,7 @@
 func (g *Gateway) noteStandstill(d time.Duration) {
 	now := g.clock.Now()
 	g.standstill.endAt.Store(&now)
+	g.standstill.last.Store(&pastStall{endAt: now, length: d})
 	g.standstill.count.Add(1)
 	g.log.Warn("Process was stalled or suspended.", "for", d.Round(time.Millisecond), "suspended_total", clock.Suspended().Round(time.Millisecond))
 	g.origins.NoteGap("standstill")
