gateway: The reader of a connection decides whether it closes as idle

What callers saw: at the end of a planned stop, a connection that ended without an answer to a request that the gateway had read, where a refusal was possible. On a machine that is late to read, this is more than 200 ms after the request was sent.

Cause: a reader that had taken bytes from the kernel and had not said so yet met a closer that found none in the kernel; the closer won, and the bytes were dropped.

TestBytesTakenBeforeCloseIdleAreKept, which takes that window apart, fails on the code as it was: "got 0 bytes, EOF".

Fix: the closer only interrupts the read that waits. The reader goes on if its read returned a byte or if bytes wait in the kernel, and restores the deadline; otherwise the connection is idle, and it ends it.

--- a/handlers/gateway/callerconn.go
+++ b/handlers/gateway/callerconn.go
@@ -32,6 +32,7 @@
 	inServer           bool          // the HTTP server reads a request, or all that follows
 	unread             int64         // bytes of its request that the HTTP server has not read; negative if it has read more
 	admitted           bool          // the request in the HTTP server was counted and admitted
+	readDeadline       time.Time     // in force unless closeIfIdle has interrupted a read
 	idle               idleState
 	exchange           exchangeState
 }
@@ -48,6 +49,7 @@
 
 // SetReadDeadline implements net.Conn.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.readDeadline = t
 	err := c.countedConn.SetReadDeadline(t)
 	// A watch that begins between the two drops the signal, and must then find the deadline.
 	if !t.IsZero() && !t.After(time.Now()) {
@@ -72,14 +74,19 @@
 	return n, err
 }
 
-// closeIfIdle closes the connection if no byte of a next request has come. What the caller may send
-// meanwhile is not read.
+// interruptedDeadline makes a pending read return at once.
+var interruptedDeadline = time.Unix(1, 0)
+
+// closeIfIdle makes the connection close unless a byte of a next request has come.
 func (c *callerConn) closeIfIdle() {
-	if c.idle.startClose(func() bool { return netopt.Peek(c.countedConn.Conn) != netopt.PeekData }) {
-		_ = c.Close()
-	}
+	c.idle.interrupt(c.hasUnread, func() {
+		_ = c.countedConn.SetReadDeadline(interruptedDeadline) // fails only if the connection is closed
+	})
 }
 
+// hasUnread reports whether bytes wait to be read.
+func (c *callerConn) hasUnread() bool { return netopt.Peek(c.countedConn.Conn) == netopt.PeekData }
+
 func (c *callerConn) stopWatching() {
 	select {
 	case c.stopWatch <- struct{}{}:
@@ -130,8 +137,16 @@
 		}
 		n, err := c.readNext(p)
 		c.exchange.noteRead(err)
-		if !c.idle.endRead(n) {
+		switch c.idle.endRead(n, c.hasUnread) {
+		case readEnds:
 			return 0, io.EOF
+		case readResumes:
+			if err := c.countedConn.SetReadDeadline(c.readDeadline); err != nil {
+				return n, err
+			}
+			if n == 0 {
+				continue
+			}
 		}
 		if c.inServer {
 			c.unread -= int64(n)
--- a/handlers/gateway/idle.go
+++ b/handlers/gateway/idle.go
@@ -6,15 +6,25 @@
 import "sync"
 
 // idleState tracks whether a connection is idle: its last request is answered, and no byte of the next
-// one has been read. The reader and whoever closes idle connections agree on that under a lock, so that
-// no request is read and then cut off.
+// one has been read. Whoever wants an idle connection closed only interrupts its reader. The reader
+// decides, since it alone knows whether its last read returned a byte.
 type idleState struct {
-	mu      sync.Mutex
-	begun   bool // a request has begun to be read, and is not answered
-	reading bool // a read waits for the first byte of a request
-	closing bool
+	mu          sync.Mutex
+	begun       bool // a request has begun to be read, and is not answered
+	reading     bool // a read waits for the first byte of a request
+	interrupted bool // that read was interrupted to close the connection
+	closing     bool // no byte is read any more
 }
 
+// readVerdict tells the reader of a connection what to do after a read.
+type readVerdict int
+
+const (
+	readGoesOn  readVerdict = iota
+	readResumes             // a byte came first: the deadline that was in force applies again
+	readEnds                // the connection is idle, and must be closed
+)
+
 // answered notes that the last request has been answered.
 func (s *idleState) answered() {
 	s.mu.Lock()
@@ -29,8 +39,8 @@
 	return s.begun
 }
 
-// startRead notes a read from the connection, or only of bytes that are held already if fresh is not
-// set. It returns false if the connection is being closed.
+// startRead notes a read. fresh tells that it may return the first byte of a request, which is not so
+// for bytes that are held already. It returns false if the connection is being closed.
 func (s *idleState) startRead(fresh bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -38,24 +48,32 @@
 	return !s.closing
 }
 
-// endRead notes that a read returned n bytes. It returns false if they must be dropped, since the
-// connection is being closed.
-func (s *idleState) endRead(n int) bool {
+// endRead notes that a read returned n bytes. unread reports whether more wait to be read.
+func (s *idleState) endRead(n int, unread func() bool) readVerdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reading = false
+	interrupted := s.interrupted
+	s.reading, s.interrupted = false, false
 	s.begun = s.begun || n > 0
-	return !s.closing
+	switch {
+	case !interrupted:
+		return readGoesOn
+	case n > 0 || unread():
+		return readResumes
+	default:
+		s.closing = true
+		return readEnds
+	}
 }
 
-// startClose returns false unless the connection is idle. After that no read returns a byte. silent
-// reports whether no byte waits to be read.
-func (s *idleState) startClose(silent func() bool) bool {
+// interrupt calls stopRead if the connection is idle, unless unread reports bytes that wait to be read.
+// stopRead must make the read that waits return.
+func (s *idleState) interrupt(unread func() bool, stopRead func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.begun || !s.reading || !silent() {
-		return false
+	if s.begun || !s.reading || s.interrupted || unread() {
+		return
 	}
-	s.closing = true
-	return true
+	s.interrupted = true
+	stopRead()
 }
--- a/handlers/gateway/idle_test.go
+++ b/handlers/gateway/idle_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 const (
@@ -126,3 +127,75 @@
 		}
 	}
 }
+
+// takenConn has bytes to read. It runs during when it has taken them, before the read returns.
+type takenConn struct {
+	net.Conn
+	data     string
+	during   func()
+	deadline time.Time
+}
+
+func (c *takenConn) Read(p []byte) (int, error) {
+	n := copy(p, c.data)
+	c.during()
+	return n, nil
+}
+
+func (c *takenConn) Close() error { return nil }
+
+func (c *takenConn) SetReadDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+// Guards against a stop that drops a request which was read just before its connection was found idle.
+func TestBytesTakenBeforeCloseIdleAreKept(t *testing.T) {
+	raw := &takenConn{data: "P"}
+	c := &callerConn{countedConn: &countedConn{Conn: raw, open: new(atomic.Int64)}, server: &Server{}, stopWatch: make(chan struct{}, 1)}
+	raw.during = c.closeIfIdle
+	limit := time.Unix(1_700_000_000, 0)
+	if err := c.SetReadDeadline(limit); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := c.Read(make([]byte, 8)); n != 1 || err != nil {
+		t.Errorf("got %d bytes, %v, want 1 byte", n, err)
+	}
+	if !raw.deadline.Equal(limit) {
+		t.Errorf("the deadline is %v, want %v again", raw.deadline, limit)
+	}
+}
+
+// Guards against a connection that is closed while bytes wait to be read, and against one that stays
+// open although it is idle.
+func TestReaderDecidesWhetherIdleConnectionCloses(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		waiting      bool // a read waits for the first byte
+		unreadBefore bool
+		n            int
+		unreadAfter  bool
+		interrupts   bool
+		want         readVerdict
+	}{
+		{"idle", true, false, 0, false, true, readEnds},
+		{"a byte came first", true, false, 1, false, true, readResumes},
+		{"a byte came just after", true, false, 0, true, true, readResumes},
+		{"bytes wait", true, true, 5, false, false, readGoesOn},
+		{"not read yet", false, false, 5, false, false, readGoesOn},
+	} {
+		var s idleState
+		if c.waiting {
+			s.startRead(true)
+		}
+		interrupted := false
+		s.interrupt(func() bool { return c.unreadBefore }, func() { interrupted = true })
+		got := s.endRead(c.n, func() bool { return c.unreadAfter })
+		if interrupted != c.interrupts || got != c.want {
+			t.Errorf("%s: interrupted %v, verdict %v, want %v and %v", c.name, interrupted, got, c.interrupts, c.want)
+		}
+		if goesOn := s.startRead(true); goesOn == (c.want == readEnds) {
+			t.Errorf("%s: the next read goes on: %v", c.name, goesOn)
+		}
+	}
+}
