gateway: A pipelined request is not taken for an idle connection

What callers saw: nothing reported. A request that came together with the one before it, or while it was answered, was cut by the close of idle connections at the end of a stop, also when its handler had begun to serve it.

Cause: the HTTP server takes such a request from its own buffer, so that no read shows that it has begun; and its watch for a close, a read of one byte, counted as the wait for a next request.

Fix: a request has begun when its handler runs, and the watch is no wait for a request.

--- a/handlers/gateway/callerconn.go
+++ b/handlers/gateway/callerconn.go
@@ -129,10 +129,12 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	for {
-		if c.inServer && c.unread == 0 && len(p) == 1 && len(c.buffered) == 0 {
+		// The HTTP server reads a single byte only while it watches for a close during a request.
+		watches := c.inServer && len(p) == 1
+		if watches && c.unread == 0 && len(c.buffered) == 0 {
 			return c.watchForClose(p)
 		}
-		if !c.idle.startRead(len(c.buffered) == 0) {
+		if !c.idle.startRead(len(c.buffered) == 0 && !watches) {
 			return 0, io.EOF
 		}
 		n, err := c.readNext(p)
--- a/handlers/gateway/idle.go
+++ b/handlers/gateway/idle.go
@@ -39,8 +39,16 @@
 	return s.begun
 }
 
+// begin notes that a request is being handled, which the HTTP server may have had in its buffer.
+func (s *idleState) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.begun = true
+}
+
 // startRead notes a read. fresh tells that it may return the first byte of a request, which is not so
-// for bytes that are held already. It returns false if the connection is being closed.
+// for bytes that are held already or while a request is handled. It returns false if the connection is
+// being closed.
 func (s *idleState) startRead(fresh bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/handlers/gateway/idle_test.go
+++ b/handlers/gateway/idle_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -128,6 +129,43 @@
 	}
 }
 
+// Guards against a stop that cuts a request which came together with the one before it: the HTTP server
+// takes it from its buffer, so that no read of the connection shows its begin.
+func TestPipelinedRequestOutlastsCloseIdle(t *testing.T) {
+	for name, request := range map[string]string{
+		"with a length": postHead + postBody,
+		"in chunks":     "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbook\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			inHandler, release := make(chan struct{}), make(chan struct{})
+			var number atomic.Int64
+			s, address := serve(t, 0, 10, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if number.Add(1) == 2 {
+					close(inHandler)
+					<-release
+				}
+			}))
+			c := dial(t, address)
+			r := bufio.NewReader(c)
+			if got := exchange(c, r, request+request); got != http.StatusOK {
+				t.Fatalf("the first request: got status %d, want 200", got)
+			}
+			<-inHandler
+			s.StopAccepting()
+			for range 1000 { // the server begins to watch the connection at some time
+				s.CloseIdle()
+				runtime.Gosched()
+			}
+			open := s.Open()
+			close(release)
+			if got := exchange(c, r, ""); open != 1 || got != http.StatusOK {
+				t.Errorf("%d connections open, got status %d, want 1 and 200", open, got)
+			}
+		})
+	}
+}
+
 // takenConn has bytes to read. It runs during when it has taken them, before the read returns.
 type takenConn struct {
 	net.Conn
--- a/handlers/gateway/server.go
+++ b/handlers/gateway/server.go
@@ -71,7 +71,7 @@
 func NewServer(logger log.Logger, l net.Listener, h http.Handler, maxOpen int, traffic *netopt.Traffic) *Server {
 	s := &Server{log: logger, listener: l, maxOpen: int64(maxOpen), traffic: traffic, conns: map[*callerConn]bool{}}
 	s.unanswered, s.errorLog = newUnanswered(logger), stdlog.New(newServerLog(logger), "", 0)
-	s.handler = s.closeWhenCrowded(h)
+	s.handler = s.closeWhenCrowded(markBegun(h))
 	s.startServer(routing.Limits{})
 	return s
 }
@@ -144,6 +144,16 @@
 	})
 }
 
+// markBegun notes on the connections of requests that they are handled.
+func markBegun(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+			c.idle.begin()
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // isCrowded reports whether few connections are free.
 func (s *Server) isCrowded() bool { return s.open.Load() > s.maxOpen-s.maxOpen/reservedFraction }
 
