gateway: After a stall in a stop, requests are refused by the time

A stopping gateway that had stood still served what had piled up for it until its stop took the next step, though its platform may kill it at any moment by then.

Cause: the mode of the handler was set by the steps of the stop only, which come each 20 ms, and later while the process works off a stall.

Fix: the time from which new requests are refused is known when the stop begins; the handler compares it with the time of each request.

--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -39,11 +39,14 @@
 
 // Plan holds the times of a graceful shutdown.
 type Plan struct {
-	Started time.Time // no later than the signal, which may have come while the process was stalled
+	Started time.Time     // no later than the signal, which may have come while the process was stalled
 	Linger  time.Duration // time for the load balancer to notice
 	Grace   time.Duration // time until the process is killed
 }
 
+// ServeUntil returns the time from which new requests are refused.
+func (p Plan) ServeUntil() time.Time { return p.Started.Add(fraction(p.Grace, serveShare)) }
+
 // Machine runs through the phases of a shutdown. No phase comes back: a request that is read after
 // the last one has ended is refused.
 type Machine struct {
@@ -73,7 +76,7 @@
 		next = Exit
 	case inFlight == 0 && since >= min(m.plan.Linger, fraction(m.plan.Grace, exitShare)):
 		next = Close
-	case since >= fraction(m.plan.Grace, serveShare):
+	case !now.Before(m.plan.ServeUntil()):
 		next = Refuse
 	}
 	m.phase = max(m.phase, next)
--- a/handlers/gateway/gateway.go
+++ b/handlers/gateway/gateway.go
@@ -54,6 +54,7 @@
 type Handler struct {
 	opts     Options
 	mode     atomic.Int32
+	refuseAt atomic.Pointer[time.Time] // from then on, ServeClosing is RefuseAll
 	inFlight atomic.Int64
 	bodies   bodyQuota
 }
@@ -79,6 +80,25 @@
 // SetMode sets how new requests are handled.
 func (h *Handler) SetMode(m Mode) { h.mode.Store(int32(m)) }
 
+// StartClosing sets the mode ServeClosing until a time, and RefuseAll from then on.
+func (h *Handler) StartClosing(until time.Time) {
+	h.refuseAt.Store(&until)
+	h.SetMode(ServeClosing)
+}
+
+// modeAt returns how a request that comes now is handled. After a stall of the process the time to
+// refuse may have passed, while whoever sets the mode has not run yet.
+func (h *Handler) modeAt(now time.Time) Mode {
+	mode := Mode(h.mode.Load())
+	if mode != ServeClosing {
+		return mode
+	}
+	if until := h.refuseAt.Load(); until != nil && !now.Before(*until) {
+		return RefuseAll
+	}
+	return mode
+}
+
 // InFlight returns the number of requests in flight.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
@@ -86,13 +106,14 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	mode := Mode(h.mode.Load())
+	now := h.opts.Clock.Now()
+	mode := h.modeAt(now)
 	if mode != ServeAll {
 		w.Header().Set("Connection", "close")
 	}
 	call := h.opts.Dialect.ReadCall(r.Header)
 	exchange := exchangeOf(r.Context())
-	exchange.enterHandler(call.ID, mode, h.opts.Clock.Now())
+	exchange.enterHandler(call.ID, mode, now)
 	if !r.ProtoAtLeast(1, 1) {
 		// Stays in force if the handler panics to abort the response.
 		setResetOnClose(r.Context(), true)
--- a/router/gatewaydrain.go
+++ b/router/gatewaydrain.go
@@ -24,10 +24,11 @@
 		s := g.settings.Load()
 		started := g.clock.Now()
 		stall := g.stallBefore(started)
-		machine := drain.NewMachine(drain.Plan{Started: started.Add(-stall), Linger: s.Linger.Duration, Grace: s.Grace.Duration}, started)
+		plan := drain.Plan{Started: started.Add(-stall), Linger: s.Linger.Duration, Grace: s.Grace.Duration}
+		machine := drain.NewMachine(plan, started)
 		g.log.Info("Drain started.", "in_flight", g.inFlight(), "connections", g.callers.Open(), "stalled_before", stall)
 		close(g.draining)
-		g.handler.SetMode(gateway.ServeClosing)
+		g.handler.StartClosing(plan.ServeUntil())
 		g.loop.Leave()
 		phase := drain.Serve
 		for phase != drain.Exit {
