forward: The timer for a slow first part ends with that part

What callers saw: nothing reported; read in the code by the review. An answer to a repeatable request that is longer than 256 KiB was cut after its head was forwarded if it took longer than the time for a first part; a stream that continued at a second target was cut in its middle and continued at a third, where a route allows three.

Cause: the timer was stopped by the first part of the request only, and not at all for a whole answer.

Fix: the first part of each attempt stops the timer; for an answer that is not a stream that is the part which is held before its head is forwarded. An attempt that is being cut by then is repeated as before.

--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -75,7 +75,7 @@
 		j.countContinued()
 		return j.forwardStream(p, a, slowTimer), nil
 	}
-	return j.forwardWhole(p, a), nil
+	return j.forwardWhole(p, a, slowTimer), nil
 }
 
 // cutIfSlow cancels the attempt if its first part takes too long, the route permits another
@@ -94,6 +94,16 @@
 	})
 }
 
+// endFirstPart stops the timer of cutIfSlow once the first part has come. It returns false if the
+// attempt is being cut.
+func (j *job) endFirstPart(slowTimer clock.Timer) bool {
+	if slowTimer.Stop() || !j.retryReserved.Load() {
+		return true
+	}
+	j.reason = "cut for its slowness"
+	return false
+}
+
 // takeRetry reports whether the retry budget permits another attempt. A reserved retry is used
 // first.
 func (j *job) takeRetry() bool { return j.retryReserved.Swap(false) || j.takeFromRetryBudget() }
@@ -158,13 +168,17 @@
 	return nil
 }
 
-func (j *job) forwardWhole(p placement, a *upstream.Answer) attempt.Outcome {
+// forwardWhole forwards an answer once it is complete, or once more of it has come than is held.
+func (j *job) forwardWhole(p placement, a *upstream.Answer, slowTimer clock.Timer) attempt.Outcome {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedResponse+1))
 	if err != nil {
 		j.recordEnding(a, endingOf(err))
 		j.brokeOff, j.reason = true, "answer broke off: "+err.Error()
 		return j.ended(p, attempt.Unknown)
 	}
+	if len(body) > maxBufferedResponse && !j.endFirstPart(slowTimer) {
+		return j.ended(p, attempt.Unknown)
+	}
 	p.began()
 	j.writeHead(a)
 	if _, err := j.w.Write(body); err != nil {
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -127,14 +127,13 @@
 // none. It returns 0 if the attempt goes on.
 func (j *job) forwardPart(p placement, a *upstream.Answer, flusher *http.ResponseController, out []byte, slowTimer clock.Timer) attempt.Outcome {
 	now := j.s.opts.Clock.Now()
-	if j.receivedAt.IsZero() {
+	if j.receivedAt.IsZero() { // of this attempt
 		j.receivedAt = now
-	}
-	if j.timing.recordPart(now, j.r.Received) {
-		if !slowTimer.Stop() && j.retryReserved.Load() {
-			j.reason = "cut for its slowness"
+		if !j.endFirstPart(slowTimer) {
 			return j.ended(p, attempt.Cut)
 		}
+	}
+	if j.timing.recordPart(now, j.r.Received) {
 		p.began()
 	}
 	if len(out) > 0 && !j.forwardEvents(a, flusher, out) {
