lab: Requests that a test sends one by one differ from each other

Cause, from a trace of the answers: 503 "ends_targets", Retry-After 14m40s. The test crashes its targets under it. On an idle machine those crashes come within 300 ms and count as a loss of many; under load they come apart and quarantine the request, as they should.

Fix: each request has a path of its own, as those with a prompt had. The test's checks are unchanged.

--- a/lab/platform/single.go
+++ b/lab/platform/single.go
@@ -22,7 +22,7 @@
 
 // AskOld is like Ask for a caller that speaks HTTP/1.0, which has no chunks.
 func (s *Site) AskOld(ctx context.Context, gateway int, kind Kind, account string, seed uint64) Answer {
-	c := s.newSingleClient(gateway, kind, account, kind.Path+"item", seed)
+	c := s.newSingleClient(gateway, kind, account, distinctURI(kind, seed), seed)
 	c.http.Transport = oldTransport{}
 	return c.answer(c.sendOnce(ctx))
 }
@@ -46,7 +46,7 @@
 
 // Ask sends one request of a kind to a gateway, on a new connection.
 func (s *Site) Ask(ctx context.Context, gateway int, kind Kind, account string, seed uint64) Answer {
-	c := s.newSingleClient(gateway, kind, account, kind.Path+"item", seed)
+	c := s.newSingleClient(gateway, kind, account, distinctURI(kind, seed), seed)
 	return c.answer(c.sendOnce(ctx))
 }
 
@@ -123,11 +123,15 @@
 // AskPrompt sends a request for a stream whose prompt has the given shared parts. No two such
 // requests have the same path, body or last part.
 func (s *Site) AskPrompt(ctx context.Context, gateway int, kind Kind, account string, seed uint64, parts ...string) Answer {
-	c := s.newSingleClient(gateway, kind, account, fmt.Sprintf("%sitem/%d", kind.Path, seed), seed)
+	c := s.newSingleClient(gateway, kind, account, distinctURI(kind, seed), seed)
 	c.parts = parts
 	return c.answer(c.sendOnce(ctx))
 }
 
+// distinctURI returns a path that no request with another seed has. A request without a body would
+// otherwise be the same each time, and is refused after three crashes.
+func distinctURI(kind Kind, seed uint64) string { return fmt.Sprintf("%sitem/%d", kind.Path, seed) }
+
 // newSingleClient returns a client for one request to a given gateway.
 func (s *Site) newSingleClient(gateway int, kind Kind, account, uri string, seed uint64) *client {
 	c := newClient(s, kind, account, s.keys[account][0], seed)
