relay, gateway: A request that is handed over carries the time that is left

Cause, by the logs of the two gateways of a case: the one that the caller had chosen came 0.5 to 1.3 s late to its work and wrote the request to the other one shortly before its caller left; the other one, 1 ms late, counted the caller's whole time anew and let the request wait for a place.

Fix: the gateway that hands over writes the time that is left into the request, in place and as late as possible. It takes off how late it is itself, for which the request lay unread. With next to nothing left it refuses.

--- a/handlers/gateway/early.go
+++ b/handlers/gateway/early.go
@@ -46,6 +46,8 @@
 	ID      string        // set if the request is handed over
 	Account string        // set if the request is handed over
 	Timeout time.Duration // set if the request is handed over; 0 for none
+	// CallerLeavesAt is set if the request is handed over and its caller says how long it waits.
+	CallerLeavesAt time.Time
 }
 
 // EarlyOptions restrict an early decision.
@@ -64,6 +66,8 @@
 	LostAnswer(id string) []byte
 	// BusyAnswer returns the response to a request that could not be handed over in time.
 	BusyAnswer(id string) []byte
+	// SetRemaining writes the time that the caller still waits into a request, in place.
+	SetRemaining(request []byte, remaining time.Duration)
 	// RecordHandOver records the outcome of a hand-over.
 	RecordHandOver(decision EarlyDecision, res HandOverResult)
 }
@@ -98,12 +102,28 @@
 	case err != nil:
 		return EarlyDecision{Verdict: Refused, Answer: h.earlyAnswer(err, call.ID, o.ClosesConn)}
 	case admission == forward.HandOver:
-		return EarlyDecision{Verdict: HandedOver, ID: call.ID, Account: account.GetName(), Timeout: route.Timeout}
+		return EarlyDecision{Verdict: HandedOver, ID: call.ID, Account: account.GetName(), Timeout: route.Timeout, CallerLeavesAt: h.callerLeavesAt(call.Timeout)}
 	default:
 		return EarlyDecision{Verdict: Admitted}
 	}
 }
 
+// callerLeavesAt returns when a caller leaves whose request was read just now, or zero if it does not say
+// for how long it waits. The request has waited to be read for about as long as this process is late.
+func (h *Handler) callerLeavesAt(timeout time.Duration) time.Time {
+	if timeout == 0 {
+		return time.Time{}
+	}
+	return h.opts.Clock.Now().Add(timeout - h.opts.Forward.Lateness())
+}
+
+// SetRemaining implements EarlyAdmission.
+func (h *Handler) SetRemaining(request []byte, remaining time.Duration) {
+	if head, plain := httphead.Parse(request); plain {
+		h.opts.Dialect.SetRemaining(head.Value, remaining)
+	}
+}
+
 // LostAnswer implements EarlyAdmission.
 func (h *Handler) LostAnswer(id string) []byte {
 	return h.earlyAnswer(result.New(result.OutcomeUnknown, "the gateway that took the request over is gone"), id, true)
--- a/handlers/gateway/early_test.go
+++ b/handlers/gateway/early_test.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"madderway/models/result"
 	"madderway/modules/httphead"
@@ -27,6 +28,7 @@
 // is handed over where possible.
 type keyAdmission struct {
 	handler   *Handler
+	leavesIn  time.Duration // how long after a decision the callers of requests that are handed over leave; 0 if unknown
 	decisions atomic.Int64
 	results   chan HandOverResult
 }
@@ -41,6 +43,10 @@
 	return []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: " + strconv.Itoa(len(id)) + "\r\n\r\n" + id)
 }
 
+func (r *keyAdmission) SetRemaining(request []byte, remaining time.Duration) {
+	r.handler.SetRemaining(request, remaining)
+}
+
 func (r *keyAdmission) RecordHandOver(_ EarlyDecision, h HandOverResult) { r.results <- h }
 
 func (r *keyAdmission) AdmitEarly(h *httphead.Head, o EarlyOptions) EarlyDecision {
@@ -54,7 +60,11 @@
 		return EarlyDecision{Verdict: Admitted}
 	case "Bearer moved":
 		if o.CanHandOver {
-			return EarlyDecision{Verdict: HandedOver, ID: "id-2"}
+			d := EarlyDecision{Verdict: HandedOver, ID: "id-2"}
+			if r.leavesIn != 0 {
+				d.CallerLeavesAt = now().Add(r.leavesIn)
+			}
+			return d
 		}
 		return EarlyDecision{Verdict: Admitted}
 	default:
--- a/handlers/gateway/relay.go
+++ b/handlers/gateway/relay.go
@@ -23,6 +23,8 @@
 	maxHandOver = time.Minute
 	// Limit on the time until another gateway has taken a request.
 	handOverTimeout = 1500 * time.Millisecond
+	// A request with less time left is refused: it takes about as long to be placed and sent.
+	minHandOverTime = 20 * time.Millisecond
 )
 
 // now returns the time, including time in suspension.
@@ -32,8 +34,9 @@
 type Relay interface {
 	// Send hands a request over. The first relay.HeaderSize bytes of the buffer are free; the request
 	// follows. The answer is written to caller; when it ends, a pending read of caller is
-	// ended by a deadline. disconnected reports whether the caller has closed its connection.
-	Send(ctx context.Context, buffer []byte, caller net.Conn, disconnected func() bool) (*relay.Handover, error)
+	// ended by a deadline. check is called right before the request is written; it may change the
+	// request in place, or drop it by an error.
+	Send(ctx context.Context, buffer []byte, caller net.Conn, check func() error) (*relay.Handover, error)
 }
 
 // HandOverResult is the outcome of a hand-over.
@@ -74,7 +77,7 @@
 		res.Elapsed = now().Sub(start)
 		c.server.early.RecordHandOver(decision, res)
 	}()
-	handed, err := c.send(begun, rest)
+	handed, err := c.send(begun, rest, decision.CallerLeavesAt)
 	if err != nil {
 		res.CallerDisconnected = c.callerDisconnected
 		res.Lost = !c.callerDisconnected && relay.IsErrMaybeSent(err)
@@ -84,7 +87,7 @@
 			return ended
 		case res.CallerDisconnected:
 			return ended
-		case errors.Is(err, relay.ErrCongested):
+		case errors.Is(err, relay.ErrCongested), errors.Is(err, relay.ErrNoTime):
 			return c.refuseBusy(decision.ID)
 		}
 		return servedHere
@@ -116,9 +119,9 @@
 	return answered
 }
 
-// send reads the rest of a request and hands it over. If no gateway takes the request, its
-// bytes are buffered for the next reads.
-func (c *callerConn) send(begun []byte, rest int64) (*relay.Handover, error) {
+// send reads the rest of a request and hands it over, with the time until its caller leaves. If no
+// gateway takes the request, its bytes are buffered for the next reads.
+func (c *callerConn) send(begun []byte, rest int64, callerLeavesAt time.Time) (*relay.Handover, error) {
 	size := relay.HeaderSize + len(begun) + int(rest)
 	pooled := requestBuffers.get(size)
 	defer requestBuffers.put(pooled)
@@ -136,7 +139,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
-	handed, err := c.server.relay.Send(ctx, buffer[:size], c.countedConn, c.isDisconnected)
+	handed, err := c.server.relay.Send(ctx, buffer[:size], c.countedConn, func() error {
+		return c.checkHandOver(buffer[relay.HeaderSize:size], callerLeavesAt)
+	})
 	if errors.Is(err, relay.ErrCallerDisconnected) {
 		c.callerDisconnected = true
 		return nil, err
@@ -147,6 +152,23 @@
 	return handed, err
 }
 
+// checkHandOver returns an error if a request must not be handed over any more. Otherwise it writes the
+// time that is left into the request: the gateway that takes it cannot know for how long it has waited.
+func (c *callerConn) checkHandOver(request []byte, callerLeavesAt time.Time) error {
+	if c.isDisconnected() {
+		return relay.ErrCallerDisconnected
+	}
+	if callerLeavesAt.IsZero() {
+		return nil
+	}
+	remaining := callerLeavesAt.Sub(now())
+	if remaining < minHandOverTime {
+		return relay.ErrNoTime
+	}
+	c.server.early.SetRemaining(request, remaining)
+	return nil
+}
+
 // awaitAnswer waits until the answer has ended, the caller has disconnected or the time is up.
 func (c *callerConn) awaitAnswer(handed *relay.Handover, end time.Time) {
 	if c.SetReadDeadline(netopt.DeadlineIn(end.Sub(now()))) != nil {
--- a/handlers/gateway/relay_test.go
+++ b/handlers/gateway/relay_test.go
@@ -10,8 +10,10 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 	"gopkg.in/tomb.v2"
@@ -282,3 +284,38 @@
 		t.Errorf("got status %d for an answer that is too short, want 502", status)
 	}
 }
+
+// Guards against a request that is handed over with all of its caller's time after it has waited, and
+// against one that is handed over when no time is left.
+func TestHandOverTellsRemainingTime(t *testing.T) {
+	told := make(chan string, 1)
+	far := newRelay(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { told <- r.Header.Get("Deadline-Ms") }))
+	_, early, address := serveRelay(t, far)
+	request := strings.Replace(post("moved", "x"), "\r\n", "\r\nDeadline-Ms: 60000\r\n", 1)
+	for _, c := range []struct {
+		leavesIn time.Duration
+		status   int
+	}{
+		{40 * time.Second, http.StatusOK},
+		{minHandOverTime / 2, http.StatusServiceUnavailable},
+		{-time.Second, http.StatusServiceUnavailable},
+	} {
+		early.leavesIn = c.leavesIn
+		caller := newCaller(t, address)
+		caller.send(request)
+		status, _, _ := caller.answer()
+		if status != c.status {
+			t.Errorf("%v left: got status %d, want %d", c.leavesIn, status, c.status)
+		}
+		if status != http.StatusOK {
+			continue
+		}
+		ms, err := strconv.Atoi(<-told)
+		if most := c.leavesIn.Milliseconds(); err != nil || int64(ms) > most || ms <= 0 {
+			t.Errorf("the other gateway was told %d ms, %v, want at most %d", ms, err, most)
+		}
+	}
+	if len(told) > 0 {
+		t.Error("a request without time left was handed over")
+	}
+}
--- a/modules/httphead/httphead.go
+++ b/modules/httphead/httphead.go
@@ -123,6 +123,19 @@
 	return len(b) == len(name) && bytes.EqualFold(b, []byte(name))
 }
 
+// Value returns the value of the first field with a name, or nil. It is part of the parsed bytes, so
+// that a change of it changes them.
+func (h *Head) Value(name string) []byte {
+	for rest := h.fields; len(rest) > 0; {
+		line, after, _ := bytes.Cut(rest, lineEnd)
+		rest = after
+		if found, value, _ := bytes.Cut(line, []byte(":")); equalFold(found, name) {
+			return bytes.Trim(value, " \t")
+		}
+	}
+	return nil
+}
+
 // Get sets values to those of the named fields, empty if absent. It reports false if one
 // of them occurs more than once. There may be at most maxGetNames names.
 func (h *Head) Get(values []string, names ...string) bool {
--- a/modules/httphead/httphead_test.go
+++ b/modules/httphead/httphead_test.go
@@ -84,3 +84,19 @@
 		}
 	})
 }
+
+// Guards against a value that is a copy, so that a change of it is lost.
+func TestValueIsPartOfTheHead(t *testing.T) {
+	raw := []byte("POST /x HTTP/1.1\r\nHost: h\r\ndeadline-ms:  1000 \r\nX: y\r\n\r\n")
+	h, plain := Parse(raw)
+	if !plain {
+		t.Fatal("the head is not plain")
+	}
+	copy(h.Value("Deadline-Ms"), "0744")
+	if want := "POST /x HTTP/1.1\r\nHost: h\r\ndeadline-ms:  0744 \r\nX: y\r\n\r\n"; string(raw) != want {
+		t.Errorf("got %q, want %q", raw, want)
+	}
+	if v := h.Value("Absent"); v != nil {
+		t.Errorf("absent field: got %q, want nil", v)
+	}
+}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -254,6 +254,9 @@
 // Overloaded reports whether requests are handed over or refused for lack of processor time.
 func (s *Service) Overloaded() bool { return s.opts.Guard.Overloaded() }
 
+// Lateness returns for how long requests wait now before they are read.
+func (s *Service) Lateness() time.Duration { return s.opts.Guard.Lateness() }
+
 // throttleAdmits reports whether the throttle lets a request of an account through.
 func (s *Service) throttleAdmits(account string) bool {
 	s.mu.Lock()
--- a/services/forward/guard.go
+++ b/services/forward/guard.go
@@ -26,6 +26,7 @@
 	opts GuardOptions
 	// whether some requests are handed over or refused for lack of processor time
 	overloaded atomic.Bool
+	lastLate   atomic.Int64 // the last observed lateness, in nanoseconds
 
 	mu       sync.Mutex
 	governor *overload.Governor
@@ -82,6 +83,7 @@
 // ObserveLateness takes the lateness of the process: how long its work waited before it ran.
 func (g *Guard) ObserveLateness(lateness time.Duration) {
 	now := g.clock.Now()
+	g.lastLate.Store(int64(lateness))
 	sent, received := g.opts.Bytes()
 	handOverAvailable := g.opts.HandOverAvailable != nil && g.opts.HandOverAvailable()
 	// Admitted requests that wait to be handed over are a sign of overload too.
@@ -111,6 +113,11 @@
 	}
 }
 
+// Lateness returns for how long work waits now before it runs.
+func (g *Guard) Lateness() time.Duration {
+	return max(time.Duration(g.lastLate.Load()), g.opts.Overdue(g.clock.Now()))
+}
+
 // minOverdue is the least delay of the next lateness report that counts as lateness before the
 // report: a process that stands still reports nothing.
 const minOverdue = 100 * time.Millisecond
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -145,8 +145,9 @@
 // Send hands a request over. The first HeaderSize bytes of the buffer are reserved for the header;
 // the request follows. The response is written to the caller. When it has ended, the caller's read
 // deadline is set to the past, which interrupts a pending read. A request may wait to be written;
-// right before the write, disconnected is called, and if it returns true the request is dropped.
-func (s *Service) Send(ctx context.Context, buffer []byte, caller net.Conn, disconnected func() bool) (*Handover, error) {
+// check is called right before the write. It may change the request's bytes in place, and an error of
+// it, ErrCallerDisconnected or ErrNoTime, drops the request.
+func (s *Service) Send(ctx context.Context, buffer []byte, caller net.Conn, check func() error) (*Handover, error) {
 	err := error(ErrNoPeer)
 	for range maxAttempts {
 		p := s.choose()
@@ -156,11 +157,11 @@
 		var t *tunnel
 		if t, err = s.open(ctx, p); err == nil {
 			h := &Handover{s: s, Peer: p.ID, caller: caller, tunnel: t, done: make(chan struct{})}
-			if err = t.send(h, buffer, disconnected); err == nil {
+			if err = t.send(h, buffer, check); err == nil {
 				return h, nil
 			}
 		}
-		if errors.Is(err, ErrCallerDisconnected) {
+		if errors.Is(err, ErrCallerDisconnected) || errors.Is(err, ErrNoTime) {
 			s.finished(p.ID)
 			return nil, err
 		}
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -114,7 +114,7 @@
 	return h, caller, err
 }
 
-func neverDisconnects() bool { return false }
+func neverDisconnects() error { return nil }
 
 // checkResponse reads the caller's response and waits for the end of the handover.
 func checkResponse(t *testing.T, h *Handover, caller net.Conn, want string) {
@@ -363,10 +363,10 @@
 	conn := &blockingConn{writes: make(chan int), release: make(chan struct{})}
 	tunnel := newTunnel(conn, clock.System{})
 	const size = 16 << 10
-	send := func(disconnected func() bool) (*Handover, chan error) {
+	send := func(check func() error) (*Handover, chan error) {
 		h := &Handover{s: s, Peer: "far", caller: near, tunnel: tunnel, done: make(chan struct{})}
 		sent := make(chan error, 1)
-		go func() { sent <- tunnel.send(h, make([]byte, size), disconnected) }()
+		go func() { sent <- tunnel.send(h, make([]byte, size), check) }()
 		return h, sent
 	}
 	_, first := send(neverDisconnects)
@@ -374,9 +374,9 @@
 		t.Fatalf("%d bytes of the first request were written", n)
 	}
 	asked := make(chan struct{})
-	_, gone := send(func() bool {
+	_, gone := send(func() error {
 		close(asked)
-		return true
+		return ErrCallerDisconnected
 	})
 	canceled, _ := send(neverDisconnects)
 	for waiting := false; !waiting; runtime.Gosched() {
@@ -411,11 +411,11 @@
 	tunnel := newTunnel(conn, clock.System{})
 	var mu sync.Mutex
 	writers := map[string]int{}
-	countWriter := func() bool {
+	countWriter := func() error {
 		mu.Lock()
 		defer mu.Unlock()
 		writers[goroutineID()]++
-		return false
+		return nil
 	}
 	const requests = 20
 	sent := make(chan error, requests)
--- a/services/relay/tunnel.go
+++ b/services/relay/tunnel.go
@@ -37,6 +37,9 @@
 // ErrCallerDisconnected is returned if the caller disconnected before its request was written.
 var ErrCallerDisconnected = errors.New("the caller has left")
 
+// ErrNoTime is returned for an unsent request if the caller would leave before it could be served.
+var ErrNoTime = errors.New("too little of the caller's time is left")
+
 // ErrCongested is returned for an unsent request if the queue is full or the wait was too long.
 var ErrCongested = errors.New("requests wait for too long for the gateway")
 
@@ -94,16 +97,16 @@
 
 // queuedRequest is a request that waits to be written.
 type queuedRequest struct {
-	frame        []byte
-	enqueuedAt   time.Time
-	disconnected func() bool // reports whether the caller has disconnected
-	result       chan error
+	frame      []byte
+	enqueuedAt time.Time
+	check      func() error // called right before the write; an error drops the request
+	result     chan error
 }
 
 // send enqueues a request and waits until it is written or given up. The frame's header is written
 // into the buffer.
-func (t *tunnel) send(h *Handover, buffer []byte, disconnected func() bool) error {
-	o := &queuedRequest{frame: buffer, enqueuedAt: t.clock.Now(), disconnected: disconnected, result: make(chan error, 1)}
+func (t *tunnel) send(h *Handover, buffer []byte, check func() error) error {
+	o := &queuedRequest{frame: buffer, enqueuedAt: t.clock.Now(), check: check, result: make(chan error, 1)}
 	if err := t.enqueue(h, o); err != nil {
 		return err
 	}
@@ -204,8 +207,8 @@
 	}
 }
 
-// writeRequest writes pending control frames, then the request unless its caller
-// has disconnected or it has waited for longer than maxWait.
+// writeRequest writes pending control frames, then the request unless its check fails or it has
+// waited for longer than maxWait.
 func (t *tunnel) writeRequest(o *queuedRequest) error {
 	if t.isClosed() {
 		return net.ErrClosed
@@ -213,8 +216,8 @@
 	if err := t.writeControl(); err != nil {
 		return err
 	}
-	if o.disconnected() {
-		return ErrCallerDisconnected
+	if err := o.check(); err != nil {
+		return err
 	}
 	if t.clock.Now().Sub(o.enqueuedAt) > maxWait {
 		return ErrCongested
--- a/services/upstream/dialect.go
+++ b/services/upstream/dialect.go
@@ -59,9 +59,12 @@
 type Dialect interface {
 	ReadCall(h http.Header) Call
 	// PeekCall reads only the fields that are needed to refuse a request, from a head that is not
-	// parsed yet: the ID, the key and the prompt's number of tokens, without its parts. It returns
-	// false if a field occurs twice.
+	// parsed yet: the ID, the key, the timeout and the prompt's number of tokens, without its parts. It
+	// returns false if a field occurs twice.
 	PeekCall(get func(values []string, names ...string) (once bool)) (Call, bool)
+	// SetRemaining overwrites the time that a caller still waits in the head of its request. value
+	// returns the bytes of a field in the head, whose length stays, or nil.
+	SetRemaining(value func(name string) []byte, remaining time.Duration)
 	// WriteCall sets the fields of o and removes headers that callers must not set.
 	WriteCall(h http.Header, o Outgoing)
 	ReadAnswer(status int, h http.Header) AnswerInfo
--- a/services/upstream/exchange_test.go
+++ b/services/upstream/exchange_test.go
@@ -30,6 +30,8 @@
 	return parts, json.Unmarshal(list, &parts)
 }
 
+func (plainDialect) SetRemaining(func(string) []byte, time.Duration) {}
+
 func (plainDialect) PeekCall(func([]string, ...string) bool) (Call, bool) { return Call{}, false }
 func (plainDialect) ReadCall(h http.Header) Call                          { return Call{ID: h.Get("Id")} }
 
