gateway: Tests for each of the two rules of pipelined requests

Each held what the other one did, so that a mutation of either survived. closeIfIdle tells whether it took the connection for idle, which the reader may correct before a test can see it.

--- a/handlers/gateway/callerconn.go
+++ b/handlers/gateway/callerconn.go
@@ -77,9 +77,10 @@
 // interruptedDeadline makes a pending read return at once.
 var interruptedDeadline = time.Unix(1, 0)
 
-// closeIfIdle makes the connection close unless a byte of a next request has come.
-func (c *callerConn) closeIfIdle() {
-	c.idle.interrupt(c.hasUnread, func() {
+// closeIfIdle makes the connection close unless a byte of a next request has come. It reports whether
+// the connection seems idle; its reader decides.
+func (c *callerConn) closeIfIdle() bool {
+	return c.idle.interrupt(c.hasUnread, func() {
 		_ = c.countedConn.SetReadDeadline(interruptedDeadline) // fails only if the connection is closed
 	})
 }
--- a/handlers/gateway/idle.go
+++ b/handlers/gateway/idle.go
@@ -74,14 +74,15 @@
 	}
 }
 
-// interrupt calls stopRead if the connection is idle, unless unread reports bytes that wait to be read.
-// stopRead must make the read that waits return.
-func (s *idleState) interrupt(unread func() bool, stopRead func()) {
+// interrupt calls stopRead if the connection is idle, unless unread reports bytes that wait to be read,
+// and reports whether it did. stopRead must make the read that waits return.
+func (s *idleState) interrupt(unread func() bool, stopRead func()) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.begun || !s.reading || s.interrupted || unread() {
-		return
+		return false
 	}
 	s.interrupted = true
 	stopRead()
+	return true
 }
--- a/handlers/gateway/idle_test.go
+++ b/handlers/gateway/idle_test.go
@@ -169,9 +169,10 @@
 // takenConn has bytes to read. It runs during when it has taken them, before the read returns.
 type takenConn struct {
 	net.Conn
-	data     string
-	during   func()
-	deadline time.Time
+	data        string
+	during      func()
+	deadline    time.Time
+	interrupted bool
 }
 
 func (c *takenConn) Read(p []byte) (int, error) {
@@ -184,6 +185,7 @@
 
 func (c *takenConn) SetReadDeadline(t time.Time) error {
 	c.deadline = t
+	c.interrupted = c.interrupted || t.Equal(interruptedDeadline)
 	return nil
 }
 
@@ -191,7 +193,7 @@
 func TestBytesTakenBeforeCloseIdleAreKept(t *testing.T) {
 	raw := &takenConn{data: "P"}
 	c := &callerConn{countedConn: &countedConn{Conn: raw, open: new(atomic.Int64)}, server: &Server{}, stopWatch: make(chan struct{}, 1)}
-	raw.during = c.closeIfIdle
+	raw.during = func() { c.closeIfIdle() }
 	limit := time.Unix(1_700_000_000, 0)
 	if err := c.SetReadDeadline(limit); err != nil {
 		t.Fatal(err)
@@ -204,6 +206,51 @@
 	}
 }
 
+// Guards against a watch for a close, while a request is handled, that is taken for the wait for a next one.
+func TestWatchIsNotInterrupted(t *testing.T) {
+	raw := &takenConn{data: "P"}
+	c := &callerConn{countedConn: &countedConn{Conn: raw}, stopWatch: make(chan struct{}, 1), inServer: true, unread: unknownLength}
+	raw.during = func() { c.closeIfIdle() }
+	if n, err := c.Read(make([]byte, 1)); n != 1 || err != nil || raw.interrupted {
+		t.Errorf("got %d bytes, %v, interrupted %v, want 1 byte without an interruption", n, err, raw.interrupted)
+	}
+}
+
+func (s *idleState) isReading() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reading
+}
+
+// Guards against a stop that cuts a request in its body whose head came together with the request before it.
+func TestPipelinedBodyOutlastsCloseIdle(t *testing.T) {
+	inHandler := make(chan struct{})
+	var number atomic.Int64
+	s, address := serve(t, 0, 10, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if number.Add(1) == 2 {
+			close(inHandler)
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	c := dial(t, address)
+	r := bufio.NewReader(c)
+	if got := exchange(c, r, postHead+postBody+postHead+postBody[:1]); got != http.StatusOK {
+		t.Fatalf("the first request: got status %d, want 200", got)
+	}
+	<-inHandler
+	conn := onlyConn(s)
+	for !conn.idle.isReading() { // until it waits for the rest of the body
+	}
+	if conn.closeIfIdle() {
+		t.Error("the connection is taken for idle")
+	}
+	if got := exchange(c, r, postBody[1:]); got != http.StatusOK {
+		t.Errorf("got status %d, want 200", got)
+	}
+}
+
 // Guards against a connection that is closed while bytes wait to be read, and against one that stays
 // open although it is idle.
 func TestReaderDecidesWhetherIdleConnectionCloses(t *testing.T) {
@@ -226,10 +273,10 @@
 		if c.waiting {
 			s.startRead(true)
 		}
-		interrupted := false
-		s.interrupt(func() bool { return c.unreadBefore }, func() { interrupted = true })
+		stopped := false
+		interrupted := s.interrupt(func() bool { return c.unreadBefore }, func() { stopped = true })
 		got := s.endRead(c.n, func() bool { return c.unreadAfter })
-		if interrupted != c.interrupts || got != c.want {
+		if interrupted != c.interrupts || stopped != interrupted || got != c.want {
 			t.Errorf("%s: interrupted %v, verdict %v, want %v and %v", c.name, interrupted, got, c.interrupts, c.want)
 		}
 		if goesOn := s.startRead(true); goesOn == (c.want == readEnds) {
