--- a/handlers/gateway/callerconn.go
+++ b/handlers/gateway/callerconn.go
@@ -27,7 +27,6 @@
 	buffered           []byte        // bytes of the next request
 	stopWatch          chan struct{} // ends watchForClose
 	callerDisconnected bool          // during a hand-over
-	handOverEnded      bool          // a hand-over ended the connection, and has reported why
 	answeredEarly      bool          // the last request bypassed the HTTP server, whose deadlines are not set
 	inServer           bool          // the HTTP server reads a request, or all that follows
 	unread             int64         // bytes of its request that the HTTP server has not read; negative if it has read more
@@ -61,7 +60,7 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.stopWatching()
-	if c.server.forget(c) && c.idle.hasBegun() && !c.handOverEnded {
+	if c.server.forget(c) && c.idle.hasBegun() {
 		c.server.unanswered.report(&c.exchange, c.RemoteAddr().String(), c.server.isClosed())
 	}
 	return c.countedConn.Close()
@@ -175,7 +174,7 @@
 		case HandedOver:
 			switch c.handOver(p[:n], rest, decision) {
 			case ended:
-				c.handOverEnded = true
+				c.exchange.endReported()
 				return 0, io.EOF
 			case servedHere:
 				return c.returnToServer(p)
--- a/handlers/gateway/unanswered.go
+++ b/handlers/gateway/unanswered.go
@@ -45,6 +45,7 @@
 type exchangeState struct {
 	mu       sync.Mutex
 	stage    handlerStage
+	reported bool // a hand-over ended the connection, and has told why
 	id       string
 	mode     Mode
 	began    time.Time
@@ -85,6 +86,13 @@
 	e.stage, e.id = notHandled, ""
 }
 
+// endReported notes that the end of the connection has been reported.
+func (e *exchangeState) endReported() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reported = true
+}
+
 func (e *exchangeState) noteRead(err error) {
 	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 		return
@@ -112,7 +120,7 @@
 func (e *exchangeState) causeLocked(stopped bool) endCause {
 	callerClosed := errors.Is(e.readErr, io.EOF) || errors.Is(e.readErr, syscall.ECONNRESET)
 	switch {
-	case e.stage == handled && e.writeErr == nil && !stopped:
+	case e.reported, e.stage == handled && e.writeErr == nil && !stopped:
 		return ""
 	case callerClosed:
 		return endedByCaller
