gateway, router: Shorter reader; early refusals that close are answers

A refusal that closes its connection before the HTTP server saw the request was counted as a connection without an answer (TestEarlyRefusalThatClosesIsNotReported failed: 1 ended by "timeout").

--- a/handlers/gateway/callerconn.go
+++ b/handlers/gateway/callerconn.go
@@ -126,6 +126,28 @@
 	return taken + n, err
 }
 
+// readUnlessIdle reads the next bytes. It returns io.EOF if the connection is to be closed as idle.
+// fresh tells that the first byte of a request may come.
+func (c *callerConn) readUnlessIdle(p []byte, fresh bool) (int, error) {
+	for {
+		if !c.idle.startRead(fresh) {
+			return 0, io.EOF
+		}
+		n, err := c.readNext(p)
+		c.exchange.noteRead(err)
+		verdict := c.idle.endRead(n, c.hasUnread)
+		if verdict == readGoesOn {
+			return n, err
+		}
+		if verdict == readEnds {
+			return 0, io.EOF
+		}
+		if err := c.countedConn.SetReadDeadline(c.readDeadline); n > 0 || err != nil {
+			return n, err
+		}
+	}
+}
+
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	for {
@@ -134,22 +156,7 @@
 		if watches && c.unread == 0 && len(c.buffered) == 0 {
 			return c.watchForClose(p)
 		}
-		if !c.idle.startRead(len(c.buffered) == 0 && !watches) {
-			return 0, io.EOF
-		}
-		n, err := c.readNext(p)
-		c.exchange.noteRead(err)
-		switch c.idle.endRead(n, c.hasUnread) {
-		case readEnds:
-			return 0, io.EOF
-		case readResumes:
-			if err := c.countedConn.SetReadDeadline(c.readDeadline); err != nil {
-				return n, err
-			}
-			if n == 0 {
-				continue
-			}
-		}
+		n, err := c.readUnlessIdle(p, len(c.buffered) == 0 && !watches)
 		if c.inServer {
 			c.unread -= int64(n)
 			return n, err
@@ -166,6 +173,7 @@
 			return n, c.passRequest(Undecided, rest)
 		}
 		if c.isDisconnected() {
+			c.exchange.noteRead(io.EOF)
 			return 0, io.EOF
 		}
 		closes := c.server.isCrowded()
@@ -174,7 +182,7 @@
 		case HandedOver:
 			switch c.handOver(p[:n], rest, decision) {
 			case ended:
-				c.exchange.endReported()
+				c.exchange.settle()
 				return 0, io.EOF
 			case servedHere:
 				return c.returnToServer(p)
@@ -186,6 +194,7 @@
 				return 0, err
 			}
 			if closes {
+				c.exchange.settle()
 				return 0, io.EOF
 			}
 			c.idle.answered()
--- a/handlers/gateway/unanswered.go
+++ b/handlers/gateway/unanswered.go
@@ -45,7 +45,7 @@
 type exchangeState struct {
 	mu       sync.Mutex
 	stage    handlerStage
-	reported bool // a hand-over ended the connection, and has told why
+	settled  bool // answered before the HTTP server saw it, or reported already
 	id       string
 	mode     Mode
 	began    time.Time
@@ -86,11 +86,12 @@
 	e.stage, e.id = notHandled, ""
 }
 
-// endReported notes that the end of the connection has been reported.
-func (e *exchangeState) endReported() {
+// settle notes that the end of the connection needs no report: the request is answered, or what became
+// of it has been reported.
+func (e *exchangeState) settle() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.reported = true
+	e.settled = true
 }
 
 func (e *exchangeState) noteRead(err error) {
@@ -120,7 +121,7 @@
 func (e *exchangeState) causeLocked(stopped bool) endCause {
 	callerClosed := errors.Is(e.readErr, io.EOF) || errors.Is(e.readErr, syscall.ECONNRESET)
 	switch {
-	case e.reported, e.stage == handled && e.writeErr == nil && !stopped:
+	case e.settled, e.stage == handled && e.writeErr == nil && !stopped:
 		return ""
 	case callerClosed:
 		return endedByCaller
@@ -177,26 +178,3 @@
 	}
 	u.log.Request("Connection of a caller ended before its request was answered.", values...)
 }
-
-// serverLog passes messages of an HTTP server to the log, such as panics of a handler.
-type serverLog struct {
-	log     log.Logger
-	limiter *log.RateLimiter
-}
-
-const (
-	serverLogInterval = time.Second
-	serverLogBurst    = 5
-)
-
-func newServerLog(logger log.Logger) *serverLog {
-	return &serverLog{logger, log.NewRateLimiter(serverLogInterval, serverLogBurst)}
-}
-
-// Write implements io.Writer for one message.
-func (s *serverLog) Write(message []byte) (int, error) {
-	if ok, suppressed := s.limiter.Allow(now()); ok {
-		s.log.Warn("Message of the HTTP server.", "message", string(message), "suppressed", suppressed)
-	}
-	return len(message), nil
-}
--- a/handlers/gateway/unanswered_test.go
+++ b/handlers/gateway/unanswered_test.go
@@ -16,6 +16,15 @@
 // unansweredCount returns how many connections a server has counted that ended for a cause.
 func unansweredCount(s *Server, cause endCause) int { return int(s.unanswered.counter(cause).Get()) }
 
+func expectNoneUnanswered(t *testing.T, s *Server) {
+	t.Helper()
+	for _, cause := range []endCause{endedByCaller, endedByTimeout, endedByAbort, endedByWriteError, endedByStop, endedOtherwise} {
+		if got := unansweredCount(s, cause); got != 0 {
+			t.Errorf("%d connections counted as ended by %q, want 0", got, cause)
+		}
+	}
+}
+
 // Guards against a connection that ends without an answer and without a trace of what ended it.
 func TestUnansweredRequestIsReportedWithItsCause(t *testing.T) {
 	const request = postHead + postBody
@@ -87,11 +96,7 @@
 	_ = idle.Close()
 	for s.Open() > 0 { // until all are closed
 	}
-	for _, cause := range []endCause{endedByCaller, endedByTimeout, endedByAbort, endedByWriteError, endedByStop, endedOtherwise} {
-		if got := unansweredCount(s, cause); got != 0 {
-			t.Errorf("%d connections counted as ended by %q, want 0", got, cause)
-		}
-	}
+	expectNoneUnanswered(t, s)
 }
 
 // Guards against a panic of a handler that nobody sees.
@@ -117,3 +122,23 @@
 type writerFunc func(p []byte) (int, error)
 
 func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
+
+// Guards against early refusals that close their connections and count as requests without an answer.
+func TestEarlyRefusalThatClosesIsNotReported(t *testing.T) {
+	const limit = 4 // a fourth connection leaves too few free: answers close theirs
+	s, _, address := newEarlyServer(t, limit)
+	go func() { _ = s.Serve() }()
+	for range limit - 1 {
+		dial(t, address)
+	}
+	c := newCaller(t, address)
+	for s.Open() < limit { // until all are accepted
+	}
+	c.send(post("flood", "x"))
+	if status, _, header := c.answer(); status != http.StatusServiceUnavailable || header.Get("Connection") != "close" {
+		t.Fatalf("got status %d, %v, want a refusal that closes", status, header)
+	}
+	for s.Open() == limit { // until it is closed
+	}
+	expectNoneUnanswered(t, s)
+}
--- a/router/gatewaydrain.go
+++ b/router/gatewaydrain.go
@@ -23,10 +23,10 @@
 	g.drainOnce.Do(func() {
 		s := g.settings.Load()
 		started := g.clock.Now()
-		stall := g.stallBefore(started)
-		plan := drain.Plan{Started: started.Add(-stall), Linger: s.Linger.Duration, Grace: s.Grace.Duration}
+		standstill := g.standstillBefore(started)
+		plan := drain.Plan{Started: started.Add(-standstill), Linger: s.Linger.Duration, Grace: s.Grace.Duration}
 		machine := drain.NewMachine(plan, started)
-		g.log.Info("Drain started.", "in_flight", g.inFlight(), "connections", g.callers.Open(), "stalled_before", stall)
+		g.log.Info("Drain started.", "in_flight", g.inFlight(), "connections", g.callers.Open(), "stalled_before", standstill)
 		close(g.draining)
 		g.handler.StartClosing(plan.ServeUntil())
 		g.loop.Leave()
@@ -41,9 +41,9 @@
 	})
 }
 
-// stallBefore returns how long the process was stalled right before now. A signal that came during the
+// standstillBefore returns how long the process was stalled right before now. A signal that came during the
 // stall is noticed only at its end.
-func (g *Gateway) stallBefore(now time.Time) time.Duration {
+func (g *Gateway) standstillBefore(now time.Time) time.Duration {
 	return max(g.overdue(now), g.standstill.lastEnded(now))
 }
 
--- a/router/standstill.go
+++ b/router/standstill.go
@@ -17,9 +17,9 @@
 	// Limit on the wait for fresh state after a standstill, for when neither the store nor a
 	// peer answers.
 	maxResync = 2 * time.Second
-	// recentStall is the time after a standstill in which a signal may have come during it. The
+	// recentStandstill is the time after a standstill in which a signal may have come during it. The
 	// process notices both within milliseconds, unless it is busy with what piled up.
-	recentStall = time.Second
+	recentStandstill = time.Second
 )
 
 // standstill counts the standstills of the process and holds the end of the last one until the
@@ -27,11 +27,11 @@
 type standstill struct {
 	count atomic.Uint64
 	endAt atomic.Pointer[time.Time]
-	last  atomic.Pointer[pastStall]
+	last  atomic.Pointer[pastStandstill]
 }
 
-// pastStall is a standstill that has ended.
-type pastStall struct {
+// pastStandstill is a standstill that has ended.
+type pastStandstill struct {
 	endAt  time.Time
 	length time.Duration
 }
@@ -39,7 +39,7 @@
 // lastEnded returns the length of the last standstill if it ended shortly before now, or else 0.
 func (s *standstill) lastEnded(now time.Time) time.Duration {
 	last := s.last.Load()
-	if last == nil || now.Sub(last.endAt) > recentStall {
+	if last == nil || now.Sub(last.endAt) > recentStandstill {
 		return 0
 	}
 	return last.length
@@ -62,7 +62,7 @@
 func (g *Gateway) noteStandstill(d time.Duration) {
 	now := g.clock.Now()
 	g.standstill.endAt.Store(&now)
-	g.standstill.last.Store(&pastStall{endAt: now, length: d})
+	g.standstill.last.Store(&pastStandstill{endAt: now, length: d})
 	g.standstill.count.Add(1)
 	g.log.Warn("Process was stalled or suspended.", "for", d.Round(time.Millisecond), "suspended_total", clock.Suspended().Round(time.Millisecond))
 	g.origins.NoteGap("standstill")
