--- a/services/forward/slow_test.go
+++ b/services/forward/slow_test.go
@@ -57,7 +57,9 @@
 		"too long to be held": {routing.Route{Repeat: routing.RepeatSafe}, []string{strings.Repeat("x", maxBufferedResponse+1), "y"}, attempt.History{}, streamTiming{}},
 		"stream continued": {
 			routing.Route{Stream: true, Resumable: true},
-			[]string{event, event}, attempt.History{Sent: 1, MayHaveRun: true, HeadForwarded: true}, streamTiming{last: time.Unix(1, 0)},
+			[]string{event, event},
+			attempt.History{Sent: 1, MayHaveRun: true, HeadForwarded: true},
+			streamTiming{last: time.Unix(1, 0)},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
