relay: A test of an account's share at an overloaded gateway, failing

The test lets each write of a connection wait for a turn of the process, while more requests arrive. One request is written a turn: 145,000 tokens a second of 2,175,000 that are asked for.

--- /dev/null
+++ b/services/relay/share_test.go
@@ -0,0 +1,80 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package relay
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"madderway/modules/clock"
+)
+
+// turnConn stands for a connection of an overloaded process: while a write gives the processor up,
+// other goroutines run for a turn, and more requests arrive.
+type turnConn struct {
+	net.Conn
+	clock   *clock.Fake
+	turn    time.Duration
+	written func(number uint32)
+	arrive  func()
+	decoder decoder
+}
+
+func (c *turnConn) Write(b []byte) (int, error) {
+	c.clock.Advance(c.turn)
+	c.arrive()
+	err := c.decoder.feed(b, func(f frame, _ []byte, last bool) {
+		if last {
+			c.written(f.number)
+		}
+	})
+	return len(b), err
+}
+func (c *turnConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *turnConn) Close() error                     { return nil }
+
+// A gateway that is overloaded by one account must hand over at least the account's share, from the
+// first second of the flood on, although each of its writes waits for the rest of the process.
+func TestFloodedGatewayHandsOverTheAccountsShare(t *testing.T) {
+	const (
+		turn          = 100 * time.Millisecond
+		connections   = 6
+		seconds       = 8
+		requestTokens = 14_500
+		requestBytes  = 13 << 10
+		asked         = 900.0 / connections       // requests per second
+		bestServed    = 4_800_000.0 / connections // tokens per second of the best-served account
+	)
+	c := clock.NewFake()
+	start := c.Now()
+	var tunnel *tunnel
+	var tokens [seconds]float64
+	arrived, done := 0, make(chan struct{})
+	arrive := func() {
+		since := c.Now().Sub(start)
+		if since >= seconds*time.Second {
+			close(done)
+			select {} // the test has ended
+		}
+		for ; float64(arrived) < asked*since.Seconds(); arrived++ {
+			h := &Handover{tunnel: tunnel, done: make(chan struct{})}
+			o := &queuedRequest{frame: make([]byte, requestBytes), enqueuedAt: c.Now(), check: neverDisconnects, result: make(chan error, 1)}
+			_ = tunnel.enqueue(h, o) // a full queue refuses the request
+		}
+		tunnel.wake()
+	}
+	written := func(uint32) { tokens[min(int(c.Now().Sub(start)/time.Second), seconds-1)] += requestTokens }
+	conn := &turnConn{clock: c, turn: turn, written: written, arrive: arrive}
+	tunnel = newTunnel(conn, c)
+	conn.clock.Advance(turn)
+	arrive()
+	<-done
+	for s, got := range tokens {
+		t.Logf("second %d: %.0f tokens handed over, %.0f asked for", s, got, asked*requestTokens)
+		if got < bestServed {
+			t.Errorf("second %d: %.0f tokens were handed over, want at least the %.0f of the best-served account", s, got, bestServed)
+		}
+	}
+}
