relay: Write requests that wait for a connection together

Cause: each request that is handed over was a system call of its own, and each call may cost an overloaded process a turn of its scheduler.

Change: one write for all that wait, up to 256 KB.

--- a/services/relay/tunnel.go
+++ b/services/relay/tunnel.go
@@ -23,6 +23,9 @@
 	// time to the first token.
 	maxQueue = 256
 	maxWait  = 500 * time.Millisecond
+	// Requests that wait are written together, up to this many bytes: each system call may cost an
+	// overloaded process a turn of its scheduler.
+	maxBatchBytes = 256 << 10
 )
 
 // ErrCallerDisconnected is returned if the caller disconnected before its request was written.
@@ -60,6 +63,7 @@
 	queue  []*queuedRequest
 	wakeup chan struct{}
 	oldest time.Time // when the oldest unwritten request was enqueued; zero if none waits
+	batch  []byte    // of writeLoop: frames that are written together
 
 	mu         sync.Mutex
 	lastNumber uint32
@@ -140,10 +144,10 @@
 func (t *tunnel) writeLoop() {
 	for range t.wakeup {
 		queue, closed := t.takeQueue()
-		for i, o := range queue {
-			err := t.writeRequest(o)
-			t.updateOldest(queue[i+1:])
-			o.result <- err
+		for len(queue) > 0 {
+			n := t.writeRequests(queue)
+			queue = queue[n:]
+			t.updateOldest(queue)
 		}
 		if !closed {
 			closed = t.writeControl() != nil
@@ -190,29 +194,58 @@
 // failQueue fails the requests left in the queue of a closed tunnel.
 func (t *tunnel) failQueue() {
 	queue, _ := t.takeQueue()
-	for _, o := range queue {
-		o.result <- net.ErrClosed
+	reportAll(queue, net.ErrClosed)
+}
+
+// writeRequests writes pending control frames, then requests from the head of the queue in a single
+// write. It returns how many requests it has written or dropped, at least one.
+func (t *tunnel) writeRequests(queue []*queuedRequest) int {
+	if err := t.writeControl(); err != nil {
+		return reportAll(queue, err)
 	}
+	t.batch = t.batch[:0]
+	written := make([]*queuedRequest, 0, len(queue))
+	n := 0
+	for ; n < len(queue) && (n == 0 || len(t.batch)+len(queue[n].frame) <= maxBatchBytes); n++ {
+		o := queue[n]
+		if err := t.checkRequest(o); err != nil {
+			o.result <- err
+			continue
+		}
+		t.batch = append(t.batch, o.frame...)
+		written = append(written, o)
+	}
+	if len(written) == 0 {
+		return n
+	}
+	err := t.writeFrames(t.batch)
+	if err != nil {
+		err = ErrMaybeSent{err}
+	}
+	reportAll(written, err)
+	return n
+}
+
+// reportAll ends the wait of the requests and returns their number.
+func reportAll(requests []*queuedRequest, err error) int {
+	for _, o := range requests {
+		o.result <- err
+	}
+	return len(requests)
 }
 
-// writeRequest writes pending control frames, then the request unless its check fails or it has
+// checkRequest returns an error if a request must not be written, because its check fails or it has
 // waited for longer than maxWait.
-func (t *tunnel) writeRequest(o *queuedRequest) error {
+func (t *tunnel) checkRequest(o *queuedRequest) error {
 	if t.isClosed() {
 		return net.ErrClosed
 	}
-	if err := t.writeControl(); err != nil {
-		return err
-	}
 	if err := o.check(); err != nil {
 		return err
 	}
 	if t.clock.Now().Sub(o.enqueuedAt) > maxWait {
 		return ErrCongested
 	}
-	if err := t.writeFrames(o.frame); err != nil {
-		return ErrMaybeSent{err}
-	}
 	return nil
 }
 
