gateway: Decide on a few requests at a time under overload

Cause: a livelock. Each request of an overloaded gateway passes several steps (read, decide, read the body, write to another gateway, write a refusal). All requests that had arrived took part, so that each step waited for one of all others: 110 to 370 runnable goroutines, of which a tenth waited for 84 to 335 ms a step. A request reached the connection to the other gateway after 1 to 2.2 s, was too old, and was refused after all the work. What was admitted in the first half second kept the process in that state.

Change: 32 requests at a time are decided on and handed over; the others wait in order of arrival, without a part in the scheduling. One that waits for its body does so outside, and one that another gateway does not take leaves after a second. The wait counts as lateness with the governor, and against the caller's time. When it passes 250 ms new connections are turned away unread, the cheapest of all refusals.

Tests: TestFloodGetsItsShareFromTheBeginning fails without the gate (49 to 745 of 1,980 requests in six seconds, 21 of 21 windows) and passes with it; it plays the steps and the gate now. Without the bound TestFewRequestsAreHandedOverAtATime finds 100 of 100 at a time; without the way out TestSlowBodiesDoNotFillTheGate hangs.

--- a/core/overload/onset_test.go
+++ b/core/overload/onset_test.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"madderway/core/gate"
 )
 
 // Processor time of the steps of a request at a gateway that is flooded by new connections. Each step
@@ -17,6 +19,8 @@
 	handOverStepWork = 45 * time.Microsecond
 	refuseStepWork   = 35 * time.Microsecond
 	serveStepWork    = 370 * time.Microsecond
+	turnAwayWork     = 20 * time.Microsecond
+	turnAwayDelay    = 500 * time.Millisecond // until a caller returns that was turned away
 	// A request that waits longer than maxHandOverWait after the decision is refused.
 	maxHandOverWait = 500 * time.Millisecond
 	collectionPause = 25 * time.Millisecond // processor time of a garbage collection
@@ -33,6 +37,7 @@
 	*Governor
 	now        time.Time
 	rng        *rand.Rand
+	gate       gate.Gate[*entering]
 	queue      []func()
 	timers     map[time.Time][]func()
 	workDebt   time.Duration
@@ -74,7 +79,7 @@
 		p.probing = true
 		due := p.now
 		p.run(func() {
-			p.Observe(p.now, p.now.Sub(due))
+			p.Observe(p.now, max(p.now.Sub(due), p.gate.Wait(p.now)))
 			p.probing, p.probeDue = false, p.now.Add(25*time.Millisecond)
 		})
 	}
@@ -87,18 +92,36 @@
 	p.workDebt = max(p.workDebt, -share)
 }
 
-// arrive accepts a new connection with a request.
+// arrive accepts a new connection with a request, or turns it away unread.
 func (p *steppedProcess) arrive(e *entering) {
+	if p.gate.Full(p.now) {
+		p.run(func() {
+			p.workDebt += turnAwayWork
+			if !e.isRetry {
+				p.after(turnAwayDelay, func() { p.arrive(&entering{account: e.account, isRetry: true}) })
+			}
+		})
+		return
+	}
 	p.run(func() {
 		p.workDebt += readStepWork
-		p.run(func() { p.decide(e) })
+		if p.gate.Enter(p.now, e) {
+			p.run(func() { p.decide(e) })
+		}
 	})
 }
 
+func (p *steppedProcess) leave() {
+	if e, ok := p.gate.Leave(); ok {
+		p.run(func() { p.decide(e) })
+	}
+}
+
 func (p *steppedProcess) decide(e *entering) {
 	p.workDebt += decideStepWork
 	switch p.Admit(p.now, e.account, p.rng.Float64(), true) {
 	case Serve:
+		p.leave()
 		p.serve()
 	case HandOver:
 		decided := p.now
@@ -110,6 +133,7 @@
 
 func (p *steppedProcess) refuse(e *entering) {
 	p.workDebt += refuseStepWork
+	p.leave()
 	if !e.isRetry {
 		p.after(retryDelay, func() { p.arrive(&entering{account: e.account, isRetry: true}) })
 	}
@@ -122,6 +146,7 @@
 	}
 	p.workDebt += handOverStepWork
 	p.handedOver[p.second()]++
+	p.leave()
 }
 
 func (p *steppedProcess) serve() {
--- a/handlers/gateway/callerconn.go
+++ b/handlers/gateway/callerconn.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"madderway/models/routing"
@@ -31,6 +32,8 @@
 	inServer           bool          // the HTTP server reads a request, or all that follows
 	unread             int64         // bytes of its request that the HTTP server has not read; negative if it has read more
 	admitted           bool          // the request in the HTTP server was counted and admitted
+	inGate             atomic.Bool   // the request is inside the server's gate
+	entryWait          time.Duration // for how long the request has waited to enter it
 	readDeadline       time.Time     // in force unless closeIfIdle has interrupted a read
 	idle               idleState
 	exchange           exchangeState
@@ -172,15 +175,20 @@
 		if head.ContentLength > maxEarlyBody || !c.server.admitsEarly() {
 			return n, c.passRequest(Undecided, rest)
 		}
+		c.entryWait = 0
+		c.enterGate()
 		if c.isDisconnected() {
+			c.leaveGate()
 			c.exchange.noteRead(io.EOF)
 			return 0, io.EOF
 		}
 		closes := c.server.isCrowded()
-		decision := c.server.early.AdmitEarly(&head, EarlyOptions{ClosesConn: closes, CanHandOver: c.server.relay != nil})
+		decision := c.server.early.AdmitEarly(&head, EarlyOptions{ClosesConn: closes, CanHandOver: c.server.relay != nil, Waited: c.entryWait})
 		switch decision.Verdict {
 		case HandedOver:
-			switch c.handOver(p[:n], rest, decision) {
+			outcome := c.handOver(p[:n], rest, decision)
+			c.leaveGate()
+			switch outcome {
 			case ended:
 				c.exchange.settle()
 				return 0, io.EOF
@@ -190,7 +198,9 @@
 			c.answeredEarly = true
 			c.idle.answered()
 		case Refused:
-			if err := c.refuse(decision.Answer, rest); err != nil {
+			err := c.refuse(decision.Answer, rest)
+			c.leaveGate()
+			if err != nil {
 				return 0, err
 			}
 			if closes {
@@ -199,6 +209,7 @@
 			}
 			c.idle.answered()
 		default:
+			c.leaveGate()
 			return n, c.passRequest(decision.Verdict, rest)
 		}
 	}
@@ -248,17 +259,14 @@
 	if rest == 0 {
 		return nil
 	}
-	if err := c.SetReadDeadline(netopt.DeadlineIn(headerTimeout(c.limits))); err != nil {
-		return err
-	}
 	buffer := discardBuffers.Get().(*[discardBufferSize]byte)
 	defer discardBuffers.Put(buffer)
 	for rest > 0 {
-		n, err := c.countedConn.Read(buffer[:min(rest, discardBufferSize)])
-		rest -= int64(n)
-		if err != nil {
+		n := min(rest, discardBufferSize)
+		if err := c.readBody(buffer[:n]); err != nil {
 			return err
 		}
+		rest -= n
 	}
 	return nil
 }
@@ -293,12 +301,12 @@
 }
 
 // consumeAdmitted reports, once for each request, whether it was admitted before the HTTP
-// server parsed it.
-func consumeAdmitted(ctx context.Context) bool {
+// server parsed it, and for how long it had waited until then.
+func consumeAdmitted(ctx context.Context) (waited time.Duration, admitted bool) {
 	c, ok := ctx.Value(connKey{}).(*callerConn)
 	if !ok || !c.admitted {
-		return false
+		return 0, false
 	}
 	c.admitted = false
-	return true
+	return c.entryWait, true
 }
--- a/handlers/gateway/early.go
+++ b/handlers/gateway/early.go
@@ -52,8 +52,9 @@
 
 // EarlyOptions restrict an early decision.
 type EarlyOptions struct {
-	ClosesConn  bool // the answer closes the connection
-	CanHandOver bool // another gateway may serve the request
+	ClosesConn  bool          // the answer closes the connection
+	CanHandOver bool          // another gateway may serve the request
+	Waited      time.Duration // since the request was read
 }
 
 // EarlyAdmission admits, refuses or hands over requests by their headers, before an HTTP
@@ -102,19 +103,19 @@
 	case err != nil:
 		return EarlyDecision{Verdict: Refused, Answer: h.earlyAnswer(err, call.ID, o.ClosesConn)}
 	case admission == forward.HandOver:
-		return EarlyDecision{Verdict: HandedOver, ID: call.ID, Account: account.GetName(), Timeout: route.Timeout, CallerLeavesAt: h.callerLeavesAt(call.Timeout)}
+		return EarlyDecision{Verdict: HandedOver, ID: call.ID, Account: account.GetName(), Timeout: route.Timeout, CallerLeavesAt: h.callerLeavesAt(call.Timeout, o.Waited)}
 	default:
 		return EarlyDecision{Verdict: Admitted}
 	}
 }
 
-// callerLeavesAt returns when a caller leaves whose request was read just now, or zero if it does not say
-// for how long it waits. The request has waited to be read for about as long as this process is late.
-func (h *Handler) callerLeavesAt(timeout time.Duration) time.Time {
+// callerLeavesAt returns when a caller leaves whose request was read so long ago, or zero if it does not
+// say for how long it waits. The request has waited to be read for about as long as this process is late.
+func (h *Handler) callerLeavesAt(timeout, waited time.Duration) time.Time {
 	if timeout == 0 {
 		return time.Time{}
 	}
-	return h.opts.Clock.Now().Add(timeout - h.opts.Forward.Lateness())
+	return h.opts.Clock.Now().Add(timeout - waited - h.opts.Forward.Lateness())
 }
 
 // SetRemaining implements EarlyAdmission.
--- a/handlers/gateway/early_test.go
+++ b/handlers/gateway/early_test.go
@@ -89,7 +89,8 @@
 		t.Fatal(err)
 	}
 	echo := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Admitted", fmt.Sprint(consumeAdmitted(r.Context())))
+		_, admitted := consumeAdmitted(r.Context())
+		w.Header().Set("Admitted", fmt.Sprint(admitted))
 		body, _ := io.ReadAll(r.Body)
 		_, _ = w.Write(body)
 	})
--- a/handlers/gateway/gateway.go
+++ b/handlers/gateway/gateway.go
@@ -187,7 +187,9 @@
 	if service == nil {
 		return nil, nil, result.New(result.NoTarget, "the route has no service").WithRetryAfter(notReadyRetryAfter)
 	}
-	if !consumeAdmitted(r.Context()) {
+	waited, admitted := consumeAdmitted(r.Context())
+	received = received.Add(-waited)
+	if !admitted {
 		if _, err := h.opts.Forward.Admit(&call, service, account, false); err != nil {
 			return nil, nil, err
 		}
--- a/handlers/gateway/relay.go
+++ b/handlers/gateway/relay.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"time"
 
@@ -92,6 +91,7 @@
 		}
 		return servedHere
 	}
+	c.leaveGate()
 	res.Peer = handed.Peer
 	end := start.Add(maxHandOver)
 	if decision.Timeout > 0 {
@@ -128,15 +128,13 @@
 	buffer := *pooled
 	held := relay.HeaderSize + copy(buffer[relay.HeaderSize:], begun)
 	if rest > 0 {
-		err := c.SetReadDeadline(netopt.DeadlineIn(headerTimeout(c.limits)))
-		if err == nil {
-			_, err = io.ReadFull(c.countedConn, buffer[held:size])
-		}
-		if err != nil {
+		if err := c.readBody(buffer[held:size]); err != nil {
 			c.callerDisconnected = true
 			return nil, err
 		}
 	}
+	stay := time.AfterFunc(maxSendStay, c.leaveGate)
+	defer stay.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
 	handed, err := c.server.relay.Send(ctx, buffer[:size], c.countedConn, func() error {
--- a/handlers/gateway/server.go
+++ b/handlers/gateway/server.go
@@ -48,11 +48,12 @@
 	traffic    *netopt.Traffic
 	maxOpen    int64 // limit on open connections
 	open       atomic.Int64
-	turnedAway atomic.Uint64  // connections refused beyond the limit
+	turnedAway atomic.Uint64  // connections refused unread
 	handedOver atomic.Int64   // requests in flight at other gateways
 	closing    atomic.Bool    // Close was called
 	early      EarlyAdmission // nil if no request is decided early
 	relay      Relay          // nil if no request is handed over
+	gate       entryGate      // of requests that are decided early
 	unanswered *unanswered
 	errorLog   *stdlog.Logger // of the HTTP servers
 
@@ -172,7 +173,7 @@
 			continue
 		}
 		backoff = acceptBackoff
-		if s.open.Add(1) > s.maxOpen {
+		if s.open.Add(1) > s.maxOpen || s.gate.full(now()) {
 			s.turnAway(c)
 			continue
 		}
@@ -182,12 +183,13 @@
 	}
 }
 
-// turnAway refuses a connection beyond the limit. The request has not run.
+// turnAway refuses a connection beyond the limit, or while requests wait for too long to enter. The
+// request has not run.
 func (s *Server) turnAway(c net.Conn) {
 	open := s.open.Add(-1)
 	// Log powers of two only: thousands may come in a second.
 	if n := s.turnedAway.Add(1); n&(n-1) == 0 {
-		s.log.Warn("Connections turned away.", "count", n, "open", open, "max_open", s.maxOpen)
+		s.log.Warn("Connections turned away.", "count", n, "open", open, "max_open", s.maxOpen, "entry_wait", s.EntryWait(now()))
 	}
 	_ = c.SetWriteDeadline(netopt.DeadlineIn(turnAwayTimeout))
 	_, _ = io.WriteString(c, turnAwayResponse)
@@ -219,9 +221,12 @@
 // Open returns the number of open connections.
 func (s *Server) Open() int { return int(s.open.Load()) }
 
-// TurnedAway returns how many connections were refused beyond the limit.
+// TurnedAway returns how many connections were refused unread.
 func (s *Server) TurnedAway() uint64 { return s.turnedAway.Load() }
 
+// EntryWait returns for how long the oldest request has waited that was read and not decided on.
+func (s *Server) EntryWait(now time.Time) time.Duration { return s.gate.wait(now) }
+
 // passConn passes a connection to the current HTTP server.
 func (s *Server) passConn(c *callerConn) {
 	for {
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -191,7 +191,7 @@
 		EmptyRegistry: s.FirstStart,
 	})
 	guard := forward.NewGuard(log.New("guard").With(s.ID), g.clock, forward.GuardOptions{
-		Bytes: g.linkBytes, LinkMbps: s.LinkMbps, HandOverAvailable: g.relay.Available, HandOverDelay: g.relay.Waiting, Overdue: g.overdue,
+		Bytes: g.linkBytes, LinkMbps: s.LinkMbps, HandOverAvailable: g.relay.Available, HandOverDelay: g.relay.Waiting, EntryWait: func(now time.Time) time.Duration { return g.callers.EntryWait(now) }, Overdue: g.overdue,
 		OnDutiesChanged: func(keepsUp, linkFull bool) { g.loop.SetStrength(strengthOf(s, keepsUp), !keepsUp && linkFull) },
 	})
 	g.guard = guard
--- a/services/forward/guard.go
+++ b/services/forward/guard.go
@@ -41,11 +41,13 @@
 	sum           time.Duration
 	worst         time.Duration
 	handOverDelay time.Duration // the longest delay of requests before they were handed over
+	entryWait     time.Duration // the longest wait of requests before they were decided on
 }
 
-func (l *latenessStats) add(lateness, delay time.Duration) {
+func (l *latenessStats) add(lateness, handOverDelay, entryWait time.Duration) {
 	l.samples++
-	l.handOverDelay = max(l.handOverDelay, delay)
+	l.handOverDelay = max(l.handOverDelay, handOverDelay)
+	l.entryWait = max(l.entryWait, entryWait)
 	l.sum += lateness
 	l.worst = max(l.worst, lateness)
 }
@@ -68,6 +70,8 @@
 	HandOverAvailable func() bool
 	// HandOverDelay returns how long requests wait to be handed over; nil if nothing is.
 	HandOverDelay func(now time.Time) time.Duration
+	// EntryWait returns for how long requests wait to be decided on; nil if none does.
+	EntryWait func(now time.Time) time.Duration
 	// Overdue returns how late the next call of ObserveLateness is.
 	Overdue func(now time.Time) time.Duration
 	// OnDutiesChanged is called when the gateway stops or resumes scheduling for others.
@@ -86,16 +90,19 @@
 	g.lastLate.Store(int64(lateness))
 	sent, received := g.opts.Bytes()
 	handOverAvailable := g.opts.HandOverAvailable != nil && g.opts.HandOverAvailable()
-	// Admitted requests that wait to be handed over are a sign of overload too.
-	queued := time.Duration(0)
+	// Requests that wait to be decided on or to be handed over are a sign of overload too.
+	var queued, entering time.Duration
 	if g.opts.HandOverDelay != nil {
 		queued = g.opts.HandOverDelay(now)
 	}
+	if g.opts.EntryWait != nil {
+		entering = g.opts.EntryWait(now)
+	}
 	g.mu.Lock()
-	g.lateness.add(lateness, queued)
+	g.lateness.add(lateness, queued, entering)
 	g.governor.SetHandOverAvailable(handOverAvailable)
 	use := g.link.Observe(now, sent, received)
-	changed := g.governor.Observe(now, max(lateness, queued))
+	changed := g.governor.Observe(now, max(lateness, queued, entering))
 	share, own, refused := g.governor.AcceptedShare(), g.governor.ServedShare(), g.governor.Refused()
 	g.overloaded.Store(own < 1)
 	keepsUp, changedDuties := g.duties.Observe(now, own, use)
@@ -164,7 +171,7 @@
 	l := g.lateness
 	g.lateness = latenessStats{}
 	serve, handOver, refuse, arriving := g.governor.Costs()
-	return []any{"arriving", math.Round(arriving), "serve_takes", serve.Round(time.Microsecond), "hand_over_takes", handOver.Round(time.Microsecond), "refuse_takes", refuse.Round(time.Microsecond), "share", percent(g.governor.AcceptedShare()), "own", percent(g.governor.ServedShare()), "late_mean", l.mean().Round(time.Millisecond), "late_worst", l.worst.Round(time.Millisecond), "hand_over_queued", l.handOverDelay.Round(time.Millisecond)}
+	return []any{"arriving", math.Round(arriving), "serve_takes", serve.Round(time.Microsecond), "hand_over_takes", handOver.Round(time.Microsecond), "refuse_takes", refuse.Round(time.Microsecond), "share", percent(g.governor.AcceptedShare()), "own", percent(g.governor.ServedShare()), "late_mean", l.mean().Round(time.Millisecond), "late_worst", l.worst.Round(time.Millisecond), "hand_over_queued", l.handOverDelay.Round(time.Millisecond), "entry_wait", l.entryWait.Round(time.Millisecond)}
 }
 
 // percent rounds a share to two decimals for log lines.
