overload: Hand a burst over before the process is late

Callers who come when a flood begins were served by the gateway itself until its lateness showed the flood: 290 to 515 streams within the first second, each of which costs 2 ms of elapsed time at 0.19 of a core. They took the time that handing the rest over needs.

Change: work that is accepted beyond what the process can do, by the costs it has learned, is at most a tenth of a second; more is handed over if another gateway is available, and requests are decided on early at once. Requests that cannot be handed over are served as before.

--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -53,6 +53,7 @@
 	costs       costs
 	arrivals    arrivals
 
+	burst        burst
 	window       samples
 	handled      verdictCounts // since the end of the last window
 	unfinished   verdictCounts // requests weighted by the part of their deferred work that is still to come
@@ -187,7 +188,10 @@
 func (g *Governor) Admit(now time.Time, account string, draw float64, movable bool) Verdict {
 	v := g.decide(now, account, draw, movable)
 	g.handled.add(v)
-	if v == Refuse {
+	switch v {
+	case Serve:
+		g.burst.add(now, g.costs.of(Serve))
+	case Refuse:
 		g.refused++
 	}
 	return v
@@ -203,7 +207,9 @@
 	d.requests++
 	place := draw * d.requests
 	switch {
-	case place <= g.serveLevel, place <= g.acceptLevel && !movable:
+	case place <= g.acceptLevel && !movable:
+		return Serve
+	case place <= g.serveLevel && !g.Bursting(now):
 		return Serve
 	case place <= g.acceptLevel:
 		return HandOver
--- a/services/forward/guard.go
+++ b/services/forward/guard.go
@@ -104,7 +104,7 @@
 	use := g.link.Observe(now, sent, received)
 	changed := g.governor.Observe(now, max(lateness, queued, entering))
 	share, own, refused := g.governor.AcceptedShare(), g.governor.ServedShare(), g.governor.Refused()
-	g.overloaded.Store(own < 1)
+	g.overloaded.Store(own < 1 || g.governor.Bursting(now))
 	keepsUp, changedDuties := g.duties.Observe(now, own, use)
 	g.mu.Unlock()
 	if changedDuties {
@@ -137,7 +137,11 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.governor.Admit(now, account, rand.Float64(), movable)
+	verdict := g.governor.Admit(now, account, rand.Float64(), movable)
+	if g.governor.Bursting(now) {
+		g.overloaded.Store(true) // until the next report of lateness
+	}
+	return verdict
 }
 
 // Retry times of requests refused for overload, spread by half to either side. From
--- a/services/forward/guard_test.go
+++ b/services/forward/guard_test.go
@@ -138,3 +138,24 @@
 		t.Errorf("mean retry time %v when overloaded, %v when idle, want at least three times as much", loaded, idle)
 	}
 }
+
+// Guards against requests of a flood that are served here because the process is not late yet.
+func TestBurstIsDecidedEarly(t *testing.T) {
+	c := clock.NewFake()
+	g := NewGuard(log.New("guard"), c, GuardOptions{
+		Bytes: func() (uint64, uint64) { return 0, 0 }, OnDutiesChanged: func(bool, bool) {}, Overdue: func(time.Time) time.Duration { return 0 },
+		HandOverAvailable: func() bool { return true },
+	})
+	g.ObserveLateness(0)
+	for range 150 {
+		g.admit("flood", false)
+	}
+	if !g.Overloaded() {
+		t.Error("not overloaded by 150 requests at once")
+	}
+	c.Advance(time.Second)
+	g.ObserveLateness(0)
+	if g.Overloaded() {
+		t.Error("still overloaded a second after the burst")
+	}
+}
