upstream: Bound the head of an answer

Callers of all accounts lose a gateway when one target writes a status line, a header or interim answers that never end: http.ReadResponse reads a line of any length.

The request ends as one whose answer broke off, and the reason says so.

--- a/modules/netopt/netopt.go
+++ b/modules/netopt/netopt.go
@@ -24,6 +24,9 @@
 	userTimeout = 3 * time.Second
 )
 
+// MaxResponseHead bounds the bytes of a response's head that are read from another system.
+const MaxResponseHead = 64 << 10
+
 func keepAliveConfig() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 }
--- a/services/engine/engine.go
+++ b/services/engine/engine.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"madderway/core/place"
+	"madderway/modules/netopt"
 	"madderway/modules/retryafter"
 )
 
@@ -92,7 +93,7 @@
 func NewClient(pollTimeout time.Duration) *Client {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-		MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: netopt.MaxResponseHead,
 	}
 	fresh := transport.Clone()
 	fresh.DisableKeepAlives = true
--- a/services/platform/table.go
+++ b/services/platform/table.go
@@ -16,6 +16,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"madderway/modules/netopt"
 )
 
 // Outcome is the outcome of a transaction.
@@ -124,7 +126,7 @@
 
 func newClient(timeout time.Duration) *http.Client {
 	return &http.Client{Timeout: timeout, Transport: &http.Transport{
-		MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, DisableCompression: true,
+		MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: netopt.MaxResponseHead,
 	}}
 }
 
--- a/services/upstream/cachedparts.go
+++ b/services/upstream/cachedparts.go
@@ -28,7 +28,7 @@
 	if _, err := io.WriteString(connection, request); err != nil {
 		return nil, ErrExchange{true, err.Error()}
 	}
-	resp, err := http.ReadResponse(connection.reader, &http.Request{Method: http.MethodGet})
+	resp, err := connection.readHead(http.MethodGet)
 	if err != nil {
 		return nil, ErrExchange{true, err.Error()}
 	}
--- a/services/upstream/exchange.go
+++ b/services/upstream/exchange.go
@@ -180,7 +180,7 @@
 // requests on the same connection.
 func (a *Answer) readHead(r *Request) error {
 	for range maxStrayAnswers + 1 {
-		resp, err := a.readResponse(r.Method)
+		resp, err := a.conn.readHead(r.Method)
 		if err != nil {
 			return err
 		}
@@ -196,21 +196,6 @@
 	return errors.New("answers to other requests")
 }
 
-func (a *Answer) readResponse(method string) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("unasked change of protocol")
-		}
-	}
-}
-
 func (a *Answer) accept(resp *http.Response) error {
 	success := resp.StatusCode < http.StatusMultipleChoices
 	if success && (!a.Info.Signed || a.Info.ID == "") {
--- a/services/upstream/exchange_test.go
+++ b/services/upstream/exchange_test.go
@@ -458,7 +458,7 @@
 			_ = far.Close()
 		}()
 		c, _ := newClient()
-		a := &Answer{client: c, target: &routing.Target{ID: "t"}, conn: &conn{Conn: near, reader: bufio.NewReader(near)}, stop: func() bool { return true }}
+		a := &Answer{client: c, target: &routing.Target{ID: "t"}, conn: newConn(near), stop: func() bool { return true }}
 		defer a.Close()
 		if err := a.readHead(request("r", "")); err != nil {
 			return
--- a/services/upstream/pool.go
+++ b/services/upstream/pool.go
@@ -6,7 +6,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -33,12 +35,18 @@
 
 type conn struct {
 	net.Conn
-	reader    *bufio.Reader
+	limiter   *headLimiter
+	reader    *bufio.Reader // reads the connection by the limiter
 	idleSince time.Time
 	promised  time.Duration // keep-alive timeout that the target states, or noKeepAlive
 	reused    bool
 }
 
+func newConn(c net.Conn) *conn {
+	limiter := &headLimiter{r: c}
+	return &conn{Conn: c, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBuffer), promised: noKeepAlive}
+}
+
 // maxIdle returns the idle time after which a request must not use the connection.
 func (c *conn) maxIdle(r *Request) time.Duration {
 	share, bound := keepAliveShare, time.Duration(maxKeepAlive)
@@ -56,6 +64,24 @@
 	return min(time.Duration(share*float64(c.promised)), bound)
 }
 
+// readHead reads the head of an answer to a request with this method. It skips interim answers.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.limiter.startHead()
+	defer c.limiter.endHead()
+	for {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("unasked change of protocol")
+		}
+	}
+}
+
 // Pool holds the idle connections to all targets.
 type Pool struct {
 	dialer   *net.Dialer
@@ -155,8 +181,7 @@
 	if err != nil {
 		return nil, err
 	}
-	counted := p.traffic.Wrap(raw)
-	return &conn{Conn: counted, reader: bufio.NewReaderSize(counted, readBuffer), promised: noKeepAlive}, nil
+	return newConn(p.traffic.Wrap(raw)), nil
 }
 
 func (p *Pool) put(id string, c *conn) {
