forward: Only a whole event is the first part of a stream

Callers wait to their deadline at a target that sends bytes without any event: comments, half a line, blank lines. Any byte ended the timer for a slow first part, told the scheduler that the request had begun, and counted as progress between events.

Change: on a stream of events an event that is whole counts, elsewhere any byte as before. Bytes are passed on as they came before.

Test: TestBytesWithoutEventsAreNoFirstPart, four kinds of bytes, fails in all of them without the change (begun, not cut).

--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -46,7 +46,7 @@
 	scheduler           string // gateway that placed or refused the request
 	number              mesh.RequestID
 	reason              string
-	receivedAt          time.Time // of the first bytes of the current target's response body
+	receivedAt          time.Time // of the first part of the current target's response body
 	answered            bool      // the current target was seen to survive the request
 	brokeOff            bool      // the last target ended its response or connection early
 	placedAt            time.Time
--- a/services/forward/slow_test.go
+++ b/services/forward/slow_test.go
@@ -100,3 +100,43 @@
 }
 
 func (p timedPlacement) firstPartTimeout() time.Duration { return p.limit }
+
+// countingPlacement counts how often its target has begun to answer.
+type countingPlacement struct {
+	timedPlacement
+	starts *int
+}
+
+func (p countingPlacement) began() { *p.starts++ }
+
+// Guards against a target that sends comments, or an event without an end, and is taken for one that
+// answers: no other target is tried, and its scheduler learns that the request has begun.
+func TestBytesWithoutEventsAreNoFirstPart(t *testing.T) {
+	const limit = time.Second
+	for name, parts := range map[string][]string{
+		"comments":           {": wait\n", ": wait\n", ": wait\n"},
+		"an event's begin":   {"id: 1\n", "data: ", "data"},
+		"blank lines":        {"\n", "\n\n", "\n"},
+		"one byte at a time": strings.Split("data: a", ""),
+	} {
+		t.Run(name, func(t *testing.T) {
+			fake := clock.NewFake()
+			route := routing.Route{Stream: true, Resumable: true, MaxAttempts: 3}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			j := &job{
+				s: &Service{opts: Options{Clock: fake, Guard: newTestGuard(fake), Quarantine: quarantine.New(log.New("quarantine"), quarantine.Options{Clock: fake})}, counters: newCounters()}, ctx: ctx, w: httptest.NewRecorder(),
+				r: &Request{Route: &route, Received: fake.Now(), Deadline: fake.Now().Add(time.Hour)}, history: attempt.History{Route: &route},
+				takeFromRetryBudget: func() bool { return true },
+			}
+			starts, cut := 0, false
+			p := countingPlacement{timedPlacement{limit: limit}, &starts}
+			timer := j.cutIfSlow(p, func() { cut = true })
+			body := &pausingBody{parts: parts, pause: func() { fake.Advance(limit) }}
+			a := &upstream.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.MultiReader(body, strings.NewReader("\n\nid: 2\ndata: b\n\n"))}
+			if outcome := j.forwardStream(p, a, timer); outcome != attempt.Cut || !cut || starts != 0 {
+				t.Errorf("outcome %v, cut %v, begun %d times, want an attempt that is cut before it begins", outcome, cut, starts)
+			}
+		})
+	}
+}
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -38,6 +38,7 @@
 	holdsBack  bool   // only complete events are forwarded, so that another target can continue
 	incomplete []byte // held bytes of an incomplete event
 	received   bool   // a byte has come
+	counted    int    // events that progressed has reported
 }
 
 func newStreamBody(r *routing.Route, h http.Header) *streamBody {
@@ -69,6 +70,17 @@
 	return out
 }
 
+// progressed reports whether more of the answer has come since the last call: a whole event, where the
+// body is a stream of events. Comments, or bytes that never end an event, are no answer.
+func (b *streamBody) progressed() bool {
+	if !b.isEvents {
+		return true
+	}
+	more := b.events.Events() > b.counted
+	b.counted = b.events.Events()
+	return more
+}
+
 // lastEvent returns the ID of the last complete event, if another target can continue after it.
 func (b *streamBody) lastEvent() (id string, ok bool) {
 	if !b.holdsBack {
@@ -105,8 +117,13 @@
 	for {
 		n, err := a.Body.Read(chunk)
 		if n > 0 {
-			if outcome := j.forwardPart(p, a, flusher, body.take(chunk[:n]), slowTimer); outcome != 0 {
-				return outcome
+			out := body.take(chunk[:n])
+			if body.progressed() && !j.recordProgress(p, slowTimer) {
+				return j.ended(p, attempt.Cut)
+			}
+			if len(out) > 0 && !j.forwardEvents(a, flusher, out) {
+				p.canceled()
+				return attempt.Cut
 			}
 			if id, ok := body.lastEvent(); ok {
 				j.lastEvent = id
@@ -123,24 +140,19 @@
 	}
 }
 
-// forwardPart notes that a part of the body has come and forwards the bytes in out, which may be
-// none. It returns 0 if the attempt goes on.
-func (j *job) forwardPart(p placement, a *upstream.Answer, flusher *http.ResponseController, out []byte, slowTimer clock.Timer) attempt.Outcome {
+// recordProgress notes that a part of the answer has come. It returns false if the attempt is being cut.
+func (j *job) recordProgress(p placement, slowTimer clock.Timer) bool {
 	now := j.s.opts.Clock.Now()
 	if j.receivedAt.IsZero() { // of this attempt
 		j.receivedAt = now
 		if !j.endFirstPart(slowTimer) {
-			return j.ended(p, attempt.Cut)
+			return false
 		}
 	}
 	if j.timing.recordPart(now, j.r.Received) {
 		p.began()
 	}
-	if len(out) > 0 && !j.forwardEvents(a, flusher, out) {
-		p.canceled()
-		return attempt.Cut
-	}
-	return 0
+	return true
 }
 
 // coalesce waits for further events if this gateway, or the one that handed the request
