forward: Wait a moment only for the rest of a refusal

Callers of a request that a target has refused as not run waited for the rest of that refusal, up to their deadline, before the next target was tried: 256 KiB were allowed, and any time.

Change: 50 ms; a refusal that is not whole by then closes its connection, as before.

Test: TestDiscardBodyEndsWithoutTheBody; with no bound in time it waits for the deadline, an hour there.

--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -21,6 +21,9 @@
 // is forwarded, so that a broken one can still be retried.
 const maxBufferedResponse = 256 << 10
 
+// maxDiscardTime bounds how long the next target waits for the rest of a refusal.
+const maxDiscardTime = 50 * time.Millisecond
+
 var errFailureTooLarge = fmt.Errorf("over %d bytes", maxBufferedResponse)
 
 // failure is an error response of a target.
@@ -64,7 +67,7 @@
 		j.reason = "target did not run it"
 		j.s.counters.rejected.Inc()
 		p.ended(attempt.NotRun, a.Info.Misdirected)
-		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxBufferedResponse))
+		a.DiscardBody(maxBufferedResponse, maxDiscardTime)
 		return attempt.NotRun, nil
 	}
 	j.history.MayHaveRun = true
--- a/services/upstream/exchange.go
+++ b/services/upstream/exchange.go
@@ -216,6 +216,14 @@
 	return err
 }
 
+// DiscardBody reads the rest of the body so that the connection can be used again, unless it is longer
+// than the limit or does not come within the time.
+func (a *Answer) DiscardBody(limit int64, within time.Duration) {
+	if a.conn.SetReadDeadline(netopt.DeadlineIn(within)) == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, limit)) // on failure Close closes the connection
+	}
+}
+
 // parseKeepAlive returns the time for which the target promises to keep an idle connection, or
 // noKeepAlive.
 func parseKeepAlive(h http.Header) time.Duration {
--- a/services/upstream/headlimit_test.go
+++ b/services/upstream/headlimit_test.go
@@ -94,3 +94,20 @@
 		t.Errorf("%d bytes of a head, error %v, want %d and errHeadTooLarge", n, err, netopt.MaxResponseHead)
 	}
 }
+
+// A refusal whose body does not come must not hold the request back from the next target.
+func TestDiscardBodyEndsWithoutTheBody(t *testing.T) {
+	target := startTarget(t, func(int, int, string) scriptedAnswer {
+		return scriptedAnswer{text: "HTTP/1.1 503 No\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 9\r\n\r\nhalf"}
+	})
+	client := NewClient(NewPool(time.Minute, 2, &netopt.Traffic{}), plainDialect{}, nil)
+	a, err := client.Send(t.Context(), target.target(), &Request{ID: "1", Method: "GET", URI: "/", Host: "h", Header: http.Header{}, Deadline: time.Now().Add(time.Hour)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.DiscardBody(1<<10, time.Millisecond)
+	a.Close()
+	if c := client.pool.take("t"); c != nil {
+		t.Error("a connection with an unread body is kept")
+	}
+}
