relay: Hand nothing over to a gateway that has stopped reading

A request that is handed over to a gateway that has stopped, or is cut off, waits until the connection fails after three seconds. Only its requests in flight counted against such a gateway; one of four times the strength was still drawn. Since a request that is written is inside the gate of its gateway, some of those would keep others from entering.

Change: gateways for which a request has waited for 150 ms to be written are drawn only if there are no others. If the process itself is late that may be all, and the choice is as before.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -7,7 +7,10 @@
 // safe for concurrent use.
 package relay
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // avoidFor is how long an unreachable gateway is skipped: about as long as the membership
 // protocol needs to declare a silent member dead.
@@ -59,38 +62,45 @@
 	return false
 }
 
-// Choose returns a gateway, or false if none is available; draw returns random numbers
-// between 0 and 1.
-func (c *Chooser) Choose(now time.Time, draw func() float64) (id string, ok bool) {
-	total := 0.0
+// Choose returns a gateway, or false if none is available; draw returns random numbers between 0
+// and 1. Gateways that avoid reports, which may be nil, are chosen only if there are no others.
+func (c *Chooser) Choose(now time.Time, draw func() float64, avoid func(id string) bool) (id string, ok bool) {
+	available := make([]*peer, 0, len(c.peers))
 	for _, p := range c.peers {
 		if !now.Before(p.avoidUntil) {
-			total += p.Strength
+			available = append(available, p)
 		}
 	}
-	if total == 0 {
+	preferred := available
+	if avoid != nil {
+		preferred = slices.DeleteFunc(slices.Clone(available), func(p *peer) bool { return avoid(p.ID) })
+	}
+	if len(preferred) == 0 {
+		preferred = available
+	}
+	if len(preferred) == 0 {
 		return "", false
 	}
-	first, second := c.peerAt(now, draw()*total), c.peerAt(now, draw()*total)
+	first, second := drawByStrength(preferred, draw()), drawByStrength(preferred, draw())
 	if float64(second.inFlight)/second.Strength < float64(first.inFlight)/first.Strength {
 		first = second
 	}
 	return first.ID, true
 }
 
-// peerAt returns the available gateway at a point of the cumulative strengths.
-func (c *Chooser) peerAt(now time.Time, point float64) *peer {
-	var last *peer
-	for _, p := range c.peers {
-		if now.Before(p.avoidUntil) {
-			continue
-		}
-		last = p
+// drawByStrength returns the gateway at a point, between 0 and 1, of the cumulative strengths.
+func drawByStrength(peers []*peer, point float64) *peer {
+	total := 0.0
+	for _, p := range peers {
+		total += p.Strength
+	}
+	point *= total
+	for _, p := range peers {
 		if point -= p.Strength; point < 0 {
-			break
+			return p
 		}
 	}
-	return last
+	return peers[len(peers)-1]
 }
 
 // Began counts a request handed over to the gateway as in flight.
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -28,7 +28,7 @@
 	c, rng := chooser(map[string]float64{"a": 0.2, "b": 0.8, "c": 0.2}), rand.New(rand.NewPCG(1, 2))
 	got := map[string]int{}
 	for range 1200 {
-		id, ok := c.Choose(start, rng.Float64)
+		id, ok := c.Choose(start, rng.Float64, nil)
 		if !ok {
 			t.Fatal("Choose found no gateway")
 		}
@@ -46,7 +46,7 @@
 	c, rng := chooser(map[string]float64{"a": 0.2, "b": 0.2}), rand.New(rand.NewPCG(1, 2))
 	got := map[string]int{}
 	for range 400 {
-		id, _ := c.Choose(start, rng.Float64)
+		id, _ := c.Choose(start, rng.Float64, nil)
 		c.Began(id)
 		got[id]++
 		if id == "a" {
@@ -63,12 +63,12 @@
 	c, rng := chooser(map[string]float64{"a": 0.2, "b": 0.2}), rand.New(rand.NewPCG(1, 2))
 	c.Failed(start, "a")
 	for range 50 {
-		if id, _ := c.Choose(start, rng.Float64); id != "b" {
+		if id, _ := c.Choose(start, rng.Float64, nil); id != "b" {
 			t.Fatalf("chose %s, want b", id)
 		}
 	}
 	c.Failed(start, "b")
-	if _, ok := c.Choose(start, rng.Float64); ok || c.Available(start) {
+	if _, ok := c.Choose(start, rng.Float64, nil); ok || c.Available(start) {
 		t.Error("chose an unreachable gateway")
 	}
 	if later := start.Add(avoidFor); !c.Available(later) {
@@ -88,7 +88,20 @@
 	if c.byID["b"].inFlight != 5 || c.byID["b"].Strength != 0.8 || c.byID["c"].inFlight != 0 {
 		t.Errorf("peers after SetPeers: %+v", c.byID)
 	}
-	if _, ok := New().Choose(start, rand.Float64); ok {
+	if _, ok := New().Choose(start, rand.Float64, nil); ok {
 		t.Error("chose a gateway without any peers")
 	}
 }
+
+// Gateways to avoid are chosen only if there are no others.
+func TestAvoidedPeersAreTheLastChoice(t *testing.T) {
+	c, rng := chooser(map[string]float64{"a": 0.2, "b": 0.2}), rand.New(rand.NewPCG(1, 2))
+	for range 50 {
+		if id, _ := c.Choose(start, rng.Float64, func(id string) bool { return id == "a" }); id != "b" {
+			t.Fatalf("chose %s, want b", id)
+		}
+	}
+	if _, ok := c.Choose(start, rng.Float64, func(string) bool { return true }); !ok {
+		t.Error("chose none although all are to be avoided")
+	}
+}
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -36,6 +36,8 @@
 	maxMissedProbes = 3
 	// Gateways tried per request.
 	maxAttempts = 2
+	// From this wait of a request to be written on, its gateway counts as one that has stopped reading.
+	stalledAfter = 150 * time.Millisecond
 )
 
 // ErrNoPeer is returned if no gateway can take a request over.
@@ -177,11 +179,13 @@
 	return nil, err
 }
 
-// choose selects a gateway and counts a request in flight; it returns nil if none is available.
+// choose selects a gateway and counts a request in flight; it returns nil if none is available. It avoids
+// gateways that have stopped reading.
 func (s *Service) choose() *peer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	id, ok := s.chooser.Choose(s.opts.Clock.Now(), rand.Float64)
+	now := s.opts.Clock.Now()
+	id, ok := s.chooser.Choose(now, rand.Float64, func(id string) bool { return s.peers[id].stalled(now) })
 	p := s.peers[id]
 	if !ok || p == nil {
 		return nil
@@ -190,6 +194,15 @@
 	return p
 }
 
+// stalled reports whether a request has waited for long to be written to the gateway. p may be nil.
+func (p *peer) stalled(now time.Time) bool {
+	if p == nil {
+		return false
+	}
+	t := p.tunnel.Load()
+	return t != nil && t.oldestWait(now) > stalledAfter
+}
+
 // open returns the connection to a gateway, dialing if necessary.
 func (s *Service) open(ctx context.Context, p *peer) (*tunnel, error) {
 	p.mu.Lock()
--- a/services/relay/share_test.go
+++ b/services/relay/share_test.go
@@ -78,3 +78,39 @@
 		}
 	}
 }
+
+// Requests must not be handed over to a gateway that has stopped reading while another one takes them:
+// each would wait until the connection fails.
+func TestStalledGatewayIsAvoided(t *testing.T) {
+	const requests = 200
+	c := clock.NewFake()
+	s := newService(t, key, c)
+	s.SetPeers([]Peer{{ID: "stalled", Strength: 0.2}, {ID: "healthy", Strength: 0.2}})
+	conn := &blockingConn{writes: make(chan int), release: make(chan struct{})}
+	stalled := newTunnel(conn, c)
+	s.peers["stalled"].tunnel.Store(stalled)
+	near, _ := connectionPair(t)
+	first := make(chan error, 1)
+	go func() {
+		h := &Handover{s: s, Peer: "stalled", caller: near, tunnel: stalled, done: make(chan struct{})}
+		first <- stalled.send(h, make([]byte, HeaderSize), neverDisconnects)
+	}()
+	<-conn.writes
+	c.Advance(2 * stalledAfter)
+	chosen := map[string]int{}
+	for range requests {
+		p := s.choose()
+		chosen[p.ID]++
+		s.finished(p.ID)
+	}
+	if chosen["stalled"] > 0 {
+		t.Errorf("%d of %d requests for a gateway that has stopped reading", chosen["stalled"], requests)
+	}
+	close(conn.release)
+	if err := <-first; err != nil {
+		t.Error(err)
+	}
+	if s.peers["stalled"].stalled(c.Now()) {
+		t.Error("the gateway is avoided although nothing waits for it")
+	}
+}
