relay: A failed write tells what became of each request

Cause, by reading: of requests that are written together the first may be answered while the write is still under way, as frozen gateways make it last; when it then failed, all of them were reported as lost, and the report was written behind the part of the answer that the caller had.

Change: by the number of bytes written a request was sent whole, in part, or not at all. One that was sent whole ends as its answer does; one that was not sent goes to another gateway.

Test: TestFailedWriteReportsEachRequest, fails before in two of three cases.

--- a/services/relay/share_test.go
+++ b/services/relay/share_test.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -114,3 +115,61 @@
 		t.Error("the gateway is avoided although nothing waits for it")
 	}
 }
+
+// failingConn takes so many bytes and then fails.
+type failingConn struct {
+	net.Conn
+	takes int
+	taken func() // called before the failure is reported
+}
+
+func (c *failingConn) Write(b []byte) (int, error) {
+	if len(b) <= c.takes {
+		c.takes -= len(b)
+		return len(b), nil
+	}
+	c.taken()
+	return c.takes, io.ErrClosedPipe
+}
+func (c *failingConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *failingConn) Close() error                     { return nil }
+
+// A request that was written whole may have an answer although the write failed behind it. To report it as
+// lost would put a second answer into the middle of the first.
+func TestFailedWriteReportsEachRequest(t *testing.T) {
+	const size = 1 << 10
+	c := clock.NewFake()
+	conn := &failingConn{takes: size + size/2}
+	tunnel := newTunnel(conn, c)
+	near, _ := connectionPair(t)
+	var results []chan error
+	var handovers []*Handover
+	tunnel.mu.Lock() // all are queued before the first write
+	for range 3 {
+		h := &Handover{s: newService(t, key, c), caller: near, tunnel: tunnel, done: make(chan struct{})}
+		o := &queuedRequest{frame: make([]byte, size), enqueuedAt: c.Now(), check: neverDisconnects, result: make(chan error, 1)}
+		tunnel.lastNumber++
+		h.number = tunnel.lastNumber
+		tunnel.inFlight[h.number] = h
+		tunnel.queue = append(tunnel.queue, o)
+		results, handovers = append(results, o.result), append(handovers, h)
+	}
+	tunnel.mu.Unlock()
+	conn.taken = func() {
+		tunnel.handleFrame(frame{kind: kindData, number: handovers[0].number}, []byte("HTTP/1.1 200 OK\r\n"), true)
+	}
+	tunnel.wake()
+	if err := <-results[0]; err != nil {
+		t.Errorf("a request that was written whole: error %v, want none", err)
+	}
+	if err := <-results[1]; !IsErrMaybeSent(err) {
+		t.Errorf("a request that was written in part: error %v, want ErrMaybeSent", err)
+	}
+	if err := <-results[2]; err == nil || IsErrMaybeSent(err) {
+		t.Errorf("a request that was not written: error %v, want one that allows another gateway", err)
+	}
+	<-handovers[0].Done()
+	if bytes, complete := handovers[0].Result(); bytes == 0 || complete {
+		t.Errorf("%d bytes of a response, complete %v, want an incomplete one", bytes, complete)
+	}
+}
--- a/services/relay/tunnel.go
+++ b/services/relay/tunnel.go
@@ -218,14 +218,27 @@
 	if len(written) == 0 {
 		return n
 	}
-	err := t.writeFrames(t.batch)
-	if err != nil {
-		err = ErrMaybeSent{err}
+	sent, err := t.writeFrames(t.batch)
+	for _, o := range written {
+		o.result <- writeResult(len(o.frame), sent, err)
+		sent -= len(o.frame)
 	}
-	reportAll(written, err)
 	return n
 }
 
+// writeResult returns the result of a frame of this size, given how many of its bytes and of those after
+// it were written until err. A frame that was written whole may be answered already.
+func writeResult(size, sent int, err error) error {
+	switch {
+	case err == nil || sent >= size:
+		return nil
+	case sent > 0:
+		return ErrMaybeSent{err}
+	default:
+		return err
+	}
+}
+
 // reportAll ends the wait of the requests and returns their number.
 func reportAll(requests []*queuedRequest, err error) int {
 	for _, o := range requests {
@@ -258,18 +271,19 @@
 	if len(b) == 0 {
 		return nil
 	}
-	return t.writeFrames(b)
+	_, err := t.writeFrames(b)
+	return err
 }
 
-func (t *tunnel) writeFrames(b []byte) error {
-	err := t.conn.SetWriteDeadline(netopt.DeadlineIn(frameTimeout))
-	if err == nil {
-		_, err = t.conn.Write(b)
+// writeFrames writes frames and closes the tunnel on failure. It returns how many bytes were written.
+func (t *tunnel) writeFrames(b []byte) (n int, err error) {
+	if err = t.conn.SetWriteDeadline(netopt.DeadlineIn(frameTimeout)); err == nil {
+		n, err = t.conn.Write(b)
 	}
 	if err != nil {
 		t.close()
 	}
-	return err
+	return n, err
 }
 
 // sendControl enqueues a frame without payload.
