lab: The idle connection of the stop's test is closed by the stop only

It takes the end of an idle connection for the moment from which a stopping gateway refuses. The limit on the time to read a header, 3 s, ends that connection as well, if the process has been slow until then.

The site of this test has a limit of a minute now; all checks are as they were.

--- a/lab/platform/input_test.go
+++ b/lab/platform/input_test.go
@@ -17,7 +17,13 @@
 // startSmallSite starts a small site without clients or faults.
 func startSmallSite(t *testing.T) *Site {
 	t.Helper()
-	s, err := Start(SmallSite(5, time.Second))
+	return startSite(t, SmallSite(5, time.Second))
+}
+
+// startSite starts a site and waits until it is ready.
+func startSite(t *testing.T, o Options) *Site {
+	t.Helper()
+	s, err := Start(o)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/lab/platform/site.go
+++ b/lab/platform/site.go
@@ -27,8 +27,12 @@
 	Load     float64 // factor for the request rates of all kinds
 	Seed     uint64
 	Trouble  string // name of one of Troubles, or empty
+	// HeaderTimeout is the configured limit on the time to read a request's header; 0 is defaultHeaderTimeout.
+	HeaderTimeout time.Duration
 }
 
+const defaultHeaderTimeout = 3 * time.Second
+
 // SmallSite returns the options of a site that runs on a laptop.
 func SmallSite(seed uint64, length time.Duration) Options {
 	return Options{Gateways: 3, Models: 4, Plains: 2, Accounts: 4, Length: length, Load: 1, Seed: seed}
@@ -246,13 +250,17 @@
 	for name, keys := range s.keys {
 		tenants = append(tenants, map[string]any{"name": name, "apiKeys": keys})
 	}
+	headerTimeout := s.opts.HeaderTimeout
+	if headerTimeout == 0 {
+		headerTimeout = defaultHeaderTimeout
+	}
 	s.config = map[string]any{
 		"version": s.version, "routes": routes, "tenants": tenants,
 		"services": []map[string]any{
 			{"name": modelService, "healthPath": "/health", "maxConnections": 200, "engine": map[string]any{"slots": 16, "kvTokens": 40_000, "stride": 1, "moves": true, "kvTokenBytes": tokenBytes, "bandwidthMbps": copyRate * tokenBytes * 8 / 1e6}},
 			{"name": plainService, "healthPath": "/health", "maxConnections": 100},
 		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "tokensPerS": 120_000},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": headerTimeout.Milliseconds(), "idleTimeoutMs": 15000, "tokensPerS": 120_000},
 	}
 	s.store.Put("op", "config", s.config)
 }
--- a/lab/platform/stop_test.go
+++ b/lab/platform/stop_test.go
@@ -20,7 +20,9 @@
 // flight has ended.
 func TestStopCutsNoBegunRequest(t *testing.T) {
 	t.Parallel()
-	s := startSmallSite(t)
+	o := SmallSite(5, time.Second)
+	o.HeaderTimeout = time.Minute // only the stop closes the idle connection, however slow the process is
+	s := startSite(t, o)
 	head := "POST /submit/x HTTP/1.1\r\nHost: site.example\r\n" + key + "Attempt-Id: begun-0\r\nContent-Length: 4\r\n\r\n"
 	request := head + "book"
 	next := 0
