--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -3,22 +3,21 @@
 
 // Package gate bounds how many requests an overloaded gateway decides on at a time.
 //
-// A process with a fraction of a core takes one step of one request after the other. If all
-// requests that have arrived take part, each step waits for a step of all others, and by the time of
-// its last step a request is too late: work is done and nothing is finished. With few inside, those
-// that have begun are finished first, and the others wait in order of arrival. If they wait for too
-// long, new connections are to be turned away, which costs the least of all refusals. A Gate is a pure
-// state machine; it is not safe for concurrent use.
+// Without a bound each step of a request (read, decide, hand over) waits for a step of all others, and by
+// its last step a request is too late: a livelock. With few inside, requests that have begun are
+// finished first, and the others wait in order of arrival. While they wait for too long, new connections
+// are to be turned away unread, the cheapest refusal. A Gate is a pure state machine; it is not safe
+// for concurrent use.
 package gate
 
 import "time"
 
 const (
-	// maxInside is the number of requests inside. Some of them wait for the network, so that one
-	// alone does not use the processor.
+	// maxInside limits the requests inside. Several are needed to use the processor, since some wait
+	// for the network.
 	maxInside = 32
-	// maxWait is the wait from which the gate is full: what has waited longer would hardly be served
-	// within the usual objectives.
+	// The gate is full if a request has waited for longer than maxWait: little would be left of the
+	// usual objectives.
 	maxWait = 250 * time.Millisecond
 )
 
--- a/handlers/gateway/callerconn.go
+++ b/handlers/gateway/callerconn.go
@@ -33,7 +33,7 @@
 	unread             int64         // bytes of its request that the HTTP server has not read; negative if it has read more
 	admitted           bool          // the request in the HTTP server was counted and admitted
 	inGate             atomic.Bool   // the request is inside the server's gate
-	entryWait          time.Duration // for how long the request has waited to enter it
+	entryWait          time.Duration // the time that the request has waited to enter it
 	readDeadline       time.Time     // in force unless closeIfIdle has interrupted a read
 	idle               idleState
 	exchange           exchangeState
@@ -259,11 +259,12 @@
 	if rest == 0 {
 		return nil
 	}
+	deadline := netopt.DeadlineIn(headerTimeout(c.limits))
 	buffer := discardBuffers.Get().(*[discardBufferSize]byte)
 	defer discardBuffers.Put(buffer)
 	for rest > 0 {
 		n := min(rest, discardBufferSize)
-		if err := c.readBody(buffer[:n]); err != nil {
+		if err := c.readBody(buffer[:n], deadline); err != nil {
 			return err
 		}
 		rest -= n
--- a/handlers/gateway/early.go
+++ b/handlers/gateway/early.go
@@ -54,7 +54,7 @@
 type EarlyOptions struct {
 	ClosesConn  bool          // the answer closes the connection
 	CanHandOver bool          // another gateway may serve the request
-	Waited      time.Duration // since the request was read
+	Waited      time.Duration // time since the request was read
 }
 
 // EarlyAdmission admits, refuses or hands over requests by their headers, before an HTTP
--- a/handlers/gateway/entrygate.go
+++ b/handlers/gateway/entrygate.go
@@ -14,21 +14,20 @@
 )
 
 const (
-	// promptTime is how long a request stays inside the gate while it waits for its body.
+	// promptTime limits the stay inside the gate of a request that waits for its body.
 	promptTime = 5 * time.Millisecond
-	// maxSendStay is how long a request stays inside while it is written to another gateway, which
-	// may have stopped to read.
+	// maxSendStay limits the stay inside of a request that is written to another gateway, which may
+	// have stopped reading.
 	maxSendStay = time.Second
 )
 
-// entryGate lets the goroutines of a few requests at a time pass. A goroutine that waits for it takes
-// no part in the process's scheduling.
+// entryGate is a gate.Gate for goroutines. One that waits does not delay others in the scheduler.
 type entryGate struct {
 	mu   sync.Mutex
 	gate gate.Gate[chan struct{}]
 }
 
-// enter waits until the caller is inside.
+// enter blocks until the request is inside.
 func (g *entryGate) enter() {
 	entered := make(chan struct{})
 	g.mu.Lock()
@@ -78,9 +77,9 @@
 	}
 }
 
-// readBody reads a part of a request's body. If it does not come at once, the request waits for it
-// outside the gate: a slow caller must not keep others from entering.
-func (c *callerConn) readBody(b []byte) error {
+// readBody reads a part of a request's body until a deadline. If it does not come at once, the request
+// waits for it outside the gate: a slow caller must not keep others from entering.
+func (c *callerConn) readBody(b []byte, deadline time.Time) error {
 	if err := c.SetReadDeadline(netopt.DeadlineIn(promptTime)); err != nil {
 		return err
 	}
@@ -89,7 +88,7 @@
 		return err
 	}
 	c.leaveGate()
-	if err := c.SetReadDeadline(netopt.DeadlineIn(headerTimeout(c.limits))); err != nil {
+	if err := c.SetReadDeadline(deadline); err != nil {
 		return err
 	}
 	if _, err := io.ReadFull(c.countedConn, b[n:]); err != nil {
--- a/handlers/gateway/relay.go
+++ b/handlers/gateway/relay.go
@@ -128,7 +128,7 @@
 	buffer := *pooled
 	held := relay.HeaderSize + copy(buffer[relay.HeaderSize:], begun)
 	if rest > 0 {
-		if err := c.readBody(buffer[held:size]); err != nil {
+		if err := c.readBody(buffer[held:size], netopt.DeadlineIn(headerTimeout(c.limits))); err != nil {
 			c.callerDisconnected = true
 			return nil, err
 		}
