follow: The test of a confirmation answers each read that waits

Traced by the stacks of that run: it sent two answers, one for the loop that watches targets and one for the confirmation. The loop took both, as it was back at its read before the confirmation had come to its own; that one waited for ever.

The test sends the same answer until the confirmation has ended.

--- a/services/follow/confirm_test.go
+++ b/services/follow/confirm_test.go
@@ -53,11 +53,17 @@
 	if since := <-source.watches; since != 5 {
 		t.Errorf("got a read of changes since %d, want 5", since)
 	}
-	// Both reads wait for changes; each gets the same.
-	for range 2 {
-		source.changes <- watchAnswer{revision: 6, changes: []TargetChange{change(6, incarnation("a", 200, false))}}
+	// The same changes answer each read that waits, until that of Confirm has had its turn.
+	answer := watchAnswer{revision: 6, changes: []TargetChange{change(6, incarnation("a", 200, false))}}
+	var err error
+	for waiting := true; waiting; {
+		select {
+		case source.changes <- answer:
+		case err = <-confirmed:
+			waiting = false
+		}
 	}
-	if err := <-confirmed; err != nil || h.Targets().Find(routing.TargetID("a", 200)) == nil {
+	if err != nil || h.Targets().Find(routing.TargetID("a", 200)) == nil {
 		t.Errorf("got error %v and targets %+v, want the new incarnation", err, h.Targets().ByService(""))
 	}
 }
