review: Case 5, streams of a machine that freezes as a release begins are lost

Tried: 24 streams that may be resumed at one of three gateways, which is stopped for 4 s; the first worker of another software version is listed 1 s later; the clients come back at the other gateways. Seen: none of 23 streams goes on, all 24 new ones begin. Without the freeze all end whole.

--- a/review/standins-2/gateway.go
+++ b/review/standins-2/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -57,9 +58,10 @@
 crossing_cost = "10ms"
 `
 
-// freeAddress returns a loopback address whose port is free.
+// freeAddress returns a loopback address whose port is free. Its IP number is drawn, so that no other
+// connection takes the port before the gateway does.
 func freeAddress() string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)))
 	if err != nil {
 		panic(err)
 	}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -56,14 +56,22 @@
 	record := flag.String("record", "record.txt", "file to write to")
 	program := flag.String("program", "target/madderway", "the gateway's program")
 	dir := flag.String("dir", "", "temporary folder")
+	asWorker := flag.String("worker", "", "run as the worker with this name")
+	address := flag.String("address", "", "address of the worker")
+	events := flag.Int("events", 0, "events of the worker's streams")
+	mixed := flag.Bool("mixed", false, "whether some answers of the worker have no framing")
 	flag.Parse()
+	if *asWorker != "" {
+		runWorker(*asWorker, *address, *events, *mixed)
+		return
+	}
 	out, err := os.Create(*record)
 	if err != nil {
 		fmt.Println(err)
 		os.Exit(cannot)
 	}
 	s := &scene{program: *program, dir: *dir, trouble: os.Getenv("TROUBLE") != "0", start: time.Now(), record: out}
-	cases := map[string]func(*scene) int{"stale-list": staleList}
+	cases := map[string]func(*scene) int{"stale-list": staleList, "frozen": frozen, "unframed": unframed}
 	play := cases[*name]
 	if play == nil {
 		fmt.Println("unknown case", *name)
