--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -36,10 +36,15 @@
 	return &clients{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}}
 }
 
-// post sends a request to a gateway and waits for the answer.
+// post sends a sound request to a gateway and waits for the answer.
 func (c *clients) post(g *gateway, path, key string, deadline time.Duration) sent {
+	return c.postBody(g, path, key, "one sample", deadline)
+}
+
+// postBody sends a request with a body.
+func (c *clients) postBody(g *gateway, path, key, body string, deadline time.Duration) sent {
 	s := sent{id: fmt.Sprintf("%s-%d", g.name, c.last.Add(1)), gateway: g.name, path: path, at: time.Now()}
-	req, err := http.NewRequest(http.MethodPost, "http://"+g.callers+path, strings.NewReader("one sample"))
+	req, err := http.NewRequest(http.MethodPost, "http://"+g.callers+path, strings.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
--- a/review/standins-2/frozen.go
+++ b/review/standins-2/frozen.go
@@ -113,8 +113,9 @@
 			q.resumes, q.after, q.id = q.id, t.last, q.id+"-again"
 			ask(&takenUp, gateways[1+i%2], q)
 		})
+		time.Sleep(20 * time.Millisecond) // all at once would be a flood, which the gateway thins
 	}
-	time.Sleep(800 * time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
 	frozenAt := time.Now()
 	if s.trouble {
 		process := stands.cmd.Process
