review: A scheduler that froze refuses a whole service, as ended requests run on for it

Tried: one of three gateways freezes for 2 s while another has nine requests at three workers; that one gets no more requests afterwards. Each gateway freezes in turn. A first form, whose requests shared parts of prompts, held: all went to one worker, and the two others served on. Cause: core/entry tells the end of a running request to the scheduler in use, not to the one that placed it. Not a case: what is refused wasn't accepted.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -71,7 +71,7 @@
 		os.Exit(cannot)
 	}
 	s := &scene{program: *program, dir: *dir, trouble: os.Getenv("TROUBLE") != "0", start: time.Now(), record: out}
-	cases := map[string]func(*scene) int{"stale-list": staleList, "frozen": frozen, "unframed": unframed, "deadly": deadly}
+	cases := map[string]func(*scene) int{"stale-list": staleList, "frozen": frozen, "unframed": unframed, "deadly": deadly, "ghosts": ghosts}
 	play := cases[*name]
 	if play == nil {
 		fmt.Println("unknown case", *name)
--- a/review/standins-2/streamclient.go
+++ b/review/standins-2/streamclient.go
@@ -32,6 +32,7 @@
 	after   int // last event that the client has, 0 for none
 	resumes string
 	part    uint32        // the shared part of its prompt, 0 for the usual one
+	alone   bool          // the prompt shares no part with others
 	gap     time.Duration // the client gives up after a pause of this length
 	until   time.Time     // end of the client's deadline
 }
@@ -48,8 +49,12 @@
 	}
 	defer conn.Close()
 	body := `{"prompt":"rebuild the rota"}`
+	parts := fmt.Sprintf("%08x:800,91bd3f06:410,%08x:250", q.part+0x5c1e07a2, hash(q.id))
+	if q.alone {
+		parts = fmt.Sprintf("%08x:1460", hash(q.id))
+	}
 	var head strings.Builder
-	fmt.Fprintf(&head, "POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nModel: m\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: %08x:800,91bd3f06:410,%08x:250\r\n", path, host, q.id, q.part+0x5c1e07a2, hash(q.id))
+	fmt.Fprintf(&head, "POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nModel: m\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: %s\r\n", path, host, q.id, parts)
 	fmt.Fprintf(&head, "Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n", time.Until(q.until).Milliseconds(), key, len(body))
 	if q.after > 0 {
 		fmt.Fprintf(&head, "Last-Event-Id: %d\r\nResumes: %s\r\n", q.after, q.resumes)
