follow: Log the revision of a list of targets that is read

Cause: "Targets changed." names the table's revision, never that of the store's answer, so that a delayed list and a store that lists a worker as ready look the same. Change: a line for each whole list with its revision, the known one and the time that the call took.

--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -144,9 +144,11 @@
 func (s *Service) followTargets() error {
 	s.follow("targets", s.watchTargets, func(ctx context.Context, all bool, since routing.Revision) (answer, error) {
 		if all {
+			asked := s.opts.Clock.Now()
 			update, err := s.opts.Source.Targets(ctx)
 			return answer{update.Stamp, func() {
 				s.applyTargets(func(now time.Time) bool {
+					s.log.Info("List of targets read.", "revision", update.Revision, "known_revision", s.table.revision, "targets", len(update.Targets), "call_took", now.Sub(asked))
 					s.enterEra(now, update.Revision, fromStore)
 					return s.table.replaceFromStore(s.table.toLocalTargets(now, update.Targets), update.Revision)
 				})
