follow: Ignore a list of targets that is older than the table

Cause: a whole list replaced the table whatever its revision, and was recorded under the newer one. The log of the run says "List of targets read. revision=1.8 known_revision=1.9", then "Targets changed. revision=1.9 leaving=0". The feed's repetition was then not newer, and peers had nothing newer to tell. Change: a list as of an older revision, of this era or a former one, changes nothing. A change that is not newer than the last whole list, or that adds a worker whose removal may be forgotten, is ignored. Why it works: the table includes each change up to its revision, so that an older list tells nothing.

--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -148,7 +148,7 @@
 			update, err := s.opts.Source.Targets(ctx)
 			return answer{update.Stamp, func() {
 				s.applyTargets(func(now time.Time) bool {
-					s.log.Info("List of targets read.", "revision", update.Revision, "known_revision", s.table.revision, "targets", len(update.Targets), "call_took", now.Sub(asked))
+					s.log.Info("List of targets read.", "revision", update.Revision, "known_revision", s.table.revision, "targets", len(update.Targets), "call_took", now.Sub(asked), "ignored_as_older", s.table.isOlder(update.Revision))
 					s.enterEra(now, update.Revision, fromStore)
 					return s.table.replaceFromStore(s.table.toLocalTargets(now, update.Targets), update.Revision)
 				})
--- a/services/follow/follow_test.go
+++ b/services/follow/follow_test.go
@@ -30,6 +30,7 @@
 	targets  []routing.Target
 	version  routing.Revision
 	operator chan OperatorUpdate // answers to watches of the operator's settings
+	release  chan struct{}       // delays the answers to reads of targets; optional
 }
 
 type watchAnswer struct {
@@ -59,9 +60,13 @@
 
 func (f *fakeSource) Targets(context.Context) (TargetUpdate, error) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.reads++
-	return TargetUpdate{Targets: f.targets, Stamp: Stamp{Revision: f.version}}, nil
+	update := TargetUpdate{Targets: f.targets, Stamp: Stamp{Revision: f.version}}
+	f.mu.Unlock()
+	if f.release != nil {
+		<-f.release
+	}
+	return update, nil
 }
 
 func (f *fakeSource) WatchTargets(ctx context.Context, since routing.Revision, _ time.Duration) (TargetUpdate, error) {
--- a/services/follow/targets.go
+++ b/services/follow/targets.go
@@ -25,6 +25,7 @@
 	known     map[string]knownTarget
 	removed   map[string]routing.Revision
 	compacted routing.Revision // newest removal that is no longer kept
+	listedAt  routing.Revision // of the last whole list
 	listings  history          // of known
 	removals  history          // of removed
 	// Start time of the newest incarnation of each worker, including removed ones; reports of
@@ -110,11 +111,20 @@
 	return reported, true
 }
 
+// isOlder reports whether a whole list as of a revision is older than the table, which includes each
+// change up to its own revision.
+func (t *targetTable) isOlder(revision routing.Revision) bool {
+	return revision < max(t.revision, t.listedAt)
+}
+
 // replace makes the table hold exactly the given targets as of a revision and reports whether
-// anything changed.
+// anything changed. An older list changes nothing.
 func (t *targetTable) replace(targets []routing.Target, revision routing.Revision) bool {
+	if t.isOlder(revision) {
+		return false
+	}
+	t.listedAt = revision
 	restored := t.revision != 0 && revision.Era() > t.revision.Era()
-	revision = max(revision, t.revision)
 	listed := map[string]bool{}
 	changed := restored
 	for _, reported := range targets {
@@ -152,15 +162,28 @@
 	}), revision)
 }
 
-// apply applies changes and reports whether anything changed. Changes older than the known
-// state of their target are ignored.
+// includes reports whether the table includes a change: its target has a state as new as the change,
+// or the last whole list was as new. A newer incarnation is never included before it is known.
+func (t *targetTable) includes(ch TargetChange) bool {
+	old, found := t.known[ch.ID]
+	switch {
+	case found && !ch.Gone && ch.Target.Born > old.Target.Born:
+		return false
+	case found && old.Revision >= ch.Revision, t.removed[ch.ID] >= ch.Revision, t.listedAt >= ch.Revision:
+		return true
+	default:
+		return !found && t.compacted >= ch.Revision // the removal may be forgotten
+	}
+}
+
+// apply applies changes and reports whether anything changed.
 func (t *targetTable) apply(changes []TargetChange) bool {
 	changed := false
 	for _, ch := range changes {
-		old, found := t.known[ch.ID]
-		if found && old.Revision >= ch.Revision && (ch.Gone || ch.Target.Born <= old.Target.Born) || t.removed[ch.ID] >= ch.Revision {
+		if t.includes(ch) {
 			continue
 		}
+		old, found := t.known[ch.ID]
 		ch.Revision = max(ch.Revision, old.Revision) // a change of an older incarnation may be applied first
 		t.revision = max(t.revision, ch.Revision)
 		if ch.Gone {
@@ -267,7 +290,7 @@
 		t.revision = max(t.revision, state.Revision)
 		return changed
 	}
-	if state.Revision <= t.revision {
+	if state.Revision == t.revision || t.isOlder(state.Revision) {
 		return t.apply(t.newerIncarnations(state.Changes))
 	}
 	targets := make([]routing.Target, 0, len(state.Changes))
