follow: Tell a peer the whole list if removals may be unknown

Callers would see: requests at a worker that was removed from the list, from a gateway that learned the news from one that had just read the whole list. A gateway that begins with a whole list knows no removals from before it, and told a peer with an older copy changes only. Change: a table keeps the range of revisions before its last whole list. Copies from that range get the whole list; the range is passed on with changes. Why it works: no change is told as complete to a copy for which removals may be missing. Tests: the property test and TestPeerWithUnknownRemovalsGetsWholeList; both fail without the change.

--- a/services/follow/decode.go
+++ b/services/follow/decode.go
@@ -69,6 +69,8 @@
 		return d.Decode(&s.Revision)
 	case "whole":
 		return d.Decode(&s.Whole)
+	case "unseen":
+		return d.Decode(&s.Unseen)
 	case "changes":
 		return s.decodeChanges(d)
 	case "leaving":
--- a/services/follow/delayed_test.go
+++ b/services/follow/delayed_test.go
@@ -6,6 +6,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"madderway/models/routing"
@@ -74,3 +77,124 @@
 		t.Error("a target is added whose removal is forgotten")
 	}
 }
+
+// storeLog is the sequence of writes to a store; a write's revision is its position, from 1.
+type storeLog struct{ writes []TargetChange }
+
+// at returns the content as of a revision.
+func (l *storeLog) at(revision routing.Revision) map[string]routing.Target {
+	return finalTargets(l.writes[:revision])
+}
+
+func (l *storeLog) revision() routing.Revision { return routing.Revision(len(l.writes)) }
+
+// since returns the last change of each worker after a revision.
+func (l *storeLog) since(revision routing.Revision) []TargetChange {
+	newest := map[string]TargetChange{}
+	for _, ch := range l.writes[revision:] {
+		newest[ch.ID] = ch
+	}
+	changes := slices.Collect(maps.Values(newest))
+	slices.SortFunc(changes, func(a, b TargetChange) int { return int(a.Revision) - int(b.Revision) })
+	return changes
+}
+
+// write changes a random worker: a new incarnation, or the leaving or removal of the listed one.
+func (l *storeLog) write(rng *rand.Rand) {
+	name := fmt.Sprint("t", rng.IntN(5))
+	ch := TargetChange{ID: name, Revision: l.revision() + 1}
+	old, listed := l.at(l.revision())[name]
+	switch {
+	case !listed || rng.IntN(5) == 0:
+		ch.Target = incarnation(name, int64(ch.Revision), false)
+	case rng.IntN(2) == 0 && !old.Leaving:
+		ch.Target = incarnation(name, old.Born, true)
+	default:
+		ch.Gone = true
+	}
+	l.writes = append(l.writes, ch)
+}
+
+// follower is a gateway's table with the answers that are on their way to it.
+type follower struct {
+	table   *targetTable
+	watched bool             // the whole list was read
+	since   routing.Revision // of the last answer of the store
+	// Answers of the store, to a poll and to a confirmation, and of a peer; nil if there is none.
+	poll, confirm, peer func()
+}
+
+func newFollower() *follower { return &follower{table: newTargetTable()} }
+
+// ask sends a call to the store or a peer; the answer is of this moment and arrives later.
+func (f *follower) ask(rng *rand.Rand, l *storeLog, peer *follower) {
+	now := l.revision()
+	switch rng.IntN(3) {
+	case 0:
+		if f.poll != nil {
+			return
+		}
+		if !f.watched || rng.IntN(4) == 0 {
+			list := slices.Collect(maps.Values(l.at(now)))
+			f.poll = func() { f.table.replaceFromStore(list, now); f.since, f.watched = now, true }
+			return
+		}
+		changes := l.since(f.since)
+		f.poll = func() { f.table.apply(changes); f.since = now }
+	case 1:
+		if f.confirm != nil || f.table.revision == 0 {
+			return
+		}
+		changes := l.since(f.table.revision)
+		f.confirm = func() { f.table.apply(changes) }
+	case 2:
+		if f.peer != nil || peer.table.revision <= f.table.revision {
+			return
+		}
+		state := peer.table.since(f.table.revision)
+		f.peer = func() { f.table.merge(state) }
+	}
+}
+
+// deliver lets one of the answers arrive.
+func (f *follower) deliver(rng *rand.Rand) {
+	for _, answer := range []*func(){&f.poll, &f.confirm, &f.peer}[rng.IntN(3):] {
+		if *answer != nil {
+			(*answer)()
+			*answer = nil
+			return
+		}
+	}
+}
+
+// Guards against news that is undone by older news, in any order of lists, changes, confirmations
+// and states of peers that are delayed, and of restarts: a table is always the store as of its revision.
+func TestTablesFollowTheStoreInAnyOrder(t *testing.T) {
+	const seeds, steps = 300, 120
+	for seed := range uint64(seeds) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		l := &storeLog{}
+		followers := []*follower{newFollower(), newFollower(), newFollower()}
+		for step := range steps {
+			i := rng.IntN(len(followers))
+			f := followers[i]
+			before := f.table.revision
+			switch n := rng.IntN(40); {
+			case n == 0:
+				*f, before = *newFollower(), 0
+			case n < 10:
+				l.write(rng)
+			case n < 25:
+				f.ask(rng, l, followers[rng.IntN(len(followers))])
+			default:
+				f.deliver(rng)
+			}
+			if f.table.revision < before {
+				t.Fatalf("seed %d, step %d: table went back from revision %v to %v", seed, step, before, f.table.revision)
+			}
+			if at := max(f.table.revision, f.table.listedAt); !f.table.equals(l.at(at)) {
+				t.Fatalf("seed %d, step %d: table %+v, want the store as of %v: %+v", seed, step, f.table.known, at, l.at(at))
+			}
+		}
+	}
+}
--- a/services/follow/targets.go
+++ b/services/follow/targets.go
@@ -26,6 +26,7 @@
 	removed   map[string]routing.Revision
 	compacted routing.Revision // newest removal that is no longer kept
 	listedAt  routing.Revision // of the last whole list
+	unseen    revisionGap      // before the last whole list
 	listings  history          // of known
 	removals  history          // of removed
 	// Start time of the newest incarnation of each worker, including removed ones; reports of
@@ -124,6 +125,7 @@
 		return false
 	}
 	t.listedAt = revision
+	t.noteUnseen(revisionGap{t.revision, revision})
 	restored := t.revision != 0 && revision.Era() > t.revision.Era()
 	listed := map[string]bool{}
 	changed := restored
@@ -172,7 +174,8 @@
 	case found && old.Revision >= ch.Revision, t.removed[ch.ID] >= ch.Revision, t.listedAt >= ch.Revision:
 		return true
 	default:
-		return !found && t.compacted >= ch.Revision // the removal may be forgotten
+		// The removal may be forgotten, or was never known.
+		return !found && max(t.compacted, t.unseen.Before) >= ch.Revision
 	}
 }
 
@@ -246,12 +249,13 @@
 	Revision routing.Revision       `json:"revision"`
 	Whole    bool                   `json:"whole"` // targets that are not in Changes are removed
 	Changes  []TargetChange         `json:"changes"`
+	Unseen   revisionGap            `json:"unseen"`
 	Leaving  []leaving.Announcement `json:"leaving,omitempty"` // including incarnations that are not listed
 }
 
 // since returns what a peer that has the given revision lacks. It looks only at the changes since.
 func (t *targetTable) since(revision routing.Revision) targetState {
-	state := targetState{Revision: t.revision, Whole: t.needsWhole(revision)}
+	state := targetState{Revision: t.revision, Whole: t.needsWhole(revision), Unseen: t.unseen}
 	if state.Whole {
 		for name, k := range t.known {
 			state.Changes = append(state.Changes, TargetChange{ID: name, Revision: k.Revision, Target: *k.Target})
@@ -263,11 +267,6 @@
 	return state
 }
 
-// needsWhole reports whether a peer that has the given revision needs the whole list.
-func (t *targetTable) needsWhole(revision routing.Revision) bool {
-	return revision == 0 || revision < t.compacted || revision.Era() != t.revision.Era()
-}
-
 func (t *targetTable) changesSince(revision routing.Revision) []TargetChange {
 	var changes []TargetChange
 	for _, e := range t.listings.since(revision) {
@@ -286,9 +285,7 @@
 // merge applies a peer's state and reports whether anything changed.
 func (t *targetTable) merge(state targetState) bool {
 	if !state.Whole {
-		changed := t.apply(state.Changes)
-		t.revision = max(t.revision, state.Revision)
-		return changed
+		return t.mergeChanges(state)
 	}
 	if state.Revision == t.revision || t.isOlder(state.Revision) {
 		return t.apply(t.newerIncarnations(state.Changes))
--- a/services/follow/targets_test.go
+++ b/services/follow/targets_test.go
@@ -112,3 +112,21 @@
 		t.Errorf("peer that misses one removal gets %+v, want only that change", state)
 	}
 }
+
+// Guards against a removed target that stays listed: a gateway that has read the whole list since the
+// removal tells a peer with an older copy only changes, and does not know of the removal.
+func TestPeerWithUnknownRemovalsGetsWholeList(t *testing.T) {
+	behind, fresh := newTargetTable(), newTargetTable()
+	behind.replace([]routing.Target{{ID: "a"}, {ID: "removed"}}, 2)
+	fresh.replace([]routing.Target{{ID: "a"}}, 6) // removed was removed at 4
+	fresh.apply([]TargetChange{{ID: "a", Revision: 7, Target: routing.Target{ID: "a", Leaving: true}}})
+	behind.merge(fresh.since(behind.revision))
+	if !behind.equals(map[string]routing.Target{"a": {ID: "a", Leaving: true}}) {
+		t.Errorf("got targets %+v, want only a", behind.known)
+	}
+	current := newTargetTable()
+	current.replace([]routing.Target{{ID: "a"}}, 6)
+	if state := fresh.since(current.revision); state.Whole || len(state.Changes) != 1 {
+		t.Errorf("a peer with the same list gets %+v, want one change", state)
+	}
+}
