follow: Start no hold for an evacuation that is newer than the list

Operators would see: an evacuation that was written again after the store came back older ends by itself ten seconds later, so that requests reach the targets of the evacuated hall. A delayed list of the restored store lacks the evacuation, which a peer has told anew with a newer revision. The list began a hold all the same, and the end of the hold cancelled the evacuation under the revision of a later list. Change: a list says nothing about a hall with a newer revision, and its own revision never goes back. Test: TestDelayedListDoesNotHoldRewrittenEvacuation; without the change the evacuation is held for 10 s and has ended after it, and the list revision goes back to 1.7.

--- a/services/follow/halls.go
+++ b/services/follow/halls.go
@@ -52,14 +52,14 @@
 // whose state changed. A hall that is not listed is not evacuated.
 func (t *hallTable) replace(now time.Time, listed []HallChange, revision routing.Revision) []HallChange {
 	restored := t.listRevision != 0 && revision.Era() > t.listRevision.Era()
-	t.listRevision = revision
+	t.listRevision = max(t.listRevision, revision)
 	changes := append([]HallChange(nil), listed...)
 	isListed := map[string]bool{}
 	for _, ch := range listed {
 		isListed[ch.DataHall] = true
 	}
 	for hall, old := range t.halls {
-		if !old.Evacuated || isListed[hall] {
+		if !old.Evacuated || isListed[hall] || old.Revision > revision {
 			continue
 		}
 		if restored {
--- a/services/follow/halls_test.go
+++ b/services/follow/halls_test.go
@@ -187,3 +187,28 @@
 		t.Errorf("target %+v at %v, want it cold for 3 s and not evacuated", a, now)
 	}
 }
+
+// Guards against an evacuation that ends by itself: a delayed list of a restored store lacks it, although
+// a peer has told that the operator has written it again.
+func TestDelayedListDoesNotHoldRewrittenEvacuation(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	evacuated := func(revision routing.Revision) []HallChange {
+		return []HallChange{{DataHall: "h1", Revision: revision, Evacuated: true}}
+	}
+	table := newHallTable()
+	table.replace(now, evacuated(rev(1, 5)), rev(1, 5))
+	table.apply(evacuated(rev(2, 4))) // from a peer
+	table.replace(now, nil, rev(2, 3))
+	if wait := table.nextRelease(now); wait != 0 {
+		t.Errorf("the evacuation is held for %v, want it in force without a hold", wait)
+	}
+	table.replace(now, evacuated(rev(2, 4)), rev(2, 9))
+	table.release(now.Add(evacuationHold))
+	if !table.evacuated("h1") {
+		t.Error("the evacuation has ended, which the operator has not asked for")
+	}
+	table.replace(now, nil, rev(1, 7)) // of the former era
+	if table.listRevision != rev(2, 9) {
+		t.Errorf("got list revision %v after a delayed list, want 2.9", table.listRevision)
+	}
+}
