origin: Log how many gateways replied when no record is found

Cause: a record that nobody has and a reply that came too late gave the same line. Change: the reason names how many gateways were asked and how many replied.

--- a/services/origin/resolve.go
+++ b/services/origin/resolve.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	coreorigin "madderway/core/origin"
@@ -86,14 +87,15 @@
 			return Origin{software, FromSingleVersion}, nil
 		}
 	}
+	asked, replied := 0, 0
 	if !reply.Found || reply.Record.Sender != s.opts.Sender {
-		reply = s.ask(ctx, k, reply)
+		reply, asked, replied = s.ask(ctx, k, reply)
 	}
 	switch {
 	case reply.Ambiguous:
 		return Origin{}, ErrUnknown{"two gateways have attempts of this ID"}
 	case !reply.Found:
-		return Origin{}, ErrUnknown{"no gateway has a record"}
+		return Origin{}, ErrUnknown{fmt.Sprintf("no gateway has a record, %d of %d that were asked replied", replied, asked)}
 	}
 	if s.mustConfirm(service) {
 		if err := s.opts.Confirm(ctx); err != nil {
@@ -146,31 +148,33 @@
 }
 
 // ask asks other gateways for a record and returns the latest one, which may be the own: a later
-// record of the same attempt may have been lost on its way here.
-func (s *Service) ask(ctx context.Context, k coreorigin.Key, own Reply) Reply {
+// record of the same attempt may have been lost on its way here. It also returns how many gateways
+// were asked and how many replied.
+func (s *Service) ask(ctx context.Context, k coreorigin.Key, own Reply) (best Reply, asked, replied int) {
 	l := s.startLookup(k)
 	defer s.endLookup(k, l)
-	asked := s.opts.Ask(k)
-	s.counters.asked.Add(len(asked))
+	asked = len(s.opts.Ask(k))
+	s.counters.asked.Add(asked)
 	best, wait := own, lookupTimeout
 	if own.Found {
 		wait = graceTime
 	}
 	timeout := s.opts.Clock.After(wait)
-	for range asked {
+	for replied < asked {
 		select {
 		case <-ctx.Done():
-			return best
+			return best, asked, replied
 		case <-timeout:
-			return best
+			return best, asked, replied
 		case r := <-l.replies:
+			replied++
 			if r.Found && !best.Found {
 				timeout = s.opts.Clock.After(graceTime)
 			}
 			best = best.merge(r)
 		}
 	}
-	return best
+	return best, asked, replied
 }
 
 // merge returns the reply that combines the records of two gateways.
