origin: Back up the records of streams while a service has one version

Cause: records went to other gateways only once a second version was listed, and only by the gateway that serves the stream. The log of both others says "no gateway has a record, 1 of 1 that were asked replied". Change: with one version a gateway tells its records to two backups every half second. These share them when versions differ, unless the gateway says that it has. Why it works: the records are elsewhere before the gateway falls silent; nothing is guessed from silence.

--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -222,6 +222,40 @@
 	}
 }
 
+// Guards against a gateway that is the backup of many, or of none but its own data hall.
+func TestBackupsAreSpread(t *testing.T) {
+	for _, n := range []int{2, 9, 320, 1970} {
+		nodes := fleet(n, 3)
+		load, messages := map[string]int{}, 0
+		for _, node := range nodes {
+			ids := Backups(nodes, node.ID)
+			if len(ids) != min(2, n-1) || slices.Contains(ids, node.ID) {
+				t.Fatalf("%d gateways: got backups %v of %s, want two others", n, ids, node.ID)
+			}
+			if n > 2 && hallOf(nodes, ids[0]) == hallOf(nodes, ids[1]) {
+				t.Errorf("%d gateways: both backups of %s are in one data hall", n, node.ID)
+			}
+			for _, id := range ids {
+				load[id]++
+				messages++
+			}
+		}
+		busiest := 0
+		for _, records := range load {
+			busiest = max(busiest, records)
+		}
+		t.Logf("%d gateways: %d messages an interval, the busiest gets %d", n, messages, busiest)
+		if busiest > 12 {
+			t.Errorf("%d gateways: one is the backup of %d, want 12 at most", n, busiest)
+		}
+	}
+}
+
+func hallOf(nodes []place.Node, id string) string {
+	i := slices.IndexFunc(nodes, func(n place.Node) bool { return n.ID == id })
+	return nodes[i].DataHall
+}
+
 func BenchmarkReplicas(b *testing.B) {
 	for _, n := range []int{9, 985, 1970} {
 		keepers := Keepers(fleet(n, 5))
--- a/core/origin/replicas.go
+++ b/core/origin/replicas.go
@@ -15,6 +15,9 @@
 	// replicas is the number of gateways that hold a record besides the one that serves the
 	// attempt. Of the records, one in eight is lost with half of all gateways.
 	replicas = 3
+	// backups is the number of gateways that hold the records of a gateway's streams while their
+	// service has one version. Both must be lost together with it for a stream to be refused later.
+	backups = 2
 	// The gateways that are asked for a record are the first of each data hall and the first of
 	// all. They include the replicas also if the view of the sender lacks a gateway.
 	askedPerHall = 2
@@ -55,6 +58,15 @@
 	return ids(union(first[:min(len(first), replicas)], firstOf(all, replicas), replicas))
 }
 
+// Backups returns the gateways that hold the records of all streams that a gateway serves while their
+// service has one version, in different data halls if possible. Each gateway has its own, so that
+// all hold about as many.
+func Backups(nodes []place.Node, self string) []string {
+	all := scores(nodes, self, KeyOf("", self))
+	first := firstOfHalls(all, 1)
+	return ids(union(first[:min(len(first), backups)], firstOf(all, backups), backups))
+}
+
 // Holders returns the keepers that may hold the record of a stream.
 func Holders(keepers []place.Node, self string, k Key) []string {
 	all := scores(keepers, self, k)
--- a/core/origin/table.go
+++ b/core/origin/table.go
@@ -19,6 +19,9 @@
 	Record
 	ambiguous bool // two gateways served attempts of the same ID
 	local     *localState
+	// backupOf is the service of a stream that another gateway serves and whose record it has told
+	// to its backups only; empty for other records.
+	backupOf string
 }
 
 // localState is kept of attempts that this gateway serves.
@@ -42,7 +45,37 @@
 func (t *Table) Dropped() uint64 { return t.dropped }
 
 // Put adds a record of another gateway, unless a later one of the same sender is known.
-func (t *Table) Put(r Record) { t.put(r) }
+func (t *Table) Put(r Record) { t.put(r).backupOf = "" }
+
+// PutBackup adds a record of a stream of a service that another gateway has told to its backups only.
+func (t *Table) PutBackup(r Record, service string) {
+	_, known := t.entries[r.Key]
+	if e := t.put(r); !known {
+		e.backupOf = service
+	}
+}
+
+// TakeBackups returns the records of a service that were told to backups only. They count as shared
+// from now on.
+func (t *Table) TakeBackups(service string) []Record {
+	var out []Record
+	for _, e := range t.entries {
+		if e.backupOf == service {
+			e.backupOf = ""
+			out = append(out, e.Record)
+		}
+	}
+	return out
+}
+
+// NoteShared records that a sender has told others of its streams of a service.
+func (t *Table) NoteShared(service string, sender uint32) {
+	for _, e := range t.entries {
+		if e.backupOf == service && e.Sender == sender {
+			e.backupOf = ""
+		}
+	}
+}
 
 // PutLocal adds a record of an attempt that this gateway serves for a service. It reports whether
 // other gateways must get it: if share is set, or if they have an earlier record of the attempt.
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -158,6 +158,7 @@
 	store := platform.NewStore(s.Store, s.StoreCall.Duration)
 	g.origins = origin.New(log.New("origin").With(s.ID), origin.Options{
 		Clock: g.clock, MetricsPrefix: "madderway_gateway", Sender: uint32(place.Score(s.ID, g.self.Incarnation)), FirstStart: s.FirstStart, InContact: g.inContact, CutOff: g.cutOff,
+		Backup:  func(messages []origin.Backup) { g.loop.BackUpOrigins(messages) },
 		Share:   func(records []coreorigin.Record, urgent bool) { g.loop.ShareOrigins(records, urgent) },
 		Ask:     func(k coreorigin.Key) []string { return g.loop.AskOrigin(k) },
 		Confirm: func(ctx context.Context) error { return g.follow.Confirm(ctx) },
@@ -185,6 +186,7 @@
 		FetchCachedParts: client.CachedParts, FairWindow: s.FairWindow.Duration, Scheduling: schedulingOf(s), OnMembers: g.setRelayPeers, OnIncarnationEnd: g.relay.Disconnect,
 	})
 	g.quarantine.RunArchive(&g.t, quarantine.ArchiveOptions{Archive: platform.NewQuarantineArchive(store), IsReader: g.loop.Watches, FirstStart: s.FirstStart})
+	g.origins.RunBackups(&g.t)
 	g.origins.RunArchive(&g.t, origin.ArchiveOptions{Archive: platform.NewSoftwareArchive(store), Fleet: func() (bool, int) { return g.loop.Watches(), g.loop.Members() }})
 	discover.Start(&g.t, log.New("discover").With(s.ID), discover.Options{
 		Self: discover.Entry{ID: s.ID, Address: s.Peers}, Registry: platform.NewGatewayRegistry(store), Peers: g.loop, Clock: g.clock, Era: g.follow.Era,
--- a/services/mesh/layout.go
+++ b/services/mesh/layout.go
@@ -55,6 +55,7 @@
 	}
 	l.layout.SetNodes(nodes)
 	l.originKeepers = coreorigin.Keepers(nodes)
+	l.originBackups = coreorigin.Backups(nodes, l.opts.Self.ID)
 	for key, s := range l.cells {
 		l.updateColdShare(now, key, s)
 	}
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -135,6 +135,7 @@
 	records   *peerwire.Records
 	// gateways that keep records of streams
 	originKeepers []place.Node
+	originBackups []string // get the records of the streams that begin here
 	// Membership changes wait for the end of the batch.
 	membersChanged bool
 
@@ -255,6 +256,8 @@
 		l.records.SharePart(now, e.news, "")
 	case originsIn:
 		l.shareOrigins(now, e)
+	case backupsIn:
+		l.backUpOrigins(now, e)
 	case routingIn:
 		l.setRouting(now, e.index, e.targets)
 		l.announce(now)
--- a/services/mesh/origin.go
+++ b/services/mesh/origin.go
@@ -27,6 +27,27 @@
 	}
 }
 
+// backupsIn are messages to the backups of this gateway.
+type backupsIn []origin.Backup
+
+func (backupsIn) isInput() {}
+
+// BackUpOrigins sends records of streams to the backups of this gateway.
+func (l *Loop) BackUpOrigins(messages []origin.Backup) {
+	if !l.inputs.TryPut(backupsIn(messages)) {
+		l.log.Request("Records of streams not backed up, too much waits.", "messages", len(messages))
+	}
+}
+
+func (l *Loop) backUpOrigins(now time.Time, messages backupsIn) {
+	for _, b := range messages {
+		for _, id := range l.originBackups {
+			f := l.out.Frame(now, id, true)
+			f.StreamBackups = append(f.StreamBackups, backupToWire(now, b))
+		}
+	}
+}
+
 // AskOrigin asks the gateways that may hold the record of a stream, and returns their IDs.
 func (l *Loop) AskOrigin(k coreorigin.Key) []string {
 	asked := make(chan []string, 1)
@@ -67,6 +88,9 @@
 		}
 		l.opts.Origins.Receive(records)
 	}
+	for _, b := range f.StreamBackups {
+		l.opts.Origins.ReceiveBackup(backupFromWire(now, b))
+	}
 	for _, k := range f.StreamOriginAsks {
 		known := l.opts.Origins.Lookup(coreorigin.Key(k))
 		reply := &wire.StreamOriginReply{Stream: k, Ambiguous: known.Ambiguous}
--- a/services/mesh/traffic.go
+++ b/services/mesh/traffic.go
@@ -55,6 +55,7 @@
 	add("handover", sizeOfAll(f.EngineHandovers))
 	add("request_record", sizeOfAll(f.RequestRecords))
 	add("prompt_part_record", sizeOfAll(f.PromptPartRecords))
+	add("stream_backup", sizeOfAll(f.StreamBackups))
 	add("stream_origin", sizeOfAll(f.StreamOrigins)+sizeOfAll(f.StreamOriginReplies)+len(f.StreamOriginAsks)*8)
 }
 
--- a/services/origin/anyorder_test.go
+++ b/services/origin/anyorder_test.go
@@ -14,7 +14,7 @@
 )
 
 // Guards against a stream that continues at another version than its own in any order of releases,
-// losses, cuts, standstills, outages and restores of the archive.
+// losses, cuts, freezes, standstills, outages and restores of the archive.
 func TestStreamsKeepTheirVersionInAnyOrder(t *testing.T) {
 	const seeds, steps = 200, 30
 	resolved := 0
@@ -54,7 +54,7 @@
 	f := p.f
 	ids := f.ids()
 	id := ids[p.rng.IntN(len(ids))]
-	switch p.rng.IntN(12) {
+	switch p.rng.IntN(13) {
 	case 0, 1:
 		if !f.archive.down {
 			p.list(append(p.listed, fmt.Sprint("v", p.next)))
@@ -75,8 +75,10 @@
 		}
 		f.startAll()
 	case 6:
+		f.frozen[id] = false
 		f.launch(id, false)
 	case 7:
+		f.frozen[id] = false
 		f.outOf[id] = !f.outOf[id]
 		f.gateways[id].SetTargets(f.targets)
 	case 8:
@@ -92,6 +94,12 @@
 			g.EraChanged()
 		}
 	case 11:
+		if f.frozen[id] {
+			f.wake(id)
+		} else {
+			f.freeze(id)
+		}
+	case 12:
 		f.clock.Advance(time.Duration(p.rng.IntN(60)) * time.Second)
 	}
 	f.clock.Advance(joinTime)
@@ -115,6 +123,9 @@
 			continue
 		}
 		for _, id := range f.ids() {
+			if f.frozen[id] {
+				continue
+			}
 			got, err := f.gateways[id].Resolve(f.t.Context(), coreorigin.KeyOf(account, s.attempt), service)
 			switch {
 			case err != nil:
--- a/services/origin/origin.go
+++ b/services/origin/origin.go
@@ -6,7 +6,8 @@
 //
 // Each gateway records to which targets it sends the attempts that begin streams. While a service
 // has, or had lately, targets of several versions, the records go to a few other gateways, which
-// are asked when a caller comes back. With one version nothing is sent and nobody is asked.
+// are asked when a caller comes back. With one version nobody is asked, and the records go in batches
+// to two backups only, which share them if the gateway is silent when a second version is listed.
 package origin
 
 import (
@@ -38,6 +39,8 @@
 	// InContact reports whether the list of targets is as new as that of the rest of the fleet, and
 	// CutOff whether updates of it may have been missed.
 	InContact, CutOff func() bool
+	// Backup sends records to the gateways that are to share them if this one falls silent.
+	Backup func(messages []Backup)
 	// Share sends records to the gateways that are to hold them, urgent ones at once. Ask asks those
 	// that may hold the record of a stream and returns their IDs.
 	Share func(records []coreorigin.Record, urgent bool)
@@ -62,6 +65,7 @@
 	// of which life was taken
 	configuration *routing.Configuration
 	archiving     archiving
+	backups       backups
 	covered       bool // as of the last log line
 	lastExpiry    time.Time
 	dropped       uint64 // as of the last log line
@@ -73,7 +77,7 @@
 func New(logger log.Logger, o Options) *Service {
 	s := &Service{
 		log: logger, opts: o, started: o.Clock.Now(), targets: routing.NewTargetSet(0), table: coreorigin.NewTable(),
-		lookups: map[coreorigin.Key][]*lookup{}, life: lifetime{current: maxLife}, archiving: archiving{wake: make(chan struct{}, 1)},
+		lookups: map[coreorigin.Key][]*lookup{}, life: lifetime{current: maxLife}, archiving: archiving{wake: make(chan struct{}, 1)}, backups: newBackups(),
 		covered: o.FirstStart,
 	}
 	s.versions = coreorigin.NewVersions(s.started)
@@ -126,6 +130,7 @@
 	if !s.versions.Mixed(now, service, s.life.at(now)) {
 		return nil
 	}
+	s.versionsDiffer(now, service)
 	return s.table.Unshared(service)
 }
 
@@ -145,6 +150,9 @@
 	r := coreorigin.Record{Key: k, Target: t.ID, Software: t.Software, Sender: s.opts.Sender, Try: uint32(try), SentAt: now.UnixMilli(), At: now}
 	s.mu.Lock()
 	shared := s.table.PutLocal(r, service, s.versions.Mixed(now, service, s.life.at(now)) || !s.covers(now, service))
+	if !shared {
+		s.addBackup(r, service)
+	}
 	s.expire(now)
 	s.mu.Unlock()
 	if shared {
@@ -276,6 +284,7 @@
 type counters struct {
 	set                                          *metrics.Set
 	shared, asked, dropped                       *metrics.Counter
+	backedUp, notBackedUp                        *metrics.Counter
 	found, unknown, unasked                      *metrics.Counter // streams that callers continue
 	archiveReads, archiveWrites, archiveFailures *metrics.Counter
 }
@@ -293,8 +302,9 @@
 	}
 	return counters{
 		set: set, shared: set.NewCounter(prefix + "_stream_origins_shared_total"), asked: set.NewCounter(prefix + "_stream_origins_asked_total"),
-		dropped: set.NewCounter(prefix + "_stream_origins_dropped_total"),
-		found:   resolved("record"), unknown: resolved("unknown"), unasked: resolved("single_version"),
+		dropped:  set.NewCounter(prefix + "_stream_origins_dropped_total"),
+		backedUp: set.NewCounter(prefix + "_stream_origins_backed_up_total"), notBackedUp: set.NewCounter(prefix + "_stream_origins_not_backed_up_total"),
+		found: resolved("record"), unknown: resolved("unknown"), unasked: resolved("single_version"),
 		archiveReads: archived("read", "ok"), archiveWrites: archived("write", "ok"), archiveFailures: archived("any", "failed"),
 	}
 }
--- a/services/origin/origin_test.go
+++ b/services/origin/origin_test.go
@@ -25,8 +25,10 @@
 	clock    *clock.Fake
 	gateways map[string]*Service
 	outOf    map[string]bool // gateways without contact to others
+	frozen   map[string]bool // gateways that do nothing, also without contact
 	shared   int             // records sent
 	asks     int             // gateways asked
+	backups  int             // messages to backups
 	targets  *routing.TargetSet
 	confirm  error
 	archive  *fakeArchive
@@ -41,7 +43,7 @@
 // newFleet starts a fleet for the first time.
 func newFleet(t *testing.T, n int, targets ...routing.Target) *fleet {
 	c := clock.NewFake()
-	f := &fleet{t: t, clock: c, gateways: map[string]*Service{}, outOf: map[string]bool{}, targets: routing.NewTargetSet(1, targets...), archive: newFakeArchive(c)}
+	f := &fleet{t: t, clock: c, gateways: map[string]*Service{}, outOf: map[string]bool{}, frozen: map[string]bool{}, targets: routing.NewTargetSet(1, targets...), archive: newFakeArchive(c)}
 	for i := range n {
 		f.launch(fmt.Sprint("g", i), true)
 	}
@@ -82,6 +84,14 @@
 		Clock: f.clock, MetricsPrefix: "test", Sender: uint32(place.Score(id, uint64(f.clock.Now().UnixNano()))), FirstStart: first,
 		InContact: func() bool { return !f.outOf[id] },
 		CutOff:    func() bool { return f.outOf[id] },
+		Backup: func(messages []Backup) {
+			for _, to := range coreorigin.Backups(f.nodes(id), id) {
+				for _, b := range messages {
+					f.backups++
+					f.gateways[to].ReceiveBackup(b)
+				}
+			}
+		},
 		Share: func(records []coreorigin.Record, _ bool) {
 			for _, r := range records {
 				for _, to := range coreorigin.Replicas(f.nodes(id), id, r.Key) {
@@ -105,12 +115,16 @@
 	f.gateways[id].SetTargets(f.targets)
 }
 
-// settle has the gateways use the archive and exchange heartbeats, as they do within a second.
+// settle has the gateways use the archive and exchange heartbeats and backups, as they do within a
+// second.
 func (f *fleet) settle() {
 	watchers := func() (bool, int) { return true, len(f.gateways) }
 	for range 2 {
 		for _, id := range f.ids() {
 			g := f.gateways[id]
+			if !f.frozen[id] {
+				g.stepBackups()
+			}
 			g.checkContact()
 			if g.archiveDue(watchers, 0) {
 				if err := g.syncArchive(f.t.Context(), f.archive); err != nil {
@@ -176,7 +190,8 @@
 	return routing.Target{ID: id, Service: service, Software: software}
 }
 
-// Guards against any cost for services with one version.
+// Guards against records and asks for services with one version, besides a message to two backups for
+// each interval.
 func TestOneVersionCostsNothing(t *testing.T) {
 	f := newFleet(t, 3, target("a", "v1"), target("b", "v1"))
 	for i := range 100 {
@@ -187,6 +202,17 @@
 	if f.shared != 0 || f.asks != 0 {
 		t.Errorf("got %d records sent and %d gateways asked, want none", f.shared, f.asks)
 	}
+	f.gateways["g0"].stepBackups()
+	f.gateways["g0"].stepBackups()
+	if f.backups != 2 {
+		t.Errorf("got %d messages to backups, want one to each of two", f.backups)
+	}
+	for _, id := range f.ids() {
+		f.expect("at a backup", id, "attempt-0", "v1")
+	}
+	if f.asks != 0 {
+		t.Errorf("got %d gateways asked with backups, want none", f.asks)
+	}
 }
 
 // Guards against a guess where the version is not known, and against refusing where it is.
--- a/services/origin/resolve.go
+++ b/services/origin/resolve.go
@@ -81,14 +81,17 @@
 
 func (s *Service) resolve(ctx context.Context, k coreorigin.Key, service string) (Origin, error) {
 	reply := s.Lookup(k)
+	own := reply.Found && reply.Record.Sender == s.opts.Sender
 	if !reply.Found {
 		s.awaitCoverage(ctx, service)
-		if software, ok := s.onlyVersion(service); ok {
+	}
+	if !own {
+		if software, ok := s.onlyVersion(service); ok && (!reply.Found || reply.Record.Software == software) {
 			return Origin{software, FromSingleVersion}, nil
 		}
 	}
 	asked, replied := 0, 0
-	if !reply.Found || reply.Record.Sender != s.opts.Sender {
+	if !own {
 		reply, asked, replied = s.ask(ctx, k, reply)
 	}
 	switch {
