origin: Keep records of streams in the store while versions differ

Cause: records were at the gateways only. Log: "no gateway has a record, 7 of 7 that were asked replied". Change: one keeper of each record writes it to the store, in batches, 40 a second of all keepers at most; a keeper that has just started reads them. Records of a former era of the store are not used. Why it works: a record decides as before; it outlasts the gateways. Without one the stream is refused.

--- a/core/origin/replicas.go
+++ b/core/origin/replicas.go
@@ -31,9 +31,14 @@
 	keeperKey      = "stream origins"
 )
 
+// KeeperCount returns the number of gateways that keep records in a fleet of a size.
+func KeeperCount(members int) int {
+	return min(members, max(allKeep, int(keepersPerRoot*math.Sqrt(float64(members)))))
+}
+
 // Keepers returns the gateways of a fleet that keep records.
 func Keepers(nodes []place.Node) []place.Node {
-	n := max(allKeep, int(keepersPerRoot*math.Sqrt(float64(len(nodes)))))
+	n := KeeperCount(len(nodes))
 	if len(nodes) <= n {
 		return nodes
 	}
--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -107,6 +107,16 @@
 	return n > 1
 }
 
+// AnyMixed reports whether that is so for any service.
+func (v *Versions) AnyMixed(now time.Time, memory time.Duration) bool {
+	for service := range v.services {
+		if v.Mixed(now, service, memory) {
+			return true
+		}
+	}
+	return false
+}
+
 // Only returns the version of all targets of a service, false if there are several or none.
 func (v *Versions) Only(service string) (software string, ok bool) {
 	n := 0
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -187,7 +187,9 @@
 	})
 	g.quarantine.RunArchive(&g.t, quarantine.ArchiveOptions{Archive: platform.NewQuarantineArchive(store), IsReader: g.loop.Watches, FirstStart: s.FirstStart})
 	g.origins.RunBackups(&g.t)
-	g.origins.RunArchive(&g.t, origin.ArchiveOptions{Archive: platform.NewSoftwareArchive(store), Fleet: func() (bool, int) { return g.loop.Watches(), g.loop.Members() }})
+	fleet := func() (bool, int) { return g.loop.Watches(), g.loop.Members() }
+	g.origins.RunArchive(&g.t, origin.ArchiveOptions{Archive: platform.NewSoftwareArchive(store), Fleet: fleet})
+	g.origins.RunRecordStore(&g.t, origin.RecordStoreOptions{Store: platform.NewStreamStore(store, g.follow.StoreTime), Keeps: g.loop.KeepsOrigins, Fleet: fleet})
 	discover.Start(&g.t, log.New("discover").With(s.ID), discover.Options{
 		Self: discover.Entry{ID: s.ID, Address: s.Peers}, Registry: platform.NewGatewayRegistry(store), Peers: g.loop, Clock: g.clock, Era: g.follow.Era,
 		EmptyRegistry: s.FirstStart,
--- a/services/follow/storeera.go
+++ b/services/follow/storeera.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"madderway/core/leaving"
+	"madderway/core/watch"
 	"madderway/models/routing"
 )
 
@@ -38,6 +39,14 @@
 	return s.era
 }
 
+// StoreTime returns the newest known era of the store and its clock, 0 if that is unknown, as of now.
+func (s *Service) StoreTime() (era uint64, at watch.StoreTime, now time.Time) {
+	now = s.opts.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era, s.storeClock.FromLocal(now), now
+}
+
 // advanceEra records the era and reports whether the store was restored since it was last read.
 // The caller holds mu.
 func (s *Service) advanceEra(era uint64, from string) bool {
--- a/services/mesh/layout.go
+++ b/services/mesh/layout.go
@@ -55,6 +55,7 @@
 	}
 	l.layout.SetNodes(nodes)
 	l.originKeepers = coreorigin.Keepers(nodes)
+	l.keeper.Store(slices.ContainsFunc(l.originKeepers, func(n place.Node) bool { return n.ID == l.opts.Self.ID }))
 	l.originBackups = coreorigin.Backups(nodes, l.opts.Self.ID)
 	for key, s := range l.cells {
 		l.updateColdShare(now, key, s)
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -144,6 +144,7 @@
 	memberCount atomic.Int64
 	knownCount  atomic.Int64 // members of any state, including dead ones
 	watcher     atomic.Bool
+	keeper      atomic.Bool // of records of streams
 	registrar   atomic.Bool // whether this gateway keeps its address in the registry
 	busy        atomic.Int64
 	requests    atomic.Uint64
@@ -305,6 +306,9 @@
 // Watches reports whether this gateway is one of those that poll the store for all others.
 func (l *Loop) Watches() bool { return l.watcher.Load() }
 
+// KeepsOrigins reports whether this gateway keeps records of other gateways' streams.
+func (l *Loop) KeepsOrigins() bool { return l.keeper.Load() }
+
 // Busy returns the time spent in the loop.
 func (l *Loop) Busy() time.Duration { return time.Duration(l.busy.Load()) }
 
--- a/services/mesh/origin.go
+++ b/services/mesh/origin.go
@@ -72,9 +72,11 @@
 // stream takes longer than a lazy frame.
 func (l *Loop) shareOrigins(now time.Time, in originsIn) {
 	for _, r := range in.records {
-		for _, id := range coreorigin.Replicas(l.originKeepers, l.opts.Self.ID, r.Key) {
+		for i, id := range coreorigin.Replicas(l.originKeepers, l.opts.Self.ID, r.Key) {
 			f := l.out.Frame(now, id, !in.urgent)
-			f.StreamOrigins = append(f.StreamOrigins, originToWire(now, r))
+			w := originToWire(now, r)
+			w.Store = i == 0
+			f.StreamOrigins = append(f.StreamOrigins, w)
 		}
 	}
 }
@@ -83,10 +85,15 @@
 func (l *Loop) handleOrigins(now time.Time, peer string, f *wire.Frame) {
 	if len(f.StreamOrigins) > 0 {
 		records := make([]coreorigin.Record, len(f.StreamOrigins))
+		var toStore []coreorigin.Record
 		for i, r := range f.StreamOrigins {
 			records[i] = originFromWire(now, r)
+			if r.Store {
+				toStore = append(toStore, records[i])
+			}
 		}
 		l.opts.Origins.Receive(records)
+		l.opts.Origins.Store(toStore)
 	}
 	for _, b := range f.StreamBackups {
 		l.opts.Origins.ReceiveBackup(backupFromWire(now, b))
--- a/services/origin/origin.go
+++ b/services/origin/origin.go
@@ -66,6 +66,7 @@
 	configuration *routing.Configuration
 	archiving     archiving
 	backups       backups
+	storing       storing
 	covered       bool // as of the last log line
 	lastExpiry    time.Time
 	dropped       uint64 // as of the last log line
@@ -77,7 +78,7 @@
 func New(logger log.Logger, o Options) *Service {
 	s := &Service{
 		log: logger, opts: o, started: o.Clock.Now(), targets: routing.NewTargetSet(0), table: coreorigin.NewTable(),
-		lookups: map[coreorigin.Key][]*lookup{}, life: lifetime{current: maxLife}, archiving: archiving{wake: make(chan struct{}, 1)}, backups: newBackups(),
+		lookups: map[coreorigin.Key][]*lookup{}, life: lifetime{current: maxLife}, archiving: archiving{wake: make(chan struct{}, 1)}, backups: newBackups(), storing: storing{loaded: o.FirstStart, keeps: true},
 		covered: o.FirstStart,
 	}
 	s.versions = coreorigin.NewVersions(s.started)
@@ -285,6 +286,7 @@
 	set                                          *metrics.Set
 	shared, asked, dropped                       *metrics.Counter
 	backedUp, notBackedUp                        *metrics.Counter
+	stored, notStored, storeFailures             *metrics.Counter // records, and calls that failed
 	found, unknown, unasked                      *metrics.Counter // streams that callers continue
 	archiveReads, archiveWrites, archiveFailures *metrics.Counter
 }
@@ -304,7 +306,9 @@
 		set: set, shared: set.NewCounter(prefix + "_stream_origins_shared_total"), asked: set.NewCounter(prefix + "_stream_origins_asked_total"),
 		dropped:  set.NewCounter(prefix + "_stream_origins_dropped_total"),
 		backedUp: set.NewCounter(prefix + "_stream_origins_backed_up_total"), notBackedUp: set.NewCounter(prefix + "_stream_origins_not_backed_up_total"),
-		found: resolved("record"), unknown: resolved("unknown"), unasked: resolved("single_version"),
+		stored: set.NewCounter(prefix + "_stream_origins_stored_total"), notStored: set.NewCounter(prefix + "_stream_origins_not_stored_total"),
+		storeFailures: set.NewCounter(prefix + "_stream_origins_store_failures_total"),
+		found:         resolved("record"), unknown: resolved("unknown"), unasked: resolved("single_version"),
 		archiveReads: archived("read", "ok"), archiveWrites: archived("write", "ok"), archiveFailures: archived("any", "failed"),
 	}
 }
--- /dev/null
+++ b/services/origin/recordstore_test.go
@@ -0,0 +1,115 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package origin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	coreorigin "madderway/core/origin"
+)
+
+// Guards against streams that are refused, or continue at another version, after all gateways are lost
+// at once, again and again, while two versions serve or the old one has just gone.
+func TestStreamsContinueAfterLossOfAll(t *testing.T) {
+	const streams = 20
+	a, b := target("a", "v1"), target("b", "v2")
+	for name, atLoss := range map[string]func(f *fleet){
+		"both serve":           func(*fleet) {},
+		"the old one has gone": func(f *fleet) { f.list(b) },
+		"the new one has gone": func(f *fleet) { f.list(a) },
+		"gone while all are away": func(f *fleet) {
+			f.killAll()
+			f.list(b)
+		},
+		"the store does not answer": func(f *fleet) { f.archive.down = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, fleetSize, a)
+			f.listAndSettle(a, b)
+			for i := range streams {
+				f.begin(fmt.Sprint("g", i%fleetSize), attemptOf(i), []string{"a", "b"}[i%2])
+			}
+			f.settle()
+			atLoss(f)
+			for kill := range 3 {
+				f.loseAll()
+				f.archive.down = false
+				f.clock.Advance(loadTime)
+				f.settle()
+				f.expect("a stream that nobody began", "g1", "none", "")
+				for i := range streams {
+					f.expectEverywhere(fmt.Sprint("after loss ", kill+1), attemptOf(i), []string{"v1", "v2"}[i%2])
+				}
+			}
+		})
+	}
+}
+
+// Guards against a guess for streams that began after the last batch, and against stored records of an
+// era that the store has lost.
+func TestUnstoredStreamsAreRefusedAfterLossOfAll(t *testing.T) {
+	a, b := target("a", "v1"), target("b", "v2")
+	f := newFleet(t, fleetSize, a)
+	f.listAndSettle(a, b)
+	f.begin("g0", "stored", "a")
+	f.settle()
+	f.begin("g0", "late", "a")
+	f.loseAll()
+	f.clock.Advance(loadTime)
+	f.expectEverywhere("stored", "stored", "v1")
+	f.expectEverywhere("begun after the last batch", "late", "")
+	f.archive.save()
+	f.killAll()
+	f.archive.restore()
+	f.startAll()
+	f.clock.Advance(loadTime)
+	f.expectEverywhere("the store came back from an older copy", "stored", "")
+}
+
+// Guards against records that stay in the store for ever, and against writes for services with one
+// version.
+func TestStoredRecordsAreDropped(t *testing.T) {
+	a, b := target("a", "v1"), target("b", "v2")
+	f := newFleet(t, fleetSize, a)
+	f.begin("g0", "one version", "a")
+	f.settle()
+	if f.records.writes != 0 {
+		t.Errorf("got %d writes with one version, want none", f.records.writes)
+	}
+	f.listAndSettle(a, b)
+	for i := range 10 {
+		f.begin("g0", attemptOf(i), "b")
+		f.settle()
+		f.clock.Advance(10 * time.Second)
+	}
+	f.kill("g2") // leaves its batches behind
+	f.list(b)
+	f.clock.Advance(maxLife)
+	f.settle()
+	if len(f.records.batches) > 0 && f.records.age() > 2*maxLife {
+		t.Errorf("got a batch of age %v", f.records.age())
+	}
+	f.listAndSettle(a, b)
+	for id, batch := range f.records.batches {
+		for _, r := range batch.records {
+			if f.clock.Now().Sub(r.At) >= coreorigin.MaxMemory {
+				t.Errorf("batch %s is left with a record of age %v", id, f.clock.Now().Sub(r.At))
+			}
+		}
+	}
+}
+
+// Guards against a fleet whose batches take more of the store than 40 writes a second.
+func TestBatchesAreBoundedInLargeFleet(t *testing.T) {
+	for _, members := range []int{3, 9, 58, 320, 985, 1970} {
+		keepers := coreorigin.KeeperCount(members)
+		perSecond := float64(keepers) / writeInterval(members).Seconds()
+		t.Logf("%d gateways: %d keepers write every %v, %.0f batches a second", members, keepers, writeInterval(members), perSecond)
+		if perSecond > maxWritesPerSecond+0.01 {
+			t.Errorf("%d gateways: got %.1f writes a second, want %d at most", members, perSecond, maxWritesPerSecond)
+		}
+	}
+}
--- a/services/origin/resolve.go
+++ b/services/origin/resolve.go
@@ -90,6 +90,10 @@
 			return Origin{software, FromSingleVersion}, nil
 		}
 	}
+	if !reply.Found {
+		s.awaitRecords(ctx, service)
+		reply = s.Lookup(k)
+	}
 	asked, replied := 0, 0
 	if !own {
 		reply, asked, replied = s.ask(ctx, k, reply)
