forward: Take an unframed answer for broken if its target has exited

Cause: endingOf took the end of the connection for the end of the body. The kernel closes the connections of a killed process in order; only a look at the target's port tells. Change: before the end of an unframed body is delivered, the gateway asks whether the target has exited. Why it works: a killed process refuses connections. The probe begins after the end, is waited for, and looks for a connection that is accepted and reset while the process dies.

--- a/modules/netopt/ended.go
+++ b/modules/netopt/ended.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -21,6 +22,9 @@
 	// probeTTL is the time for which other broken responses of the same server reuse the
 	// result: the connections of an exited server break within milliseconds of each other.
 	probeTTL = 100 * time.Millisecond
+	// closingTime is longer than the kernel takes to close all sockets of a killed process, in any
+	// order: the listening one may accept a connection after others were closed.
+	closingTime = 20 * time.Millisecond
 )
 
 // probe is one connection attempt to a server whose response broke off.
@@ -49,7 +53,16 @@
 // connections then, while a server that only lost a connection still accepts them. known is
 // false if the context ended first. Call it only after a failed response.
 func (e *ExitDetector) Exited(ctx context.Context, id, address string) (exited, known bool) {
-	p := e.probeFor(id, address)
+	return e.wait(ctx, e.probeFor(id, address, true))
+}
+
+// ExitedNow is Exited for a response that may have been complete: a probe that found the server alive
+// before the response ended does not tell.
+func (e *ExitDetector) ExitedNow(ctx context.Context, id, address string) (exited, known bool) {
+	return e.wait(ctx, e.probeFor(id, address, false))
+}
+
+func (e *ExitDetector) wait(ctx context.Context, p *probe) (exited, known bool) {
 	select {
 	case <-p.done:
 		return p.exited, true
@@ -58,12 +71,13 @@
 	}
 }
 
-// probeFor returns the current probe of a server, or starts one.
-func (e *ExitDetector) probeFor(id, address string) *probe {
+// probeFor returns the current probe of a server, or starts one. Without shareAlive only a probe that
+// found an exit is shared.
+func (e *ExitDetector) probeFor(id, address string, shareAlive bool) *probe {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
-	if p := e.probes[id]; p != nil && p.fresh(now) {
+	if p := e.probes[id]; p != nil && p.fresh(now) && (shareAlive || p.foundExit()) {
 		return p
 	}
 	for other, p := range e.probes {
@@ -73,20 +87,35 @@
 	}
 	p := &probe{done: make(chan struct{})}
 	e.probes[id] = p
-	go e.connect(p, address)
+	go e.connect(p, address, !shareAlive)
 	return p
 }
 
-func (e *ExitDetector) connect(p *probe, address string) {
+func (e *ExitDetector) connect(p *probe, address string, justEnded bool) {
 	defer close(p.done)
-	conn, err := e.dialer.Dial("tcp4", address)
-	if err == nil {
-		_ = conn.Close()
+	var closedEarly bool
+	p.exited, closedEarly = e.dial(address, justEnded)
+	if closedEarly {
+		p.exited, _ = e.dial(address, false)
 	}
-	p.exited = errors.Is(err, syscall.ECONNREFUSED)
 	p.doneAt = e.clock.Now()
 }
 
+// dial connects to a server and reports whether its port refused that. With watch set it also reports
+// whether the server closed the connection within closingTime.
+func (e *ExitDetector) dial(address string, watch bool) (refused, closedEarly bool) {
+	conn, err := e.dialer.Dial("tcp4", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED), watch && errors.Is(err, syscall.ECONNRESET)
+	}
+	defer conn.Close()
+	if !watch || conn.SetReadDeadline(time.Now().Add(closingTime)) != nil {
+		return false, false
+	}
+	_, err = conn.Read(make([]byte, 1))
+	return false, errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // fresh reports whether the probe is running or its result is still usable.
 func (p *probe) fresh(now time.Time) bool {
 	select {
@@ -96,3 +125,13 @@
 		return true
 	}
 }
+
+// foundExit reports whether the probe has ended and found that the server has exited.
+func (p *probe) foundExit() bool {
+	select {
+	case <-p.done:
+		return p.exited
+	default:
+		return false
+	}
+}
--- a/modules/netopt/ended_test.go
+++ b/modules/netopt/ended_test.go
@@ -30,3 +30,43 @@
 		t.Error("canceled context: got a result of an unfinished probe")
 	}
 }
+
+// Guards against a server that is taken for alive, as it was before its response ended.
+func TestEarlierProbeDoesNotShowLife(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, address := NewExitDetector(), l.Addr().String()
+	if exited, known := e.ExitedNow(context.Background(), "w", address); exited || !known {
+		t.Errorf("running server: got exited %t, known %t; want false, true", exited, known)
+	}
+	_ = l.Close()
+	if exited, known := e.ExitedNow(context.Background(), "w", address); !exited || !known {
+		t.Errorf("right after its exit: got exited %t, known %t; want true, true", exited, known)
+	}
+	if exited, _ := e.Exited(context.Background(), "w", address); !exited {
+		t.Error("a probe that found the exit is not shared")
+	}
+}
+
+// Guards against a server that is taken for alive, as its listening socket is the last one to be closed.
+func TestConnectionOfDyingServerDoesNotShowLife(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dying := make(chan struct{})
+	go func() {
+		defer close(dying)
+		conn, err := l.Accept()
+		_ = l.Close()
+		if err == nil {
+			_ = conn.Close()
+		}
+	}()
+	if exited, known := NewExitDetector().ExitedNow(context.Background(), "w", l.Addr().String()); !exited || !known {
+		t.Errorf("got exited %t, known %t; want true, true", exited, known)
+	}
+	<-dying
+}
--- a/services/forward/ending.go
+++ b/services/forward/ending.go
@@ -4,6 +4,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"madderway/models/routing"
 	"madderway/services/upstream"
 )
 
@@ -24,6 +26,7 @@
 	endedWhole       ending = "whole"
 	endedInsideEvent ending = "inside_event" // without an error, but in the middle of an event
 	endedEmpty       ending = "empty"        // with its connection, before the first event
+	endedByExit      ending = "exit"         // with its connection, as the target had exited
 	endedShort       ending = "short"        // before the announced length or the last chunk
 	endedByReset     ending = "reset"
 	endedByTimeout   ending = "timeout"
@@ -50,6 +53,22 @@
 	}
 }
 
+// endedWithTarget reports whether a body that ended with its connection may be incomplete, since the
+// target has exited without an announcement: the kernel closes the connections of a process that is
+// killed in order, between two events too. A leaving target may exit once its answers are whole.
+func (j *job) endedWithTarget(a *upstream.Answer, t *routing.Target) bool {
+	if a.Framing != upstream.FramedByClose || a.Info.Leaving {
+		return false
+	}
+	if listed := j.s.opts.Targets.Targets().Find(t.ID); listed == nil || !listed.AcceptsWork() {
+		return false
+	}
+	began := j.s.opts.Clock.Now()
+	exited, _ := j.s.opts.Client.HasExitedNow(context.WithoutCancel(j.ctx), t)
+	j.s.log.Request("Unframed answer ended with its connection.", "id", j.r.Call.ID, "target", t.ID, "exited", exited, "check_took", j.s.opts.Clock.Now().Sub(began))
+	return exited
+}
+
 // recordEnding notes how the body of a target's answer ended, for the log, and counts it.
 func (j *job) recordEnding(a *upstream.Answer, e ending) {
 	j.framing, j.ending = a.Framing.String(), e
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -179,6 +179,9 @@
 		j.brokeOff, j.reason = true, "answer broke off: "+err.Error()
 		return j.ended(p, attempt.Unknown)
 	}
+	if len(body) <= maxBufferedResponse && j.endedWithTarget(a, p.target()) {
+		return j.brokeOffByExit(p, a, attempt.Unknown)
+	}
 	if len(body) > maxBufferedResponse && !j.endFirstPart(slowTimer) {
 		return j.ended(p, attempt.Unknown)
 	}
@@ -199,6 +202,9 @@
 
 func (j *job) copyRest(p placement, a *upstream.Answer) attempt.Outcome {
 	_, err := io.Copy(j.w, a.Body)
+	if err == nil && j.endedWithTarget(a, p.target()) {
+		return j.brokeOffByExit(p, a, attempt.Cut)
+	}
 	j.recordEnding(a, endingOf(err))
 	if err != nil {
 		j.brokeOff, j.reason = true, "answer broke off: "+err.Error()
@@ -208,6 +214,13 @@
 	return 0
 }
 
+// brokeOffByExit ends an attempt whose answer ended with a target that has exited.
+func (j *job) brokeOffByExit(p placement, a *upstream.Answer, o attempt.Outcome) attempt.Outcome {
+	j.recordEnding(a, endedByExit)
+	j.brokeOff, j.reason = true, "answer broke off: ended "+string(endedByExit)
+	return j.ended(p, o)
+}
+
 // writeHead forwards the status and the header of a response.
 func (j *job) writeHead(a *upstream.Answer) {
 	upstream.RemoveHopByHop(a.Header)
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -182,6 +182,9 @@
 // endStream handles the end of a body that was read until err. A body that ends without an error is
 // not always complete.
 func (j *job) endStream(p placement, a *upstream.Answer, flusher *http.ResponseController, e ending, err error) attempt.Outcome {
+	if e == endedWhole && j.endedWithTarget(a, p.target()) {
+		e = endedByExit
+	}
 	j.recordEnding(a, e)
 	switch {
 	case e == endedWhole:
--- a/services/upstream/exchange.go
+++ b/services/upstream/exchange.go
@@ -142,6 +142,11 @@
 	return c.exits.Exited(ctx, t.ID, t.Address)
 }
 
+// HasExitedNow is HasExited for an answer that may be complete and has just ended.
+func (c *Client) HasExitedNow(ctx context.Context, t *routing.Target) (exited, known bool) {
+	return c.exits.ExitedNow(ctx, t.ID, t.Address)
+}
+
 // encodeHead encodes the request line and the header without hop-by-hop fields.
 func (c *Client) encodeHead(r *Request) *bytes.Buffer {
 	h := r.Header.Clone()
