entry: Tell former schedulers when requests begin and end

Cause: a gateway that turned to another scheduler reported the progress of its requests to that one only. The first one kept them as running and their targets as silent. Change: all schedulers that count a request as running learn of its begin and end. One that was replaced gets inventories once it is heard again. Why it works: what a scheduler counts is what it was told, and now each such message has its counterpart; the inventory repairs those that a frozen gateway has lost.

--- a/core/entry/machine.go
+++ b/core/entry/machine.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"madderway/core/cell"
@@ -40,6 +41,15 @@
 type running struct {
 	held cell.Held
 	cell cell.Key
+	// toldTo are the schedulers that count the request as running: the one that placed it, and those
+	// that have got an inventory with it. All learn when it begins and ends.
+	toldTo []string
+}
+
+func (r *running) addScheduler(id string) {
+	if !slices.Contains(r.toldTo, id) {
+		r.toldTo = append(r.toldTo, id)
+	}
 }
 
 // schedulerState tracks the scheduler in use for a cell and the inventories sent to it.
@@ -56,6 +66,7 @@
 	pending       map[cell.RequestID]*pending
 	running       map[cell.RequestID]*running
 	schedulers    map[cell.Key]*schedulerState
+	former        map[schedulerOfCell]*formerState
 	suspects      map[string]*suspectBackoff
 	full          map[cell.Key]time.Time // last refusal of a moved request
 	lag           time.Duration          // sum of the delays of all ticks
@@ -68,7 +79,7 @@
 func New(self string) *Machine {
 	return &Machine{
 		self: self, layout: &cell.Layout{}, pending: map[cell.RequestID]*pending{}, running: map[cell.RequestID]*running{},
-		schedulers: map[cell.Key]*schedulerState{}, suspects: map[string]*suspectBackoff{}, full: map[cell.Key]time.Time{},
+		schedulers: map[cell.Key]*schedulerState{}, former: map[schedulerOfCell]*formerState{}, suspects: map[string]*suspectBackoff{}, full: map[cell.Key]time.Time{},
 	}
 }
 
@@ -99,8 +110,9 @@
 		m.settledAt = e.Until
 	case PeerHeard:
 		delete(m.suspects, e.ID)
+		m.formerHeard(e.ID)
 	case PeerEnded:
-		m.schedulerEnded(e.ID)
+		m.schedulerEnded(now, e.ID)
 	case LinkStateSeen:
 		m.linkSaturated = e.Saturated
 	case Tick:
@@ -206,6 +218,8 @@
 	if s.scheduler == scheduler {
 		return
 	}
+	m.addFormer(now, key, s.scheduler)
+	delete(m.former, schedulerOfCell{key, scheduler})
 	s.scheduler, s.inventoryAt, s.emptyInventories = scheduler, now, 0
 	m.sendInventory(key, s)
 }
@@ -215,6 +229,7 @@
 	for _, r := range m.running {
 		if r.cell == key {
 			out.Held = append(out.Held, r.held)
+			r.addScheduler(s.scheduler)
 		}
 	}
 	if len(out.Held) > 0 {
@@ -235,7 +250,7 @@
 	}
 	delete(m.pending, e.ID)
 	m.running[e.ID] = &running{
-		held: cell.Held{ID: e.ID, Account: p.ask.Account, Target: e.Target, Prompt: p.ask.Prompt}, cell: p.cell,
+		held: cell.Held{ID: e.ID, Account: p.ask.Account, Target: e.Target, Prompt: p.ask.Prompt}, cell: p.cell, toldTo: []string{e.From},
 	}
 	m.emit(Start{e.ID, e.Target, e.Source, e.From, now.Sub(p.arrived)})
 }
@@ -303,7 +318,7 @@
 		return
 	}
 	r.held.Begun = true
-	m.emit(ProgressOut{To: m.schedulerOf(r.cell), Cell: r.cell, ID: id, Step: StepBegan})
+	m.report(r, ProgressOut{Cell: r.cell, ID: id, Step: StepBegan})
 }
 
 func (m *Machine) ended(e Ended) {
@@ -312,20 +327,23 @@
 		return
 	}
 	delete(m.running, e.ID)
-	m.emit(ProgressOut{To: m.schedulerOf(r.cell), Cell: r.cell, ID: e.ID, Step: StepEnded, Outcome: e.Outcome})
+	m.report(r, ProgressOut{Cell: r.cell, ID: e.ID, Step: StepEnded, Outcome: e.Outcome})
 }
 
-func (m *Machine) schedulerOf(key cell.Key) string {
-	if s := m.schedulers[key]; s != nil {
-		return s.scheduler
+// report tells the progress of a request to all schedulers that count it as running. One that is no
+// longer asked would otherwise keep it, and place nothing at its target.
+func (m *Machine) report(r *running, p ProgressOut) {
+	for _, id := range r.toldTo {
+		p.To = id
+		m.emit(p)
 	}
-	return m.self
 }
 
 // schedulerEnded makes the next ask send an inventory, as a restarted scheduler has no state.
-func (m *Machine) schedulerEnded(id string) {
-	for _, s := range m.schedulers {
+func (m *Machine) schedulerEnded(now time.Time, id string) {
+	for key, s := range m.schedulers {
 		if s.scheduler == id {
+			m.addFormer(now, key, id)
 			s.scheduler = ""
 		}
 	}
@@ -356,6 +374,7 @@
 			m.sendInventory(key, s)
 		}
 	}
+	m.tickFormer(now)
 }
 
 func (m *Machine) runsIn(key cell.Key) bool {
