quarantine: Count deaths of copies of one request within a mass death

Cause: of deaths within 300 ms only two counted, whatever request the targets had. Change: a further one counts against a request that was at the first two as well. Test: TestCopiesOfOneRequestAreNoMassDeath, which fails without the change (t3 and t4 do not count).

--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -17,7 +17,7 @@
 	maxNameLen = 200
 	// If massDeaths or more targets die within massWindow, the cause is not a request but,
 	// say, the loss of a data hall or a network partition. Only the first massDeaths-1 of
-	// these deaths count.
+	// these deaths count, and the others under a request that was at those as well.
 	massDeaths = 3
 	massWindow = 300 * time.Millisecond
 	// trialRetryAfter is the delay after which a caller may retry a request whose trial is
@@ -73,14 +73,14 @@
 
 // TargetDied records that a target died while it served a request sent at the given time. It
 // returns the record if the death counts against the request. It does not count if the target
-// had died before, or died together with many others.
+// had died before, or died together with many others, unless the request was at those that died first.
 func (t *Table) TargetDied(now time.Time, id Identity, target string, sent time.Time) (Record, bool) {
 	d, seen := t.targetDeaths[target]
 	if !seen || now.Sub(d.at) >= minLifetime && sent.After(d.at) {
 		d = targetDeath{at: now, isolated: t.recentDeaths(now) < massDeaths-1}
 		t.targetDeaths[target] = d
 	}
-	if !d.isolated || sent.After(d.at) {
+	if sent.After(d.at) || !d.isolated && !t.isCommon(id.Fingerprint(), d.at) {
 		return Record{}, false
 	}
 	r := t.record(id.Fingerprint(), id.Outline(), id.Account)
@@ -88,6 +88,23 @@
 	return r.clone(), true
 }
 
+// isCommon reports whether a request was at the first of the targets that died together. Then the
+// request is their common cause: the loss of a data hall seldom takes several targets with copies of
+// one request.
+func (t *Table) isCommon(f Fingerprint, at time.Time) bool {
+	r := t.records[f]
+	if r == nil {
+		return false
+	}
+	n := 0
+	for _, d := range r.Deaths {
+		if !d.Forgiven && at.Sub(d.At).Abs() < massWindow {
+			n++
+		}
+	}
+	return n >= massDeaths-1
+}
+
 // recentDeaths returns the number of targets that died within massWindow, and deletes the
 // entries older than retention.
 func (t *Table) recentDeaths(now time.Time) int {
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -102,6 +102,30 @@
 	}
 }
 
+// Guards against a request that crashes several targets at once and is taken for their neighbor in a lost
+// data hall, so that it is sent again.
+func TestCopiesOfOneRequestAreNoMassDeath(t *testing.T) {
+	table, id := quarantine.New(), request(1)
+	for i, target := range []string{"t1", "t2", "t3", "t4"} {
+		at := start.Add(time.Duration(i) * time.Millisecond)
+		if _, counted := table.TargetDied(at, id, target, start.Add(-time.Second)); !counted {
+			t.Errorf("the death of %s does not count", target)
+		}
+	}
+	if got, _ := table.Standing(start.Add(time.Second), id.Fingerprint()); got != quarantine.Quarantined {
+		t.Errorf("got %v after four deaths under one request, want quarantined", got)
+	}
+	// A request with two earlier deaths at a data hall that is lost.
+	table, id = quarantine.New(), request(2)
+	now := killTargets(table, id, "t1", "t2").Add(time.Minute)
+	for i := range 10 {
+		table.TargetDied(now, request(10+i), fmt.Sprint("hall", i), now.Add(-time.Second))
+	}
+	if _, counted := table.TargetDied(now, id, "hall9", now.Add(-time.Second)); counted {
+		t.Error("the loss of a data hall counts against a request that is on trial")
+	}
+}
+
 // Guards against ignoring the death of a restarted worker that kept its target ID.
 func TestRestartedTargetCountsAgain(t *testing.T) {
 	table, id := quarantine.New(), request(1)
