origin: Fit a full batch of records into a row of the store

Operators would see: batches of a large fleet are refused by the store for their size and tried again for ever, so that streams are lost with all gateways. Cause: found on the read-through. Records of one target and sender were to share the sender's clock, but transit times differ by milliseconds, so that each record had a group of its own. Change: targets are kept once, sender and time of sending with each record.

--- a/core/origin/pack.go
+++ b/core/origin/pack.go
@@ -5,27 +5,25 @@
 
 import "time"
 
-// Packed holds records compactly, for messages and rows: what many records have in common is kept
-// once, and times relative to the earliest record.
+// Packed holds records compactly, for messages and rows: targets are kept once, and times relative to
+// the earliest record.
 type Packed struct {
 	First   time.Time // when the earliest record was made, on the local clock
 	Groups  []Group
 	Streams []PackedStream
 }
 
-// Group is what records of one target and one sender have in common.
-type Group struct {
-	Target, Software string
-	Sender           uint32
-	SentAt           int64 // Unix milliseconds on the sender's clock at the time of First
-}
+// Group is what records of one target have in common.
+type Group struct{ Target, Software string }
 
 // PackedStream is the rest of a record.
 type PackedStream struct {
-	Key   Key
-	Group uint32 // index of Groups
-	Try   uint32
-	After uint32 // milliseconds since First
+	Key    Key
+	Group  uint32 // index of Groups
+	Sender uint32
+	Try    uint32
+	SentAt int64  // Unix milliseconds on the sender's clock
+	After  uint32 // milliseconds since First
 }
 
 // Pack packs records.
@@ -39,15 +37,14 @@
 	}
 	indexes := map[Group]uint32{}
 	for _, r := range records {
-		after := r.At.Sub(p.First).Milliseconds()
-		g := Group{r.Target, r.Software, r.Sender, r.SentAt - after}
+		g := Group{r.Target, r.Software}
 		i, known := indexes[g]
 		if !known {
 			i = uint32(len(p.Groups))
 			indexes[g] = i
 			p.Groups = append(p.Groups, g)
 		}
-		p.Streams = append(p.Streams, PackedStream{Key: r.Key, Group: i, Try: r.Try, After: uint32(after)})
+		p.Streams = append(p.Streams, PackedStream{Key: r.Key, Group: i, Sender: r.Sender, Try: r.Try, SentAt: r.SentAt, After: uint32(r.At.Sub(p.First).Milliseconds())})
 	}
 	return p
 }
@@ -59,9 +56,9 @@
 		if int(s.Group) >= len(p.Groups) {
 			continue
 		}
-		g, after := p.Groups[s.Group], time.Duration(s.After)*time.Millisecond
+		g := p.Groups[s.Group]
 		records = append(records, Record{
-			Key: s.Key, Target: g.Target, Software: g.Software, Sender: g.Sender, Try: s.Try, SentAt: g.SentAt + after.Milliseconds(), At: p.First.Add(after),
+			Key: s.Key, Target: g.Target, Software: g.Software, Sender: s.Sender, Try: s.Try, SentAt: s.SentAt, At: p.First.Add(time.Duration(s.After) * time.Millisecond),
 		})
 	}
 	return records
--- a/services/mesh/backup.go
+++ b/services/mesh/backup.go
@@ -18,7 +18,8 @@
 		return w
 	}
 	p := coreorigin.Pack(b.Records)
-	w.SentMs, w.AgeMs = p.Groups[0].SentAt, uint32(max(now.Sub(p.First), 0).Milliseconds())
+	first := p.Streams[0]
+	w.SentMs, w.AgeMs = first.SentAt-int64(first.After), uint32(max(now.Sub(p.First), 0).Milliseconds())
 	for _, g := range p.Groups {
 		w.Targets = append(w.Targets, &wire.StreamTarget{Target: g.Target, Software: g.Software})
 	}
@@ -35,11 +36,13 @@
 func backupFromWire(now time.Time, w *wire.StreamBackup) origin.Backup {
 	p := coreorigin.Packed{First: now.Add(-time.Duration(w.GetAgeMs()) * time.Millisecond)}
 	for _, t := range w.GetTargets() {
-		p.Groups = append(p.Groups, coreorigin.Group{Target: t.GetTarget(), Software: t.GetSoftware(), Sender: w.GetSender(), SentAt: w.GetSentMs()})
+		p.Groups = append(p.Groups, coreorigin.Group{Target: t.GetTarget(), Software: t.GetSoftware()})
 	}
 	n := min(len(w.GetStreams()), len(w.GetTarget()), len(w.GetTry()), len(w.GetAfterMs()))
 	for i := range n {
-		p.Streams = append(p.Streams, coreorigin.PackedStream{Key: coreorigin.Key(w.Streams[i]), Group: w.Target[i], Try: w.Try[i], After: w.AfterMs[i]})
+		p.Streams = append(p.Streams, coreorigin.PackedStream{
+			Key: coreorigin.Key(w.Streams[i]), Group: w.Target[i], Sender: w.GetSender(), Try: w.Try[i], SentAt: w.GetSentMs() + int64(w.AfterMs[i]), After: w.AfterMs[i],
+		})
 	}
 	return origin.Backup{Service: w.GetService(), Sender: w.GetSender(), Shared: w.GetShared(), Records: p.Unpack()}
 }
