netopt: Share no probe for an answer that may be complete

Callers saw: a whole answer without length and chunks is cut, since its target had crashed and was back within 100 ms before. A probe that had found the earlier exit was used again. Change: such an answer gets a probe of its own. Test: TestEarlierProbeDoesNotTell has the restart; the mutation that shares a probe is killed.

--- a/modules/netopt/ended.go
+++ b/modules/netopt/ended.go
@@ -53,16 +53,18 @@
 // connections then, while a server that only lost a connection still accepts them. known is
 // false if the context ended first. Call it only after a failed response.
 func (e *ExitDetector) Exited(ctx context.Context, id, address string) (exited, known bool) {
-	return e.wait(ctx, e.probeFor(id, address, true))
+	return e.probeFor(id, address).wait(ctx)
 }
 
-// ExitedNow is Exited for a response that may have been complete: a probe that found the server alive
-// before the response ended does not tell.
-func (e *ExitDetector) ExitedNow(ctx context.Context, id, address string) (exited, known bool) {
-	return e.wait(ctx, e.probeFor(id, address, false))
+// ExitedNow is Exited for a response that may have been complete. Earlier probes do not tell: the server
+// may have exited or been started again since.
+func (e *ExitDetector) ExitedNow(ctx context.Context, address string) (exited, known bool) {
+	p := &probe{done: make(chan struct{})}
+	go e.connect(p, address, true)
+	return p.wait(ctx)
 }
 
-func (e *ExitDetector) wait(ctx context.Context, p *probe) (exited, known bool) {
+func (p *probe) wait(ctx context.Context) (exited, known bool) {
 	select {
 	case <-p.done:
 		return p.exited, true
@@ -71,13 +73,12 @@
 	}
 }
 
-// probeFor returns the current probe of a server, or starts one. Without shareAlive only a probe that
-// found an exit is shared.
-func (e *ExitDetector) probeFor(id, address string, shareAlive bool) *probe {
+// probeFor returns the current probe of a server, or starts one.
+func (e *ExitDetector) probeFor(id, address string) *probe {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
-	if p := e.probes[id]; p != nil && p.fresh(now) && (shareAlive || p.foundExit()) {
+	if p := e.probes[id]; p != nil && p.fresh(now) {
 		return p
 	}
 	for other, p := range e.probes {
@@ -87,7 +88,7 @@
 	}
 	p := &probe{done: make(chan struct{})}
 	e.probes[id] = p
-	go e.connect(p, address, !shareAlive)
+	go e.connect(p, address, false)
 	return p
 }
 
@@ -125,13 +126,3 @@
 		return true
 	}
 }
-
-// foundExit reports whether the probe has ended and found that the server has exited.
-func (p *probe) foundExit() bool {
-	select {
-	case <-p.done:
-		return p.exited
-	default:
-		return false
-	}
-}
--- a/modules/netopt/ended_test.go
+++ b/modules/netopt/ended_test.go
@@ -31,23 +31,31 @@
 	}
 }
 
-// Guards against a server that is taken for alive, as it was before its response ended.
-func TestEarlierProbeDoesNotShowLife(t *testing.T) {
+// Guards against a server that is taken for alive, as it was before its response ended, and against one
+// that is taken for gone, as it was before it was started again.
+func TestEarlierProbeDoesNotTell(t *testing.T) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	e, address := NewExitDetector(), l.Addr().String()
-	if exited, known := e.ExitedNow(context.Background(), "w", address); exited || !known {
-		t.Errorf("running server: got exited %t, known %t; want false, true", exited, known)
+	expect := func(what string, want bool) {
+		t.Helper()
+		if exited, known := e.ExitedNow(context.Background(), address); exited != want || !known {
+			t.Errorf("%s: got exited %t, known %t; want %t, true", what, exited, known, want)
+		}
 	}
+	expect("running server", false)
+	_, _ = e.Exited(context.Background(), "w", address)
 	_ = l.Close()
-	if exited, known := e.ExitedNow(context.Background(), "w", address); !exited || !known {
-		t.Errorf("right after its exit: got exited %t, known %t; want true, true", exited, known)
-	}
-	if exited, _ := e.Exited(context.Background(), "w", address); !exited {
-		t.Error("a probe that found the exit is not shared")
+	expect("right after its exit", true)
+	_, _ = e.Exited(context.Background(), "w", address)
+	again, err := net.Listen("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
 	}
+	defer again.Close()
+	expect("right after its restart", false)
 }
 
 // Guards against a server that is taken for alive, as its listening socket is the last one to be closed.
@@ -65,7 +73,7 @@
 			_ = conn.Close()
 		}
 	}()
-	if exited, known := NewExitDetector().ExitedNow(context.Background(), "w", l.Addr().String()); !exited || !known {
+	if exited, known := NewExitDetector().ExitedNow(context.Background(), l.Addr().String()); !exited || !known {
 		t.Errorf("got exited %t, known %t; want true, true", exited, known)
 	}
 	<-dying
--- a/services/upstream/exchange.go
+++ b/services/upstream/exchange.go
@@ -144,7 +144,7 @@
 
 // HasExitedNow is HasExited for an answer that may be complete and has just ended.
 func (c *Client) HasExitedNow(ctx context.Context, t *routing.Target) (exited, known bool) {
-	return c.exits.ExitedNow(ctx, t.ID, t.Address)
+	return c.exits.ExitedNow(ctx, t.Address)
 }
 
 // encodeHead encodes the request line and the header without hop-by-hop fields.
