watch: Hold no missing targets after a silence of this gateway alone

Cause: a flooded gateway misses the news, reads the list 3.1 s later and holds the workers that are missing in it for 1.5 s, since entries may have expired in an outage. The log says held=4; peers announced newer lists all the while. Change: the times at which peers' copies were complete are kept. If peers have followed the store for two seconds, a silence is the gateway's own and nothing is held. Why it works: entries expire only if their owners cannot write, and are back two seconds after that. Test: TestOwnSilenceIsNoOutage (own silence, outages, a restored store).

--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -59,6 +59,9 @@
 	freshAt       time.Time // latest time at which the local copy was complete
 	polledAt      time.Time
 	settlingSince time.Time // end of the last long silence
+	restoredAt    time.Time // when the store was restored from an older copy
+	// Since when, and until when at least, copies of peers were complete without a long silence.
+	peersFreshSince, peersFreshAt time.Time
 	firstPollAt   time.Time // earliest time of a poll without a copy in a small fleet
 	gap           bool      // the local copy may miss changes
 }
@@ -189,18 +192,41 @@
 
 // MarkUnsettled records that the store was restored from an older copy: entries may be missing
 // until their owners have written them again.
-func (w *Watch) MarkUnsettled(now time.Time) { w.settlingSince = now }
+func (w *Watch) MarkUnsettled(now time.Time) { w.restoredAt = now }
+
+// ObservePeerCopy records that a peer's copy was complete at a time, whether the local one includes
+// it or not.
+func (w *Watch) ObservePeerCopy(at time.Time) {
+	if at.Sub(w.peersFreshAt) > longSilence {
+		w.peersFreshSince = at
+	}
+	if at.After(w.peersFreshAt) {
+		w.peersFreshAt = at
+	}
+}
+
+// peersSettled reports whether peers have followed the store for long enough, so that a silence is
+// this gateway's own and no entries have expired in it.
+func (w *Watch) peersSettled(now time.Time) bool {
+	return now.Sub(w.peersFreshAt) <= longSilence && now.Sub(w.peersFreshSince) >= settleTime
+}
 
 // FreshAt returns the latest time at which the local copy was complete.
 func (w *Watch) FreshAt() time.Time { return w.freshAt }
 
-// Unsettled reports whether a long silence lasts or has just ended, so that missing entries may
-// merely have expired.
+// Unsettled reports whether a long silence of the store lasts or has just ended, so that missing
+// entries may merely have expired.
 func (w *Watch) Unsettled(now time.Time) bool {
-	if w.freshAt.IsZero() {
+	switch {
+	case w.freshAt.IsZero():
 		return false
+	case now.Sub(w.restoredAt) < settleTime:
+		return true
+	case w.peersSettled(now):
+		return false
+	default:
+		return now.Sub(w.freshAt) > longSilence || now.Sub(w.settlingSince) < settleTime
 	}
-	return now.Sub(w.freshAt) > longSilence || !w.settlingSince.IsZero() && now.Sub(w.settlingSince) < settleTime
 }
 
 // FreshSince reports whether the local copy was complete at some time after t.
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -265,3 +265,45 @@
 		t.Error("not unsettled for exactly settleTime after the end of the silence")
 	}
 }
+
+// Guards against targets that are held although they have left: this gateway alone was silent, while its
+// peers followed the store. A silence of all, and a restored store, still make entries uncertain.
+func TestOwnSilenceIsNoOutage(t *testing.T) {
+	const step = 400 * time.Millisecond
+	begin := time.Unix(1_700_000_000, 0)
+	for name, c := range map[string]struct {
+		peersFreshUntil, peersFreshAgain time.Duration // since the own copy was complete
+		restored                         bool
+		want                             bool
+	}{
+		"own silence":                         {10 * time.Second, 0, false, false},
+		"outage":                              {0, time.Hour, false, true},
+		"outage that has just ended":          {0, 5*time.Second - step, false, true},
+		"outage that is over for long":        {0, 2 * time.Second, false, false},
+		"own silence, then an outage":         {time.Second, time.Hour, false, true},
+		"own silence, and the store is older": {10 * time.Second, 0, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := New(0)
+			w.PollSucceeded(begin)
+			copied := begin
+			for at := step; at <= 5*time.Second; at += step {
+				if at <= c.peersFreshUntil || at >= c.peersFreshAgain {
+					copied = begin.Add(at)
+				}
+				w.ObservePeerCopy(copied)
+			}
+			now := begin.Add(5 * time.Second)
+			if c.restored {
+				w.MarkUnsettled(now)
+			}
+			if got := w.Unsettled(now); got != c.want {
+				t.Errorf("before the read: got unsettled %v, want %v", got, c.want)
+			}
+			w.PollSucceeded(now)
+			if got := w.Unsettled(now); got != c.want {
+				t.Errorf("right after it: got unsettled %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/services/follow/peers.go
+++ b/services/follow/peers.go
@@ -99,8 +99,12 @@
 	if sameEra && hasOperator && v.Configuration > 0 {
 		s.watchConfiguration.ObservePeerAge(now, s.localAge(now, v.ConfigurationAsOf, v.ConfigurationAge))
 	}
-	if sameEra && v.Targets <= mine.Targets {
-		s.watchTargets.ObservePeerAge(now, s.localAge(now, v.TargetsAsOf, v.TargetsAge))
+	if sameEra && v.Targets > 0 {
+		age := s.localAge(now, v.TargetsAsOf, v.TargetsAge)
+		s.watchTargets.ObservePeerCopy(now.Add(-age))
+		if v.Targets <= mine.Targets {
+			s.watchTargets.ObservePeerAge(now, age)
+		}
 	}
 	hasLeaving := v.Leaving == 0 || v.Leaving == mine.Leaving
 	return hasOperator && hasLeaving && v.Targets <= mine.Targets
