--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -62,8 +62,8 @@
 	restoredAt    time.Time // when the store was restored from an older copy
 	// Since when, and until when at least, copies of peers were complete without a long silence.
 	peersFreshSince, peersFreshAt time.Time
-	firstPollAt   time.Time // earliest time of a poll without a copy in a small fleet
-	gap           bool      // the local copy may miss changes
+	firstPollAt                   time.Time // earliest time of a poll without a copy in a small fleet
+	gap                           bool      // the local copy may miss changes
 }
 
 // New returns a watch. jitter, between 0 and 1, spreads the polls of different gateways.
