--- a/core/cell/sim_test.go
+++ b/core/cell/sim_test.go
@@ -151,6 +151,7 @@
 	onWaited  func(ask simAsk, waited time.Duration) // before a placement or refusal
 	onRefused func(a Refuse)                         // nil if refused callers give up
 	deadline  time.Duration                          // of callers, from their first attempt; 0 if unknown
+	frozen    time.Time                              // until then the scheduler handles no events
 }
 
 type simAsk struct {
@@ -192,6 +193,10 @@
 }
 
 func (s *sim) step(ev Event) {
+	if s.now.Before(s.frozen) {
+		s.at(s.frozen.Sub(s.now), func() { s.step(ev) })
+		return
+	}
 	s.steps++
 	for _, a := range s.cell.Step(s.now, ev) {
 		switch a := a.(type) {
--- /dev/null
+++ b/core/cell/start_test.go
@@ -0,0 +1,135 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package cell
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"madderway/core/batch"
+	"madderway/models/routing"
+)
+
+// Time from the last input that a scheduler needs until it must place requests again.
+const startBound = 2 * time.Second
+
+// Guards against a scheduler that was asked before it had a list of targets and then places nothing
+// at them.
+func TestSchedulerAskedBeforeItsListPlacesRequests(t *testing.T) {
+	for _, rules := range []Rules{{}, {Forecast: true, Returns: true, Room: true, Handover: true, Pace: true}} {
+		s := newSim(9, 45_000, 570_000)
+		s.rules, s.cell = rules, New()
+		s.step(TargetsSeen{})
+		s.at(50*time.Millisecond, s.sendTargets)
+		s.run(10*time.Second, evenAccounts(4, 20, 0, 0))
+		if r := s.total(); r.placed < r.asked*9/10 {
+			t.Errorf("forecast %t: %d of %d requests placed at nine idle targets, want nine in ten", rules.Forecast, r.placed, r.asked)
+		}
+	}
+}
+
+// Guards against an estimate that keeps requests from idle targets for good, in any order in which
+// a starting scheduler learns what it needs.
+func TestSchedulerPlacesRequestsAfterAnyStart(t *testing.T) {
+	for seed := range uint64(300) {
+		st := newRandomStart(seed)
+		st.sim.run(9*time.Second, evenAccounts(4, float64(2*len(st.sim.engines)), 0, 0))
+		for second, c := range st.seconds {
+			if from := time.Duration(second) * time.Second; from >= st.complete+startBound && from < 9*time.Second && 2*c.placed < c.asked {
+				t.Errorf("seed %d: %d of %d requests placed in second %d, list complete at %v: %v", seed, c.placed, c.asked, second, st.complete, st.log)
+				break
+			}
+		}
+		if t.Failed() {
+			return
+		}
+	}
+}
+
+// startSecond counts the requests that were asked for and placed in a second.
+type startSecond struct{ asked, placed int }
+
+// randomStart plays the inputs of a starting scheduler in random order.
+type randomStart struct {
+	sim      *sim
+	rng      *rand.Rand
+	limit    float64       // configured tokens per second of all targets, 0 for none
+	complete time.Duration // time of the last input
+	seconds  [10]startSecond
+	log      []string
+}
+
+func newRandomStart(seed uint64) *randomStart {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	n := []int{1, 3, 9}[rng.IntN(3)]
+	st := &randomStart{sim: newSim(n, 45_000, 570_000), rng: rng, complete: 2 * time.Second}
+	st.sim.rules = []Rules{{}, {Forecast: true, Returns: true, Room: true, Handover: true, Pace: true}}[rng.IntN(2)]
+	st.sim.cell = New()
+	st.sim.onPlace = func(RequestID, string) bool {
+		st.seconds[min(int(st.sim.now.Sub(epoch)/time.Second), len(st.seconds)-1)].placed++
+		return true
+	}
+	st.sim.onWaited = func(ask simAsk, _ time.Duration) {
+		st.seconds[min(int(ask.at.Sub(epoch)/time.Second), len(st.seconds)-1)].asked++
+	}
+	for range 2 + rng.IntN(8) {
+		st.sim.at(time.Duration(rng.Int64N(int64(st.complete))), st.randomInput)
+	}
+	st.sim.at(st.complete, st.completeInput)
+	return st
+}
+
+func (st *randomStart) note(format string, args ...any) {
+	st.log = append(st.log, fmt.Sprintf("%v ", st.sim.now.Sub(epoch))+fmt.Sprintf(format, args...))
+}
+
+func (st *randomStart) randomInput() {
+	s := st.sim
+	switch st.rng.IntN(6) {
+	case 0, 1:
+		st.limit = []float64{0, 1, 45_000, 450_000, 4_500_000, 1e30}[st.rng.IntN(6)]
+		st.list(st.rng.IntN(len(s.engines) + 1))
+	case 2:
+		speed := []float64{0, 1, 45_000, 4e9}[st.rng.IntN(4)]
+		st.note("handover of %g", speed)
+		s.step(HandoverSeen{Handover{Engines: []EngineEstimate{{Target: "t00", Estimate: batch.Estimate{TokensPerSecond: speed, FirstLatency: time.Hour}}}}})
+	case 3:
+		st.note("inventory")
+		prompt := &routing.Prompt{Tokens: 10_000, MaxOutput: 60, Parts: []routing.PromptPart{{ID: 1, Tokens: 10_000}}}
+		s.step(InventorySeen{Entry: "other", Held: []Held{{ID: 1, Account: "a00", Target: "t00", Prompt: prompt}}})
+		s.at(inventoryTime, func() { s.step(InventorySeen{Entry: "other"}) })
+	case 4:
+		took := time.Duration(st.rng.Int64N(int64(2 * time.Second)))
+		st.note("frozen for %v", took)
+		s.frozen = s.now.Add(took)
+		st.complete = max(st.complete, s.frozen.Sub(epoch))
+	case 5:
+		st.note("caches asked")
+		s.step(CachedPartsAsked{Until: s.now.Add(250 * time.Millisecond)})
+	}
+}
+
+// Time until an entry gateway repeats its inventory.
+const inventoryTime = 2 * time.Second
+
+// list sends a list of some of the targets.
+func (st *randomStart) list(n int) {
+	ev := TargetsSeen{Rules: st.sim.rules}
+	for id := range n {
+		ev.Targets = append(ev.Targets, TargetInfo{ID: fmt.Sprintf("t%02d", id), Slots: 64, CacheTokens: 570_000})
+	}
+	if n > 0 {
+		ev.TokensPerSecond = st.limit / float64(n)
+	}
+	st.note("%d targets, limit %g", n, st.limit)
+	st.sim.step(ev)
+}
+
+// completeInput sends the whole list with the true limit, or as often without one.
+func (st *randomStart) completeInput() {
+	st.limit = []float64{0, 45_000 * float64(len(st.sim.engines))}[st.rng.IntN(2)]
+	st.list(len(st.sim.engines))
+}
