mesh: Report schedulers that place nothing beside idle targets

The refusals of a stalled scheduler look like those of a full service. A cell now tells when it has left requests waiting for a second while usable targets had no run, with the estimates that keep them away; the loop logs it, counts the seconds in madderway_gateway_stalled_seconds_total, and says how many targets were known when a scheduler took over. No decision changes.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -70,6 +70,7 @@
 	holdersByHall   map[string]cacheHolder // reused by findHolders
 	counts          Counts
 	returns         returns
+	stall           stallWatch
 	layoutVersion   uint64  // incremented when the list of targets changes
 	maxWaitingLevel float64 // highest level of the waiting accounts
 	maxLevel        float64 // highest level of all accounts at maxLevelAt
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -79,6 +79,7 @@
 		open = c.anyAccepts()
 		reinsertFirst(accounts)
 	}
+	c.observeStall(now)
 	if c.rules.Forecast {
 		c.refuseLate(now, all)
 		return
--- a/services/mesh/layout.go
+++ b/services/mesh/layout.go
@@ -99,6 +99,14 @@
 	l.applyToCell(now, key, s, ev)
 }
 
+// targetCount returns the number of targets that are known of a cell.
+func (l *Loop) targetCount(key cell.Key) int {
+	if g := l.layout.Group(key); g != nil {
+		return len(g.Targets)
+	}
+	return 0
+}
+
 // coldShare returns the part of a cell's cold targets' rate that this gateway may use.
 func (l *Loop) coldShare(g *cell.Group) float64 {
 	return cold.SchedulerShare(slices.Index(g.Schedulers(), l.opts.Self.ID), l.Members(), l.Known())
@@ -123,8 +131,8 @@
 	if s == nil {
 		s = &cellScheduler{cell: cell.New(), incarnation: ident.Incarnation(now.Unix())}
 		l.cells[key] = s
-		l.log.Info("Scheduler taken over.", "cell", key)
 		l.setTargets(now, key, s)
+		l.log.Info("Scheduler taken over.", "cell", key, "targets", l.targetCount(key))
 	}
 	if now.Sub(s.lastUsed) > handoverLife {
 		l.applyHandover(now, key, s)
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -94,6 +94,7 @@
 	lastUsed        time.Time
 	cachedQueriedAt time.Time // zero if the targets were never queried
 	lastStats       statsSample
+	lastStall       uint64 // decisions of the stall that was logged last
 	// Part of the cold targets' rate that this gateway may use.
 	coldShare   float64
 	incarnation uint64 // differs each time this gateway takes the cell over
--- a/services/mesh/second.go
+++ b/services/mesh/second.go
@@ -23,6 +23,18 @@
 	returns promise.Counts
 }
 
+// logStall logs and counts a second in which a scheduler placed nothing beside idle targets.
+func (l *Loop) logStall(key cell.Key, s *cellScheduler) {
+	st, stalled := s.cell.Stalled()
+	if !stalled || st.Unplaced == s.lastStall {
+		return
+	}
+	s.lastStall = st.Unplaced
+	l.traffic.set.GetOrCreateCounter("madderway_gateway_stalled_seconds_total").Inc()
+	l.log.Warn("Idle targets get no requests.", "cell", key, "for", st.For.Round(time.Millisecond), "idle", st.Idle, "waiting", st.Waiting,
+		"target", st.Target, "booked", st.Booked, "tokens_per_second", int64(st.Speed), "caches_due", st.CachesDue)
+}
+
 // logCellStats logs for each active cell the requests and tokens since its last line and the load of
 // its targets.
 func (l *Loop) logCellStats(now time.Time) {
@@ -38,6 +50,7 @@
 			l.traffic.countForecasts(key, before.forecasts, f.Late)
 		}
 		l.promised.add(before.returns, s.lastStats.returns)
+		l.logStall(key, s)
 		if !before.at.IsZero() {
 			l.logCell(key, before, s, s.cell.Load(now), f)
 		}
