cell: Take the first speed of targets from each list, not from the first one

Callers were refused for seconds beside nine idle targets after gateways had started: a scheduler that is asked between the configuration and the list of targets is made with an empty list, took 0 tokens a second from it as the speed of all targets, and kept that. The first speed now follows each list and limit, is a default while neither gives one, and ignores what is not positive and finite; a handover is not limited by an unknown speed. The property test still fails: what was booked at a wrong speed stays booked.

--- a/core/batch/pace.go
+++ b/core/batch/pace.go
@@ -3,7 +3,10 @@
 
 package batch
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	priorSeconds   = 0.5  // weight of the prior speed, in seconds of prefill
@@ -17,6 +20,9 @@
 	// has to prefill: a step of a batch and the round trip take longer. Faster ones were cached.
 	minFirstLatency = 10 * time.Millisecond
 	minSlotWait     = 30 * time.Millisecond
+	// defaultSpeed is assumed while no speed is known, in prompt tokens per second. Work that is
+	// placed by it shows the engines' own.
+	defaultSpeed = 20_000
 	// maxPrefillShare is the part of an idle engine's time that may be booked for prefill.
 	// Each running request takes off prefillSharePerRun, down to minPrefillShare, since
 	// prefill slows down decoding for all of them: a token then takes as long as a piece of a
@@ -56,7 +62,20 @@
 }
 
 // NewPrior returns a prior without samples.
-func NewPrior(tokensPerSecond float64) *Prior { return &Prior{initialSpeed: tokensPerSecond} }
+func NewPrior(tokensPerSecond float64) *Prior {
+	p := &Prior{initialSpeed: defaultSpeed}
+	p.SetInitialSpeed(tokensPerSecond)
+	return p
+}
+
+// SetInitialSpeed replaces the speed that is assumed without samples. The configuration and the list
+// of targets, which it follows from, may come late and change. A speed that is not positive and
+// finite is unknown and changes nothing.
+func (p *Prior) SetInitialSpeed(tokensPerSecond float64) {
+	if tokensPerSecond > 0 && !math.IsInf(tokensPerSecond, 1) {
+		p.initialSpeed = tokensPerSecond
+	}
+}
 
 func (p *Prior) speed() float64 {
 	return (p.initialSpeed*priorSeconds + p.sampleTokens) / (priorSeconds + p.sampleSeconds)
--- a/core/batch/reported.go
+++ b/core/batch/reported.go
@@ -41,7 +41,11 @@
 
 // Within returns the estimate limited to some times a usual speed. A wrong report then costs little
 // until samples replace it: an engine that is thought very slow would get no requests to sample.
+// Without a usual speed it returns the estimate as it is.
 func (e Estimate) Within(usual float64) Estimate {
+	if usual <= 0 {
+		return e
+	}
 	e.TokensPerSecond = min(max(e.TokensPerSecond, usual/maxReportedRatio), usual*maxReportedRatio)
 	return e
 }
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -88,6 +88,7 @@
 	return &Cell{
 		targets: map[string]*target{}, draining: map[string]*target{}, accounts: map[string]*account{},
 		waiting: map[requestKey]*waiter{}, runs: map[requestKey]*run{}, remoteTallies: map[string]*remoteTally{}, holdersByHall: map[string]cacheHolder{}, rooms: rooms{}, fairWindow: defaultFairWindow,
+		prior: batch.NewPrior(0),
 	}
 }
 
@@ -252,9 +253,7 @@
 	c.coldRate, c.coldShare = e.ColdRate, e.ColdShare
 	c.rules = e.Rules
 	c.enableReturns()
-	if c.prior == nil {
-		c.prior = batch.NewPrior(e.TokensPerSecond)
-	}
+	c.prior.SetInitialSpeed(e.TokensPerSecond)
 	seen := map[string]bool{}
 	for _, info := range e.Targets {
 		seen[info.ID] = true
--- a/core/cell/start_test.go
+++ b/core/cell/start_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -31,6 +32,40 @@
 	}
 }
 
+// Guards against a first speed that is taken from an early list or limit and kept, and against one of
+// zero, without an end or undefined.
+func TestFirstSpeedFollowsListAndLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		told []float64 // tokens per second of one target, in each list
+		want float64
+	}{
+		"no list, then all targets":     {[]float64{0, 5000}, 5000},
+		"one of nine targets, then all": {[]float64{45_000, 5000}, 5000},
+		"limit raised":                  {[]float64{5000, 50_000}, 50_000},
+		"all targets gone for a while":  {[]float64{5000, 0}, 5000},
+		"infinite":                      {[]float64{5000, math.Inf(1)}, 5000},
+		"undefined":                     {[]float64{5000, math.NaN()}, 5000},
+		"negative":                      {[]float64{5000, -1}, 5000},
+	} {
+		cell := New()
+		for _, speed := range c.told {
+			ev := targetsNamed(handoverRules, "t")
+			ev.TokensPerSecond = speed
+			if speed == 0 {
+				ev.Targets = nil
+			}
+			cell.Step(epoch, ev)
+		}
+		cell.Step(epoch, TargetsSeen{Targets: targetsNamed(handoverRules, "t").Targets, Rules: handoverRules})
+		if got := cell.targets["t"].engine.PrefillSpeed(); got != c.want {
+			t.Errorf("%s: speed %v, want %v", name, got, c.want)
+		}
+	}
+	if got := batch.NewPrior(0); batch.NewEngineWithPrior(1, 1, got).PrefillSpeed() <= 0 {
+		t.Error("no speed without a limit, want a default")
+	}
+}
+
 // Guards against an estimate that keeps requests from idle targets for good, in any order in which
 // a starting scheduler learns what it needs.
 func TestSchedulerPlacesRequestsAfterAnyStart(t *testing.T) {
