batch: End the booking of prefill time with the run it was made for

When a run leaves the queue, at most a second, as long as the run was there and the queued prompts stay booked; an engine without a run for 120 ms has nothing booked. The first of these bounds is above what correct estimates book: 120 ms and the time of one prompt. Assumed speeds, told or configured, are kept between 1,000 and 10 million tokens a second, from where a few requests show the true one.

--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -52,7 +52,8 @@
 	prefillQueue []*Run // runs without a first event, in the order of their start
 	prefill      prefillEstimator
 	health       health
-	cacheKnown   bool // the engine has reported its cache
+	cacheKnown   bool      // the engine has reported its cache
+	idleFrom     time.Time // end of the last run while no run is there
 }
 
 // NewEngine returns the model of an idle engine with an assumed prefill speed.
@@ -130,8 +131,12 @@
 }
 
 // Booked returns the backlog, stretched by the time that is left to decoding. Schedulers
-// should send nothing more while it is long.
+// should send nothing more while it is long. It is 0 for an engine that has been idle for a while,
+// whatever its estimated speed, as only requests correct the estimate.
 func (e *Engine) Booked(now time.Time) time.Duration {
+	if e.Idle() && now.Sub(e.idleFrom) >= idleTrial {
+		return 0
+	}
 	return max(e.Backlog(now), e.prefill.bookedUntil.Sub(now))
 }
 
@@ -163,7 +168,7 @@
 	e.cache.markPrefilled(r.Prompt.Parts)
 	e.health.begun()
 	e.prefill.observe(now, r)
-	e.prefill.resetBacklog(now, e.prefillQueue)
+	e.prefill.resetBacklog(now, r, e.prefillQueue)
 }
 
 // Adopt adds a request that another scheduler sent to the engine. If it has not begun,
@@ -204,6 +209,7 @@
 		return
 	}
 	delete(e.runs, r)
+	e.idleFrom = now
 	if r.begun && o == OutcomeDone {
 		e.prefill.observeSlotTime(now.Sub(r.startedAt))
 	}
@@ -211,7 +217,7 @@
 	if !r.begun {
 		e.prefill.countBusyTime(now, e.prefillQueue)
 		e.dequeue(r)
-		e.prefill.resetBacklog(now, e.prefillQueue)
+		e.prefill.resetBacklog(now, r, e.prefillQueue)
 	}
 	e.cache.outputTokens -= r.OutputTokens
 	if o == OutcomeDone {
--- a/core/batch/pace.go
+++ b/core/batch/pace.go
@@ -20,6 +20,9 @@
 	// has to prefill: a step of a batch and the round trip take longer. Faster ones were cached.
 	minFirstLatency = 10 * time.Millisecond
 	minSlotWait     = 30 * time.Millisecond
+	// Bounds of an assumed speed, in prompt tokens per second: no engine in use is slower or faster.
+	minSpeed = 1000
+	maxSpeed = 10_000_000
 	// defaultSpeed is assumed while no speed is known, in prompt tokens per second. Work that is
 	// placed by it shows the engines' own.
 	defaultSpeed = 20_000
@@ -30,6 +33,10 @@
 	maxPrefillShare    = 1.0
 	prefillSharePerRun = 0.01
 	minPrefillShare    = 0.6
+	// maxDecodeTime is the booked time that may be left to decoding from before a run.
+	maxDecodeTime = time.Second
+	// idleTrial is the time without a run after which nothing is booked at an engine.
+	idleTrial = 120 * time.Millisecond
 )
 
 // prefillEstimator estimates the prefill speed and backlog of an engine. Engines prefill
@@ -73,10 +80,16 @@
 // finite is unknown and changes nothing.
 func (p *Prior) SetInitialSpeed(tokensPerSecond float64) {
 	if tokensPerSecond > 0 && !math.IsInf(tokensPerSecond, 1) {
-		p.initialSpeed = tokensPerSecond
+		p.initialSpeed = LimitSpeed(tokensPerSecond)
 	}
 }
 
+// LimitSpeed limits an assumed speed, in prompt tokens per second, to what engines have. From a far
+// lower one it would take many requests to learn the true speed.
+func LimitSpeed(tokensPerSecond float64) float64 {
+	return min(max(tokensPerSecond, minSpeed), maxSpeed)
+}
+
 func (p *Prior) speed() float64 {
 	return (p.initialSpeed*priorSeconds + p.sampleTokens) / (priorSeconds + p.sampleSeconds)
 }
@@ -114,16 +127,27 @@
 	return begins.Add(duration + p.firstLatency)
 }
 
-// resetBacklog recomputes the backlog from the queue after a first event, whose prompt
-// was prefilled one firstLatency ago.
-func (p *prefillEstimator) resetBacklog(now time.Time, queue []*Run) {
-	at := now.Add(-p.firstLatency)
+// resetBacklog recomputes the backlog from the queue after a run has left it. The prompt of a first
+// event was prefilled one firstLatency ago.
+func (p *prefillEstimator) resetBacklog(now time.Time, left *Run, queue []*Run) {
+	at, queued := now.Add(-p.firstLatency), time.Duration(0)
 	for _, r := range queue {
 		duration := p.durationFor(r.PrefillTokens)
 		r.dueAt = later(later(at, r.startedAt), r.copyDoneAt).Add(duration + p.firstLatency)
 		at = later(at, r.startedAt).Add(duration)
+		queued += duration
 	}
 	p.doneAt = at
+	p.limitBooking(now, left, queued)
+}
+
+// limitBooking bounds the booked time after a run has left the queue, so that a wrong estimate for it
+// ends with the run: decoding gets at most as long as the run was there, beside the queued prompts.
+func (p *prefillEstimator) limitBooking(now time.Time, left *Run, queued time.Duration) {
+	most := now.Add(maxDecodeTime + now.Sub(left.startedAt) + time.Duration(float64(queued)/minPrefillShare))
+	if p.bookedUntil.After(most) {
+		p.bookedUntil = most
+	}
 }
 
 // observe samples the speed if this prompt waited for the prefill of the one before it,
--- a/core/batch/reported.go
+++ b/core/batch/reported.go
@@ -32,7 +32,7 @@
 		return
 	}
 	if est.TokensPerSecond > 0 {
-		p.reported = est.TokensPerSecond
+		p.reported = LimitSpeed(est.TokensPerSecond)
 	}
 	if p.firstLatency == 0 && est.FirstLatency > 0 && est.FirstLatency <= maxReportedLatency {
 		p.firstLatency, p.latencyReported = est.FirstLatency, true
