--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -199,6 +199,10 @@
 	e.cacheKnown = true
 }
 
+// EndStandstill reports that this process stood still until now, so that it hears late of what its
+// runs have done.
+func (e *Engine) EndStandstill(now time.Time) { e.prefill.standstillAt = now }
+
 func (e *Engine) dequeue(r *Run) {
 	r.begun = true
 	if i := slices.Index(e.prefillQueue, r); i >= 0 {
--- a/core/batch/pace.go
+++ b/core/batch/pace.go
@@ -10,6 +10,9 @@
 	speedDecay     = 0.97 // weight that older samples keep with each new one
 	minDecayTokens = 256  // tokens from which a sample makes older ones decay
 	latencyGain    = 0.1  // weight of a new sample of a latency
+	// maxSampleSeconds is the largest weight of one sample: a long one may be a standstill of a
+	// gateway, and short ones would take long to outweigh it.
+	maxSampleSeconds = 1.0
 	// maxSpeedup bounds the speedup over the estimate that one prompt can show if it may have
 	// been cached.
 	maxSpeedup = 2
@@ -51,6 +54,7 @@
 	latencyReported bool          // firstLatency is another scheduler's
 	slotTime        time.Duration // average time that a request occupies its slot
 	lastFirstEvent  time.Time
+	standstillAt    time.Time // end of the last standstill of this process; runs from before it are not sampled
 }
 
 func (p *prefillEstimator) speed() float64 {
@@ -150,6 +154,9 @@
 // and the first-event latency if the engine was idle.
 func (p *prefillEstimator) observe(now time.Time, r *Run) {
 	defer func() { p.lastFirstEvent = now }()
+	if !r.startedAt.After(p.standstillAt) {
+		return
+	}
 	before := p.lastFirstEvent.Add(-p.firstLatency) // end of the prefill of the prompt before
 	if r.copyDoneAt.After(before) && r.copyDoneAt.After(r.startedAt) {
 		return // the copy may account for the time
@@ -194,11 +201,15 @@
 	if tokens < minDecayTokens {
 		decay = 1
 	}
+	seconds := took.Seconds()
+	if seconds > maxSampleSeconds {
+		tokens, seconds = tokens*maxSampleSeconds/seconds, maxSampleSeconds
+	}
 	p.sampleTokens = p.sampleTokens*decay + tokens
-	p.sampleSeconds = p.sampleSeconds*decay + took.Seconds()
+	p.sampleSeconds = p.sampleSeconds*decay + seconds
 	p.fadeReported(decay)
 	p.prior.sampleTokens = p.prior.sampleTokens*decay + tokens
-	p.prior.sampleSeconds = p.prior.sampleSeconds*decay + took.Seconds()
+	p.prior.sampleSeconds = p.prior.sampleSeconds*decay + seconds
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/batch/pace_test.go
+++ b/core/batch/pace_test.go
@@ -41,3 +41,36 @@
 		t.Errorf("speed %.0f after a prompt that must have been cached, want %.0f as before it", s, before)
 	}
 }
+
+// Guards against first events that are heard after a standstill of this process and make its targets
+// seem slow.
+func TestStandstillIsNotSampled(t *testing.T) {
+	e := NewEngine(32, 500_000, 40_000)
+	before := e.Start(start, prompt(1, 6000), 10)
+	queued := e.Start(start, prompt(2, 6000), 10)
+	now := start.Add(3 * time.Second)
+	e.EndStandstill(now)
+	e.Begin(now, before)
+	e.Begin(now.Add(100*time.Millisecond), queued)
+	if speed := e.PrefillSpeed(); speed != 40_000 {
+		t.Errorf("speed %.0f after a standstill, want 40000 as before it", speed)
+	}
+	later := now.Add(time.Second)
+	first, second := e.Start(later, prompt(3, 6000), 10), e.Start(later, prompt(4, 6000), 10)
+	e.Begin(later.Add(time.Second), first)
+	e.Begin(later.Add(2*time.Second), second)
+	if speed := e.PrefillSpeed(); speed > 30_000 {
+		t.Errorf("speed %.0f after a slow prompt, want it sampled", speed)
+	}
+}
+
+// Guards against one long sample that outweighs all others for many requests.
+func TestOneSampleHasBoundedWeight(t *testing.T) {
+	e := NewEngine(32, 500_000, 40_000)
+	e.prefill.firstLatency = 10 * time.Millisecond
+	r := e.Start(start, prompt(1, 6000), 10)
+	e.Begin(start.Add(10*time.Second), r)
+	if speed := e.PrefillSpeed(); speed < 40_000/10 {
+		t.Errorf("speed %.0f after one first event that came ten seconds late, want at least %d", speed, 40_000/10)
+	}
+}
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -137,6 +137,10 @@
 		c.askedCaches(e)
 	case RoomsSeen:
 		c.rooms.record(now, e.Rooms)
+	case StandstillEnded:
+		for _, t := range c.sorted {
+			t.engine.EndStandstill(now)
+		}
 	case Tick:
 		c.evictIdleAccounts(now)
 		c.expirePromises(now)
--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -156,6 +156,10 @@
 // may have.
 type CachedPartsAsked struct{ Until time.Time }
 
+// StandstillEnded reports that this process stood still until now. What happened to running requests
+// meanwhile is heard late and says nothing on their targets' speed.
+type StandstillEnded struct{}
+
 // Tick reports that time has passed.
 type Tick struct{}
 
@@ -171,6 +175,7 @@
 func (SiblingTallySeen) isEvent() {}
 func (CachedPartsSeen) isEvent()  {}
 func (CachedPartsAsked) isEvent() {}
+func (StandstillEnded) isEvent()  {}
 func (Tick) isEvent()             {}
 
 // Action is a task for the owner of a Cell.
--- a/core/cell/sim_test.go
+++ b/core/cell/sim_test.go
@@ -217,6 +217,7 @@
 	}
 	held := s.held
 	s.held = nil
+	s.handle(StandstillEnded{})
 	for _, ev := range held {
 		s.handle(ev)
 	}
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -202,6 +202,7 @@
 
 func (l *Loop) runTimed(work func()) {
 	start := l.opts.Clock.Now()
+	l.observeStandstill(start)
 	work()
 	l.busy.Add(int64(l.opts.Clock.Now().Sub(start)))
 }
