saturate: Convert floats to integers and durations the same on every machine

Go leaves the result of a conversion to the processor where a float does not fit: the endless prefill of an unknown speed became the longest duration on arm64, so that a target stayed booked, and the most negative one on x86-64, so that nothing was booked at all. All 76 conversions of floats to integers and durations in the product go through modules/saturate now (nearest value in range, 0 for NaN), and make lint lists any that does not.

--- a/Makefile
+++ b/Makefile
@@ -19,11 +19,12 @@
 	@if [ -s KNOWN-RED.txt ]; then echo "passed over:"; cat KNOWN-RED.txt; fi
 	$(GO) test -race -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $(PACKAGES)
 
-lint: ## Check format, vet and staticcheck.
+lint: ## Check format, vet, staticcheck and conversions of floats.
 	@unformatted=$$($(TOOL) gofumpt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
 	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
 	$(GO) vet $(PACKAGES)
 	$(TOOL) staticcheck $(PACKAGES)
+	$(GO) -C tools run ./floatconv $(CURDIR)
 
 fmt: ## Format all Go code.
 	$(TOOL) gofumpt -w $$(git ls-files '*.go' | grep -v '\.pb\.go$$')
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/google/btree"
+
+	"madderway/modules/saturate"
 )
 
 const (
@@ -106,7 +108,7 @@
 func (q *queue) recordStart(now time.Time) {
 	if !q.lastStart.IsZero() {
 		gap := now.Sub(q.lastStart)
-		q.startInterval = time.Duration(startIntervalWeight*float64(gap) + (1-startIntervalWeight)*float64(q.startInterval))
+		q.startInterval = saturate.Duration(startIntervalWeight*float64(gap) + (1-startIntervalWeight)*float64(q.startInterval))
 	}
 	q.lastStart = now
 }
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -13,6 +13,7 @@
 	"madderway/core/attempt"
 	"madderway/core/cold"
 	"madderway/models/routing"
+	"madderway/modules/saturate"
 )
 
 const (
@@ -153,8 +154,8 @@
 	if s.latency == 0 {
 		s.latency = took
 	}
-	s.latency += time.Duration(b.latencyGain() * float64(took-s.latency))
-	b.latency += time.Duration(latencyGain * float64(took-b.latency))
+	s.latency += saturate.Duration(b.latencyGain() * float64(took-s.latency))
+	b.latency += saturate.Duration(latencyGain * float64(took-b.latency))
 	s.errors -= errorGain * s.errors
 	s.failures = 0
 }
--- a/core/balance/recent.go
+++ b/core/balance/recent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"madderway/core/attempt"
+	"madderway/modules/saturate"
 )
 
 const (
@@ -45,7 +46,7 @@
 	excess = max(excess, 0)
 	before := r.value(now)
 	if excess < before {
-		excess = before - time.Duration(recentGain*float64(before-excess))
+		excess = before - saturate.Duration(recentGain*float64(before-excess))
 	}
 	r.excess, r.at = excess, now
 }
@@ -55,7 +56,7 @@
 	if r.excess == 0 {
 		return 0
 	}
-	return time.Duration(float64(r.excess) * math.Exp(-now.Sub(r.at).Seconds()/recentDecay.Seconds()))
+	return saturate.Duration(float64(r.excess) * math.Exp(-now.Sub(r.at).Seconds()/recentDecay.Seconds()))
 }
 
 // ChooseByRecent makes Choose follow the last responses more than their average, and prefer the
--- a/core/batch/pace.go
+++ b/core/batch/pace.go
@@ -3,7 +3,11 @@
 
 package batch
 
-import "time"
+import (
+	"time"
+
+	"madderway/modules/saturate"
+)
 
 const (
 	priorSeconds   = 0.5  // weight of the prior speed, in seconds of prefill
@@ -95,7 +99,7 @@
 }
 
 func (p *prefillEstimator) durationFor(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / p.speed() * float64(time.Second))
+	return saturate.Seconds(float64(tokens) / p.speed())
 }
 
 // countBusyTime adds the time since the last call in which the engine was busy with
@@ -123,7 +127,7 @@
 	duration := p.durationFor(r.PrefillTokens)
 	begins := later(later(p.doneAt, now), r.copyDoneAt)
 	p.doneAt = later(p.doneAt, now).Add(duration)
-	p.bookedUntil = later(p.bookedUntil, now).Add(time.Duration(float64(duration) / prefillShare(running)))
+	p.bookedUntil = later(p.bookedUntil, now).Add(saturate.Duration(float64(duration) / prefillShare(running)))
 	return begins.Add(duration + p.firstLatency)
 }
 
@@ -144,7 +148,7 @@
 // limitBooking bounds the booked time after a run has left the queue, so that a wrong estimate for it
 // ends with the run: decoding gets at most as long as the run was there, beside the queued prompts.
 func (p *prefillEstimator) limitBooking(now time.Time, left *Run, queued time.Duration) {
-	most := now.Add(maxDecodeTime + now.Sub(left.startedAt) + time.Duration(float64(queued)/minPrefillShare))
+	most := now.Add(maxDecodeTime + now.Sub(left.startedAt) + saturate.Duration(float64(queued)/minPrefillShare))
 	if p.bookedUntil.After(most) {
 		p.bookedUntil = most
 	}
@@ -185,7 +189,7 @@
 		p.firstLatency, p.latencyReported = over, false
 		return
 	}
-	p.firstLatency += time.Duration(latencyGain * float64(over-p.firstLatency))
+	p.firstLatency += saturate.Duration(latencyGain * float64(over-p.firstLatency))
 }
 
 // observeSlotTime samples the time that a request occupied its slot.
@@ -193,7 +197,7 @@
 	if p.slotTime == 0 {
 		p.slotTime = took
 	}
-	p.slotTime += time.Duration(latencyGain * float64(took-p.slotTime))
+	p.slotTime += saturate.Duration(latencyGain * float64(took-p.slotTime))
 }
 
 func (p *prefillEstimator) addSpeedSample(tokens float64, took time.Duration) {
--- a/core/cell/account.go
+++ b/core/cell/account.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"madderway/modules/saturate"
 )
 
 const (
@@ -185,7 +187,7 @@
 // place. Requests of other accounts, except the most served one, keep waiting if their
 // target will prefill them in time.
 func (c *Cell) extendWait(now time.Time, w *waiter, a *account) bool {
-	if w.ask.Objective <= 0 || now.Sub(w.arrived) >= time.Duration(extendedWaitShare*float64(w.ask.Objective)) {
+	if w.ask.Objective <= 0 || now.Sub(w.arrived) >= saturate.Duration(extendedWaitShare*float64(w.ask.Objective)) {
 		return false
 	}
 	if c.siblings > 0 && c.starved(now, a) {
@@ -267,7 +269,7 @@
 		return 0
 	}
 	share := capacity / float64(max(waiting, 1))
-	return time.Duration(ahead / share * float64(time.Second))
+	return saturate.Seconds(ahead / share)
 }
 
 // evictIdleAccounts drops accounts without requests, level or unreported service.
--- a/core/cell/choose.go
+++ b/core/cell/choose.go
@@ -10,6 +10,7 @@
 
 	"madderway/core/place"
 	"madderway/models/routing"
+	"madderway/modules/saturate"
 )
 
 const (
@@ -69,7 +70,7 @@
 	if c.views[best.index].accepts(backlogLimit) {
 		return best, ReasonCheapest, true
 	}
-	if now.Sub(w.arrived) < time.Duration(spillShare*float64(w.ask.Hold)) {
+	if now.Sub(w.arrived) < saturate.Duration(spillShare*float64(w.ask.Hold)) {
 		return option{}, ReasonCheapest, false
 	}
 	// Starved accounts may spill to busier targets: fairness is worth the repeated
@@ -129,7 +130,7 @@
 		return true
 	}
 	left := w.ask.Objective - now.Sub(w.first)
-	return wait <= time.Duration(inTimeShare*float64(left))
+	return wait <= saturate.Duration(inTimeShare*float64(left))
 }
 
 // options returns the targets that could take the request now or soon.
@@ -196,4 +197,4 @@
 	return max(missing-p.OwnTokens(), 0)
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+func seconds(s float64) time.Duration { return saturate.Seconds(s) }
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"madderway/modules/saturate"
 )
 
 // view is the state of a target in one decision. It is shared by all waiting requests and
@@ -35,7 +37,7 @@
 	return view{
 		target: t, usable: source && !t.info.Evacuated, source: source, full: slot > 0 || cold > 0, booked: e.Booked(now), speed: e.PrefillSpeed(),
 		baseWait: max(e.Backlog(now)+slot, cold),
-		penalty:  time.Duration(e.ErrorRate(now)*float64(errorPenalty)) + time.Duration(occupancy*float64(fullBatchPenalty)),
+		penalty:  saturate.Duration(e.ErrorRate(now)*float64(errorPenalty)) + saturate.Duration(occupancy*float64(fullBatchPenalty)),
 	}
 }
 
--- a/core/cell/forecaster.go
+++ b/core/cell/forecaster.go
@@ -8,6 +8,7 @@
 
 	"madderway/core/batch"
 	"madderway/core/forecast"
+	"madderway/modules/saturate"
 )
 
 // meanReadGain is the weight of a placement in forecaster.meanRead: it spans about a second of
@@ -133,7 +134,7 @@
 // longestWait returns how long a request may wait. It follows the least time that requests
 // had to spare lately: one that may wait longer than others would fill the queue before them.
 func (c *Cell) longestWait(w *waiter) time.Duration {
-	limit := time.Duration(extendedWaitShare * float64(w.ask.Objective))
+	limit := saturate.Duration(extendedWaitShare * float64(w.ask.Objective))
 	if c.forecaster.tightest > 0 && !c.account(w.ask.Account).underserved(c.maxWaitingLevel) {
 		limit = min(limit, c.forecaster.fairWait(w.prospect.read))
 	}
@@ -146,12 +147,12 @@
 	if read >= o.meanRead {
 		return o.tightest
 	}
-	return time.Duration(float64(o.tightest) * float64(o.meanRead) / float64(max(read, time.Millisecond)))
+	return saturate.Duration(float64(o.tightest) * float64(o.meanRead) / float64(max(read, time.Millisecond)))
 }
 
 // observePlaced takes the prefill time of a placement into the mean.
 func (o *forecaster) observePlaced(read time.Duration) {
-	o.meanRead += time.Duration(meanReadGain * float64(read-o.meanRead))
+	o.meanRead += saturate.Duration(meanReadGain * float64(read-o.meanRead))
 }
 
 // observeSlack records how much time the new requests have to spare at an idle target.
--- a/core/cell/halls.go
+++ b/core/cell/halls.go
@@ -6,6 +6,8 @@
 import (
 	"slices"
 	"time"
+
+	"madderway/modules/saturate"
 )
 
 // Requests of tens of KiB enter in every data hall while a cell's targets are spread over
@@ -30,7 +32,7 @@
 		return 0
 	}
 	bytes := ask.BodyBytes + responseHeadBytes + outputTokenBytes*ask.Prompt.OutputEstimate()
-	return time.Duration(float64(c.rules.CrossingCost) * float64(bytes) / bytesPerKiB)
+	return saturate.Duration(float64(c.rules.CrossingCost) * float64(bytes) / bytesPerKiB)
 }
 
 // crosses reports whether a target is known to be in another data hall than the request's
@@ -57,7 +59,7 @@
 	if uses < minCopyUses {
 		return crossing
 	}
-	return -time.Duration(float64(o.transfer.cost()) * uses / (1 + uses))
+	return -saturate.Duration(float64(o.transfer.cost()) * uses / (1 + uses))
 }
 
 // cheapest returns the option with the lowest cost. Preferences decide among targets that
--- a/core/cell/layout.go
+++ b/core/cell/layout.go
@@ -13,6 +13,7 @@
 
 	"madderway/core/place"
 	"madderway/models/routing"
+	"madderway/modules/saturate"
 )
 
 const (
@@ -275,8 +276,8 @@
 		return n
 	}
 	exact := manyCells * math.Sqrt(float64(targets)/float64(manyCells*maxPerCell))
-	step := 1 << (bits.Len(uint(exact)) - 1) / stepsPerDoubling
-	return int(math.Ceil(exact/float64(step))) * step
+	step := 1 << (bits.Len(uint(saturate.Int(exact))) - 1) / stepsPerDoubling
+	return saturate.Int(math.Ceil(exact/float64(step))) * step
 }
 
 // GroupFor returns the cell that serves requests with this affinity, or nil. It uses
--- a/core/cell/returns.go
+++ b/core/cell/returns.go
@@ -9,6 +9,7 @@
 
 	"madderway/core/promise"
 	"madderway/models/routing"
+	"madderway/modules/saturate"
 )
 
 const (
@@ -102,7 +103,7 @@
 	w.late = w.ask.Objective > 0 && left <= seconds(float64(w.ask.Prompt.OwnTokens())/max(c.meanSpeed(), 1))
 	c.returns.table.Returned(!w.due)
 	if w.due {
-		w.waitUntil = later(w.waitUntil, now.Add(time.Duration(dueWaitShare*float64(w.ask.Remaining))))
+		w.waitUntil = later(w.waitUntil, now.Add(saturate.Duration(dueWaitShare*float64(w.ask.Remaining))))
 	}
 }
 
@@ -198,7 +199,7 @@
 // decays: a lead of many half-lives is gone after about one.
 func (c *Cell) decayedTurn(turn time.Duration) time.Duration {
 	halfLife := halfLifeOf(c.fairWindow)
-	return time.Duration(float64(turn) / (1 + float64(turn)/float64(halfLife)))
+	return saturate.Duration(float64(turn) / (1 + float64(turn)/float64(halfLife)))
 }
 
 // leastUncached returns the tokens of the request that its preferred target would prefill.
--- a/core/cell/room.go
+++ b/core/cell/room.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"madderway/core/place"
+	"madderway/modules/saturate"
 )
 
 // A burst for one prompt beginning or of one client account fills the cell that it hashes to
@@ -54,7 +55,7 @@
 	if age >= maxRoomAge {
 		return 0
 	}
-	return int(float64(r.room.SpareTokens)*(1-float64(age)/float64(maxRoomAge))) - r.sent
+	return saturate.Int(float64(r.room.SpareTokens)*(1-float64(age)/float64(maxRoomAge))) - r.sent
 }
 
 // takes reports whether the room is enough for a request if the full cells share it, each
@@ -122,7 +123,7 @@
 		return ""
 	}
 	tokens := w.ask.Prompt.Tokens
-	left := time.Duration(inTimeShare * float64(w.ask.Objective-now.Sub(w.arrived)))
+	left := saturate.Duration(inTimeShare * float64(w.ask.Objective-now.Sub(w.arrived)))
 	report := c.rooms.choose(now, tokens, left-moveDelay-seconds(float64(tokens)/speed), w.draw(now))
 	if report == nil {
 		return ""
--- a/core/cell/spare.go
+++ b/core/cell/spare.go
@@ -3,7 +3,11 @@
 
 package cell
 
-import "time"
+import (
+	"time"
+
+	"madderway/modules/saturate"
+)
 
 // Least idle share of a cell's targets for which it has room. A prompt read anew takes the
 // time of several requests whose beginnings are cached, which a busier cell would refuse for it.
@@ -37,7 +41,7 @@
 	ahead := float64(c.waitingTokens())
 	room.Wait += seconds(ahead / speed)
 	if idle, share := c.idleTime(now, usable); share >= minIdleShare {
-		room.SpareTokens = int(max(spare+speed*idle.Seconds()-ahead, 0))
+		room.SpareTokens = saturate.Int(max(spare+speed*idle.Seconds()-ahead, 0))
 	}
 	return room, true
 }
--- a/core/cell/spill.go
+++ b/core/cell/spill.go
@@ -6,6 +6,8 @@
 import (
 	"slices"
 	"time"
+
+	"madderway/modules/saturate"
 )
 
 // chooseByForecast returns the target for a request. Where its preferred target is busy it
@@ -24,7 +26,7 @@
 	if starved {
 		rereadLimit, reason = backlogLimit, ReasonStarved
 	}
-	if late || now.Sub(w.arrived) < time.Duration(spillShare*float64(w.ask.Hold)) {
+	if late || now.Sub(w.arrived) < saturate.Duration(spillShare*float64(w.ask.Hold)) {
 		rereadLimit = 0
 	}
 	open := options[:0]
--- a/core/cell/transfer.go
+++ b/core/cell/transfer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"madderway/models/routing"
+	"madderway/modules/saturate"
 )
 
 const (
@@ -101,7 +102,9 @@
 }
 
 // cost returns the weighted link time of the transfer.
-func (x transfer) cost() time.Duration { return time.Duration(transferWeight * float64(x.linkTime)) }
+func (x transfer) cost() time.Duration {
+	return saturate.Duration(transferWeight * float64(x.linkTime))
+}
 
 // reserveLinks marks both links as used until the end of the transfer.
 func (x transfer) reserveLinks(now time.Time, to *target) {
--- a/core/cold/cold.go
+++ b/core/cold/cold.go
@@ -7,7 +7,11 @@
 // cannot hear.
 package cold
 
-import "time"
+import (
+	"time"
+
+	"madderway/modules/saturate"
+)
 
 const (
 	// schedulerShare is the share of a cold target's rate that the first scheduler of its
@@ -68,7 +72,7 @@
 	if missing <= roundingTolerance {
 		return 0
 	}
-	return min(time.Duration(missing/rate*float64(time.Second)), left)
+	return min(saturate.Seconds(missing/rate), left)
 }
 
 // Take takes a token for a request sent now.
--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -9,7 +9,11 @@
 // request has begun, and exits when none is left.
 package drain
 
-import "time"
+import (
+	"time"
+
+	"madderway/modules/saturate"
+)
 
 // Phase determines how a stopping process treats requests.
 type Phase uint8
@@ -83,4 +87,6 @@
 	return m.phase
 }
 
-func fraction(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
+func fraction(d time.Duration, part float64) time.Duration {
+	return saturate.Duration(part * float64(d))
+}
--- a/core/entry/machine.go
+++ b/core/entry/machine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"madderway/core/cell"
+	"madderway/modules/saturate"
 )
 
 const (
@@ -281,7 +282,7 @@
 		return false
 	}
 	p.moved, p.cell, p.tried = true, other.Key, map[string]bool{}
-	p.ask.Hold = now.Sub(p.arrived) + time.Duration(secondCellShare*float64(p.ask.Objective))
+	p.ask.Hold = now.Sub(p.arrived) + saturate.Duration(secondCellShare*float64(p.ask.Objective))
 	m.askNext(now, p)
 	return true
 }
--- a/core/forecast/forecast.go
+++ b/core/forecast/forecast.go
@@ -6,7 +6,11 @@
 // than after a wait. It does no I/O.
 package forecast
 
-import "time"
+import (
+	"time"
+
+	"madderway/modules/saturate"
+)
 
 // Engine describes an engine's capacity for prefill.
 type Engine struct {
@@ -80,7 +84,7 @@
 	if engine != r.Engine {
 		read = r.Elsewhere
 	}
-	took := time.Duration(float64(read) / e.Share)
+	took := saturate.Duration(float64(read) / e.Share)
 	if e.FreeSlots--; e.FreeSlots < 0 {
 		took = max(took, e.SlotInterval)
 	}
--- a/core/forecast/margin.go
+++ b/core/forecast/margin.go
@@ -3,7 +3,11 @@
 
 package forecast
 
-import "time"
+import (
+	"time"
+
+	"madderway/modules/saturate"
+)
 
 const (
 	// errorGain is the weight of a new error. Some tens of requests after a stall the margin
@@ -37,8 +41,8 @@
 func (m *Margin) Observe(late time.Duration) {
 	m.count(late)
 	late = min(max(late, -maxError), maxError)
-	m.mean += time.Duration(errorGain * float64(late-m.mean))
-	m.deviation += time.Duration(errorGain * float64((late-m.mean).Abs()-m.deviation))
+	m.mean += saturate.Duration(errorGain * float64(late-m.mean))
+	m.deviation += saturate.Duration(errorGain * float64((late-m.mean).Abs()-m.deviation))
 }
 
 // ObserveAtLeast records a response that had not begun this long after its forecast and
--- a/core/forecast/slack.go
+++ b/core/forecast/slack.go
@@ -6,6 +6,8 @@
 import (
 	"math/bits"
 	"time"
+
+	"madderway/modules/saturate"
 )
 
 const (
@@ -66,7 +68,7 @@
 
 // Tightest returns the least time to spare lately, without rare ones, or 0 without requests.
 func (o *Slack) Tightest() time.Duration {
-	rare := int(rareShare * float64(o.current.total+o.last.total))
+	rare := saturate.Int(rareShare * float64(o.current.total+o.last.total))
 	seen := 0
 	for i := range o.current.steps {
 		a, b := &o.current.steps[i], &o.last.steps[i]
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -5,7 +5,11 @@
 // are quick, multiplicative decrease when they are not.
 package limit
 
-import "time"
+import (
+	"time"
+
+	"madderway/modules/saturate"
+)
 
 // Config holds the bounds, latency goals and steps of a Limiter.
 type Config struct {
@@ -54,14 +58,14 @@
 }
 
 // Limit returns the number of requests that may run at once.
-func (l *Limiter) Limit() int { return int(l.limit) }
+func (l *Limiter) Limit() int { return saturate.Int(l.limit) }
 
 // SetCeiling changes the configured limit.
 func (l *Limiter) SetCeiling(n int) {
 	if n == l.cfg.Ceiling {
 		return
 	}
-	if n > l.cfg.Ceiling && int(l.limit) == l.cfg.Ceiling {
+	if n > l.cfg.Ceiling && saturate.Int(l.limit) == l.cfg.Ceiling {
 		l.limit = float64(n)
 	}
 	l.cfg.Ceiling = n
--- a/core/origin/replicas.go
+++ b/core/origin/replicas.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"madderway/core/place"
+	"madderway/modules/saturate"
 )
 
 const (
@@ -33,7 +34,7 @@
 
 // KeeperCount returns the number of gateways that keep records in a fleet of a size.
 func KeeperCount(members int) int {
-	return min(members, max(allKeep, int(keepersPerRoot*math.Sqrt(float64(members)))))
+	return min(members, max(allKeep, saturate.Int(keepersPerRoot*math.Sqrt(float64(members)))))
 }
 
 // Keepers returns the gateways of a fleet that keep records.
--- a/core/overload/plan.go
+++ b/core/overload/plan.go
@@ -6,6 +6,8 @@
 import (
 	"math"
 	"time"
+
+	"madderway/modules/saturate"
 )
 
 const (
@@ -128,7 +130,7 @@
 // Costs returns the estimated time that a request takes by its verdict, and the arrival
 // rate in requests per second.
 func (g *Governor) Costs() (serve, handOver, refuse time.Duration, arriving float64) {
-	in := func(v Verdict) time.Duration { return time.Duration(g.costs.of(v) * float64(time.Second)) }
+	in := func(v Verdict) time.Duration { return saturate.Seconds(g.costs.of(v)) }
 	return in(Serve), in(HandOver), in(Refuse), g.arrivals.rate()
 }
 
--- a/core/place/bucket.go
+++ b/core/place/bucket.go
@@ -3,7 +3,11 @@
 
 package place
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"madderway/modules/saturate"
+)
 
 // Bucket assigns a name to one of n buckets by jump consistent hashing (Lamping and Veach, 2014):
 // one bucket more takes its names from all others evenly and moves no other name.
@@ -16,7 +20,7 @@
 	for next < int64(n) {
 		bucket = next
 		key = key*multiplier + 1
-		next = int64(float64(bucket+1) * (float64(1<<(64-highBits)) / float64(key>>highBits+1)))
+		next = saturate.Int64(float64(bucket+1) * (float64(1<<(64-highBits)) / float64(key>>highBits+1)))
 	}
 	return int(max(bucket, 0))
 }
--- a/core/promise/promise.go
+++ b/core/promise/promise.go
@@ -9,6 +9,8 @@
 import (
 	"container/list"
 	"time"
+
+	"madderway/modules/saturate"
 )
 
 const (
@@ -146,7 +148,7 @@
 // time, as the caller would come earlier.
 func (t *Table) promise(now time.Time, r Refusal, c Capacity) Promise {
 	p := Promise{Key: r.Key, Account: r.Account, First: r.First, Deadline: now.Add(r.Remaining)}
-	patience := time.Duration(patienceShare * float64(r.Remaining))
+	patience := saturate.Duration(patienceShare * float64(r.Remaining))
 	latest := p.Deadline
 	if r.Remaining <= 0 {
 		p.Deadline, patience, latest = r.First.Add(defaultLife), defaultPatience, now.Add(defaultPatience)
--- a/core/promise/retrytimes.go
+++ b/core/promise/retrytimes.go
@@ -3,7 +3,11 @@
 
 package promise
 
-import "time"
+import (
+	"time"
+
+	"madderway/modules/saturate"
+)
 
 const (
 	maxRetryTimes = 4096 // accounts; an old one gives way
@@ -45,7 +49,7 @@
 	if !known || now.Sub(last.at) >= retryTimeLife {
 		return unknown
 	}
-	return time.Duration((1 + retryTimeSpread*draw) * float64(last.wait))
+	return saturate.Duration((1 + retryTimeSpread*draw) * float64(last.wait))
 }
 
 // makeRoom drops the retry times that are too old, or else the oldest one.
--- a/core/sched/tally.go
+++ b/core/sched/tally.go
@@ -9,6 +9,7 @@
 	"madderway/core/fair"
 	"madderway/core/message"
 	"madderway/core/place"
+	"madderway/modules/saturate"
 )
 
 // Number of peers that send the rows of all schedulers to a new one.
@@ -22,7 +23,7 @@
 		return least
 	}
 	seconds := float64(peers*(tallyOverheadBytes+rows*tallyRowBytes)) / budget
-	return max(least, min(time.Duration(seconds*float64(time.Second)), maxTallyInterval))
+	return max(least, min(saturate.Seconds(seconds), maxTallyInterval))
 }
 
 // tallyInterval returns a longer interval while no account waits: the counters then affect
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -12,6 +12,8 @@
 import (
 	"math/bits"
 	"time"
+
+	"madderway/modules/saturate"
 )
 
 const (
@@ -72,7 +74,7 @@
 // staleDelay returns this gateway's jitter on top of staleAge.
 func (w *Watch) staleDelay(members int) time.Duration {
 	spread := staleJitter * time.Duration(max(members, staleJitterMembers)) / staleJitterMembers
-	return time.Duration(w.jitter * float64(spread))
+	return saturate.Duration(w.jitter * float64(spread))
 }
 
 // BackoffRange returns the first and the longest backoff after failed calls.
@@ -81,8 +83,8 @@
 		return minBackoff, maxBackoff
 	}
 	scale := float64(members) / backoffMembers
-	longest = time.Duration(scale * float64(maxBackoff))
-	return min(time.Duration(scale*scale*float64(minBackoff)), longest), longest
+	longest = saturate.Duration(scale * float64(maxBackoff))
+	return min(saturate.Duration(scale*scale*float64(minBackoff)), longest), longest
 }
 
 // StartWait returns how long a starting gateway waits for its peers to send a copy before it reads
@@ -91,13 +93,13 @@
 	if seed {
 		return 0
 	}
-	return startWait + time.Duration(jitter*float64(startJitter))
+	return startWait + saturate.Duration(jitter*float64(startJitter))
 }
 
 // joinDelay returns the wait beyond StartWait in a larger fleet.
 func (w *Watch) joinDelay(members int) time.Duration {
 	beyond := float64(max(members-startJitterMembers, 0)) / startJitterMembers
-	return time.Duration(w.jitter * beyond * float64(startJitter))
+	return saturate.Duration(w.jitter * beyond * float64(startJitter))
 }
 
 // DelayFirstPoll makes the first poll wait for peers.
--- a/handlers/api/api.go
+++ b/handlers/api/api.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"madderway/models/result"
+	"madderway/modules/saturate"
 )
 
 // HeaderRequestID is the response header with the ID of the request.
@@ -49,7 +50,7 @@
 	body, e := NewError(err, requestID)
 	if e.RetryAfter > 0 {
 		seconds := math.Ceil(float64(e.RetryAfter) / float64(time.Second))
-		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+		w.Header().Set("Retry-After", strconv.Itoa(saturate.Int(seconds)))
 	}
 	WriteJSON(w, result.Lookup(e.Code).Status, body)
 }
--- a/handlers/gateway/server.go
+++ b/handlers/gateway/server.go
@@ -18,6 +18,7 @@
 	"madderway/models/routing"
 	"madderway/modules/log"
 	"madderway/modules/netopt"
+	"madderway/modules/saturate"
 )
 
 const (
@@ -105,7 +106,7 @@
 // idleTimeout returns the limit on the time between two requests of a connection.
 func idleTimeout(l routing.Limits) time.Duration {
 	if l.IdleTimeout > 0 {
-		return time.Duration(idleFactor * float64(l.IdleTimeout))
+		return saturate.Duration(idleFactor * float64(l.IdleTimeout))
 	}
 	return defaultIdleTimeout
 }
--- a/models/routing/configuration.go
+++ b/models/routing/configuration.go
@@ -9,6 +9,8 @@
 import (
 	"slices"
 	"time"
+
+	"madderway/modules/saturate"
 )
 
 // Repeat limits how often a request of a route may be executed.
@@ -96,7 +98,7 @@
 
 // Time returns the transfer time of the KV cache of this many tokens.
 func (t *Transfer) Time(tokens int) time.Duration {
-	return time.Duration(float64(tokens) * t.TokenBytes / t.BytesPerSecond * float64(time.Second))
+	return saturate.Seconds(float64(tokens) * t.TokenBytes / t.BytesPerSecond)
 }
 
 // ClientAccount is a tenant with its API keys.
--- a/modules/collector/collector.go
+++ b/modules/collector/collector.go
@@ -11,6 +11,8 @@
 	"runtime/metrics"
 	"sync"
 	"time"
+
+	"madderway/modules/saturate"
 )
 
 const (
@@ -72,6 +74,6 @@
 	if live <= 0 {
 		return startPercent
 	}
-	percent := int(100*maxGarbage/live) / percentStep * percentStep
+	percent := saturate.Int(100*maxGarbage/live) / percentStep * percentStep
 	return min(max(percent, minPercent), maxPercent)
 }
--- a/modules/log/async.go
+++ b/modules/log/async.go
@@ -13,6 +13,7 @@
 
 	"madderway/modules/clock"
 	"madderway/modules/ring"
+	"madderway/modules/saturate"
 )
 
 // Budget limits the log's output and its buffer.
@@ -78,7 +79,7 @@
 func (w *AsyncWriter) dropIfOverBudget(kind lineKind) bool {
 	lines, bytes := int64(w.budget.Lines), int64(w.budget.Bytes)
 	if kind == requestLine {
-		lines, bytes = int64(requestShare*float64(lines)), int64(requestShare*float64(bytes))
+		lines, bytes = saturate.Int64(requestShare*float64(lines)), saturate.Int64(requestShare*float64(bytes))
 	}
 	if w.budgetSecond.Load() != w.clock.Now().Unix() || w.lines.Load() < lines && w.bytes.Load() < bytes {
 		return false
--- a/modules/retryafter/retryafter.go
+++ b/modules/retryafter/retryafter.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"madderway/modules/saturate"
 )
 
 // Header is the canonical name of the header field.
@@ -49,7 +51,7 @@
 			return 0, false
 		}
 		const maxSeconds = 1e9 // larger values, such as infinity, overflow a Duration
-		return time.Duration(min(s, maxSeconds) * float64(time.Second)), true
+		return saturate.Seconds(min(s, maxSeconds)), true
 	}
 	at, err := http.ParseTime(value)
 	if err != nil {
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -28,6 +28,7 @@
 	"madderway/modules/log"
 	"madderway/modules/netopt"
 	"madderway/modules/peernet"
+	"madderway/modules/saturate"
 	"madderway/modules/setting"
 	"madderway/platform"
 	"madderway/services/discover"
@@ -99,7 +100,7 @@
 
 // StartGateway builds a gateway and starts it.
 func StartGateway(s *setting.Gateway) (*Gateway, error) {
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
+	debug.SetMemoryLimit(saturate.Int64(memoryShare * float64(s.MemoryMB<<20)))
 	g := &Gateway{
 		collector: collector.Start(int64(s.MemoryMB) << 20),
 		clock:     clock.System{}, log: log.New("gateway").With(s.ID), meter: &peernet.Meter{}, relayMeter: &peernet.Meter{}, traffic: &netopt.Traffic{},
@@ -208,7 +209,7 @@
 	})
 	g.handler = gateway.New(gateway.Options{
 		Clock: g.clock, Dialect: platform.Dialect{}, Follow: g.follow, Forward: g.forward,
-		MaxTotalBodyBytes: int64(bodyShare * float64(s.MemoryMB<<20)), Resyncing: g.resyncing,
+		MaxTotalBodyBytes: saturate.Int64(bodyShare * float64(s.MemoryMB<<20)), Resyncing: g.resyncing,
 	})
 }
 
@@ -262,7 +263,7 @@
 	if !keepsUp {
 		return overloadedStrength
 	}
-	return uint32(max(s.Processor*percent, overloadedStrength+1))
+	return saturate.Uint32(max(s.Processor*percent, overloadedStrength+1))
 }
 
 // schedulingOf returns the rules of scheduling under hard load.
@@ -351,7 +352,7 @@
 }
 
 func (g *Gateway) serve(listeners []net.Listener) {
-	g.callers = gateway.NewServer(log.New("callers").With(g.settings.Load().ID), listeners[0], g.handler, int(callerConnShare*float64(g.settings.Load().Descriptors)), g.traffic)
+	g.callers = gateway.NewServer(log.New("callers").With(g.settings.Load().ID), listeners[0], g.handler, saturate.Int(callerConnShare*float64(g.settings.Load().Descriptors)), g.traffic)
 	g.callers.SetEarlyAdmission(g.handler)
 	g.callers.SetRelay(g.relay)
 	mux := http.NewServeMux()
--- a/services/forward/guard.go
+++ b/services/forward/guard.go
@@ -15,6 +15,7 @@
 	"madderway/core/overload"
 	"madderway/modules/clock"
 	"madderway/modules/log"
+	"madderway/modules/saturate"
 )
 
 // Guard protects a gateway from overload. It observes how late the process runs its work, and
@@ -161,11 +162,11 @@
 	g.mu.Lock()
 	share := g.governor.AcceptedShare()
 	g.mu.Unlock()
-	after := min(time.Duration(float64(longRetryUnit)*(1-share)/share), maxRetryAfter)
+	after := min(saturate.Duration(float64(longRetryUnit)*(1-share)/share), maxRetryAfter)
 	if share >= shortRetryShare {
-		after = time.Duration(float64(baseRetryAfter) / share)
+		after = saturate.Duration(float64(baseRetryAfter) / share)
 	}
-	return time.Duration((0.5 + rand.Float64()) * float64(after))
+	return saturate.Duration((0.5 + rand.Float64()) * float64(after))
 }
 
 // resetStats returns the state of the guard as log values, and starts a new second.
--- a/services/forward/place.go
+++ b/services/forward/place.go
@@ -14,6 +14,7 @@
 	"madderway/core/cold"
 	"madderway/models/result"
 	"madderway/models/routing"
+	"madderway/modules/saturate"
 	"madderway/services/mesh"
 )
 
@@ -47,7 +48,7 @@
 		j.beforeAsk = j.s.opts.Clock.Now().Sub(j.r.Received)
 		j.s.counters.beforeAsk.Update(j.beforeAsk.Seconds())
 	}
-	hold := time.Duration(holdShare*float64(j.r.Route.Objective)) - holdSlack - j.s.opts.Clock.Now().Sub(j.r.Received)
+	hold := saturate.Duration(holdShare*float64(j.r.Route.Objective)) - holdSlack - j.s.opts.Clock.Now().Sub(j.r.Received)
 	if j.history.Sent > 0 || j.history.Unsent > 0 {
 		hold = max(hold, j.r.Route.Objective/8)
 	}
--- a/services/mesh/handover.go
+++ b/services/mesh/handover.go
@@ -10,6 +10,7 @@
 	"madderway/core/batch"
 	"madderway/core/cell"
 	"madderway/core/promise"
+	"madderway/modules/saturate"
 	"madderway/modules/wire"
 )
 
@@ -105,7 +106,7 @@
 	m := &wire.EngineHandover{Cell: string(key)}
 	for _, e := range h.Engines {
 		m.Targets = append(m.Targets, &wire.EngineTargetState{
-			Target: e.Target, TokensPerSecond: uint32(e.TokensPerSecond), FirstLatencyUs: uint32(e.FirstLatency.Microseconds()),
+			Target: e.Target, TokensPerSecond: saturate.Uint32(e.TokensPerSecond), FirstLatencyUs: uint32(e.FirstLatency.Microseconds()),
 		})
 	}
 	for _, p := range h.Promises {
--- a/services/mesh/second.go
+++ b/services/mesh/second.go
@@ -9,6 +9,7 @@
 	"madderway/core/cell"
 	"madderway/core/forecast"
 	"madderway/core/promise"
+	"madderway/modules/saturate"
 )
 
 // statsInterval is the interval of the log lines about cells.
@@ -32,7 +33,7 @@
 	s.lastStall = st.Unplaced
 	l.traffic.set.GetOrCreateCounter("madderway_gateway_stalled_seconds_total").Inc()
 	l.log.Warn("Idle targets get no requests.", "cell", key, "for", st.For.Round(time.Millisecond), "idle", st.Idle, "waiting", st.Waiting,
-		"target", st.Target, "booked", st.Booked, "tokens_per_second", int64(st.Speed), "caches_due", st.CachesDue)
+		"target", st.Target, "booked", st.Booked, "tokens_per_second", saturate.Int64(st.Speed), "caches_due", st.CachesDue)
 }
 
 // logCellStats logs for each active cell the requests and tokens since its last line and the load of
@@ -72,7 +73,7 @@
 		"refused", b.Refused - a.Refused, "with_room", b.RefusedWithRoom - a.RefusedWithRoom, "waiting", s.cell.Waiting(),
 		"asked_tokens", b.AskedTokens - a.AskedTokens, "placed_tokens", b.PlacedTokens - a.PlacedTokens, "read", b.Read - a.Read,
 		"reread", b.RereadTokens() - a.RereadTokens(), "copies", b.Copies - a.Copies, "copied", b.Copied - a.Copied,
-		"targets", load.Targets, "streams", load.Running, "reading_share", float64(int(share*1000)) / 1000, "booked", load.Booked.Round(time.Millisecond),
+		"targets", load.Targets, "streams", load.Running, "reading_share", float64(saturate.Int(share*1000)) / 1000, "booked", load.Booked.Round(time.Millisecond),
 	}
 	if f != nil {
 		fields = append(fields, "forecasts", s.lastStats.forecasts.Forecasts-before.forecasts.Forecasts, "forecast_error", f.MeanError.Round(time.Millisecond),
--- a/services/mesh/step.go
+++ b/services/mesh/step.go
@@ -9,6 +9,7 @@
 	"madderway/core/cell"
 	"madderway/core/entry"
 	"madderway/core/member"
+	"madderway/modules/saturate"
 	"madderway/modules/wire"
 	"madderway/services/peerwire"
 )
@@ -207,7 +208,7 @@
 	case cell.Refuse:
 		values := []any{
 			"cell", key, "entry", a.Entry, "number", a.ID, "account", a.Account, "waited", a.Waited,
-			"ahead", int64(a.Ahead), "booked", a.Booked, "waiting", a.Waiting, "retry_after", a.RetryAfter, "elsewhere", a.Elsewhere, "move_to", a.Cell,
+			"ahead", saturate.Int64(a.Ahead), "booked", a.Booked, "waiting", a.Waiting, "retry_after", a.RetryAfter, "elsewhere", a.Elsewhere, "move_to", a.Cell,
 		}
 		l.log.Request("Request refused.", append(values, refusalValues(a)...)...)
 		if a.Entry == self {
--- a/services/origin/archive.go
+++ b/services/origin/archive.go
@@ -14,6 +14,7 @@
 	coreorigin "madderway/core/origin"
 	"madderway/core/watch"
 	"madderway/models/routing"
+	"madderway/modules/saturate"
 )
 
 // Archive stores the history of versions outside the fleet. Without it nobody knows after the loss
@@ -186,7 +187,7 @@
 	case watcher:
 		return true
 	}
-	wait := otherDelay + time.Duration(share*float64(members)*float64(otherDelayPerMember))
+	wait := otherDelay + saturate.Duration(share*float64(members)*float64(otherDelayPerMember))
 	return now.Sub(s.archiving.since) >= wait
 }
 
--- a/services/upstream/pool.go
+++ b/services/upstream/pool.go
@@ -15,6 +15,7 @@
 	"madderway/models/routing"
 	"madderway/modules/clock"
 	"madderway/modules/netopt"
+	"madderway/modules/saturate"
 )
 
 const (
@@ -61,7 +62,7 @@
 	if c.promised == noKeepAlive {
 		return min(defaultKeepAlive, bound)
 	}
-	return min(time.Duration(share*float64(c.promised)), bound)
+	return min(saturate.Duration(share*float64(c.promised)), bound)
 }
 
 // readHead reads the head of an answer to a request with this method. It skips interim answers.
