--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -65,10 +65,10 @@
 	coldRate        float64 // requests per second that a cold target can serve, 0 for no limit
 	coldShare       float64 // part of coldRate that this scheduler may use
 	demand          hallDemand
-	rooms           rooms                  // of the service's other cells
-	lastRoom        readingSample          // as of the last report of this cell's room
+	rooms           rooms                     // of the service's other cells
+	lastRoom        readingSample             // as of the last report of this cell's room
 	told            map[string]batch.Estimate // by an earlier scheduler, of targets that are not listed yet
-	holdersByHall   map[string]cacheHolder // reused by findHolders
+	holdersByHall   map[string]cacheHolder    // reused by findHolders
 	counts          Counts
 	returns         returns
 	stall           stallWatch
