cell: Send requests on from a scheduler that knows no targets

A gateway that has just started may be asked as a scheduler before it has a list of targets. Requests waited there until their time was over, though other gateways had a list.

--- a/cmd/madderway-lab/main.go
+++ b/cmd/madderway-lab/main.go
@@ -52,6 +52,7 @@
 		{"demo", "Run stand-ins, four routers and 30 s of mixed load", &demoCommand{}},
 		{"measure", "Run a load scenario and print its measurements", &measureCommand{}},
 		{"platform", "Run gateways against a simulated platform", &platformCommand{}},
+		{"outages", "Measure outages of gateways that others start and stop", &outagesCommand{}},
 		{"seconds", "Show the activity of gateways second by second, from their logs", &secondsCommand{}},
 		{"standins", "Serve the stand-ins of a configuration for routers in other processes", &standinsCommand{}},
 	}
--- a/core/entry/event.go
+++ b/core/entry/event.go
@@ -60,8 +60,8 @@
 	From       string
 	ID         cell.RequestID
 	RetryAfter time.Duration
-	Elsewhere  bool     // another cell may have capacity
-	Cell       cell.Key // the cell that has room, or empty if none is known
+	Elsewhere  bool     // another cell or scheduler may have capacity
+	Cell       cell.Key // the cell that has room, empty if none is known, that of the request for another of its schedulers
 }
 
 // LayoutSeen replaces the assignment of targets and schedulers to cells.
--- a/core/entry/machine.go
+++ b/core/entry/machine.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -21,6 +22,8 @@
 	// roomInterval is the time after which a scheduler has told its cell's room again.
 	roomInterval  = 500 * time.Millisecond
 	noTargetRetry = 500 * time.Millisecond
+	// unlistedPause is the time for which a scheduler that knows no targets of a cell is not asked.
+	unlistedPause = 500 * time.Millisecond
 	// saturatedRetry is short because the retry reaches another gateway.
 	saturatedRetry = 50 * time.Millisecond
 )
@@ -69,6 +72,7 @@
 	schedulers    map[cell.Key]*schedulerState
 	former        map[schedulerOfCell]*formerState
 	suspects      map[string]*suspectBackoff
+	unlisted      map[schedulerOfCell]time.Time // until then a scheduler without a list of targets is not asked
 	full          map[cell.Key]time.Time // last refusal of a moved request
 	lag           time.Duration          // sum of the delays of all ticks
 	linkSaturated bool
@@ -80,7 +84,7 @@
 func New(self string) *Machine {
 	return &Machine{
 		self: self, layout: &cell.Layout{}, pending: map[cell.RequestID]*pending{}, running: map[cell.RequestID]*running{},
-		schedulers: map[cell.Key]*schedulerState{}, former: map[schedulerOfCell]*formerState{}, suspects: map[string]*suspectBackoff{}, full: map[cell.Key]time.Time{},
+		schedulers: map[cell.Key]*schedulerState{}, former: map[schedulerOfCell]*formerState{}, suspects: map[string]*suspectBackoff{}, unlisted: map[schedulerOfCell]time.Time{}, full: map[cell.Key]time.Time{},
 	}
 }
 
@@ -184,11 +188,11 @@
 	m.emit(AskOut{p.scheduler, p.cell, ask})
 }
 
-// candidate returns the best scheduler of a cell that has not been tried for a request
-// and is not suspected, or "".
+// candidate returns the best scheduler of a cell that has not been tried for a request, is not
+// suspected and knows targets, or "".
 func (m *Machine) candidate(now time.Time, g *cell.Group, p *pending) string {
 	for _, id := range g.Schedulers() {
-		if !p.tried[id] && !m.suspected(now, id) {
+		if !p.tried[id] && !m.suspected(now, id) && !now.Before(m.unlisted[schedulerOfCell{g.Key, id}]) {
 			return id
 		}
 	}
@@ -258,7 +262,7 @@
 
 func (m *Machine) refused(now time.Time, e RefusalSeen) {
 	p := m.pending[e.ID]
-	if p == nil || p.scheduler != e.From || e.Elsewhere && m.move(now, p, e.Cell) {
+	if p == nil || p.scheduler != e.From || e.Elsewhere && m.askElsewhere(now, p, e.Cell) {
 		return
 	}
 	if p.moved {
@@ -268,6 +272,20 @@
 	m.emit(Refuse{e.ID, e.From, e.RetryAfter})
 }
 
+// askElsewhere asks another cell, or another scheduler of the same cell if that one is named: the one
+// that refused knows no targets.
+func (m *Machine) askElsewhere(now time.Time, p *pending, named cell.Key) bool {
+	if named != p.cell {
+		return m.move(now, p, named)
+	}
+	m.unlisted[schedulerOfCell{p.cell, p.scheduler}] = now.Add(unlistedPause)
+	if m.onlySelfLeft(now, p) && p.tried[m.self] {
+		return false
+	}
+	m.askNext(now, p)
+	return true
+}
+
 // move asks a second cell to place a request, once: the one that the first cell's scheduler
 // names, else the next by affinity for an account that is below its fair share in the first.
 func (m *Machine) move(now time.Time, p *pending, named cell.Key) bool {
@@ -375,6 +393,7 @@
 			m.sendInventory(key, s)
 		}
 	}
+	maps.DeleteFunc(m.unlisted, func(_ schedulerOfCell, until time.Time) bool { return !now.Before(until) })
 	m.tickFormer(now)
 }
 
--- a/lab/platform/site.go
+++ b/lab/platform/site.go
@@ -27,6 +27,7 @@
 	Load     float64 // factor for the request rates of all kinds
 	Seed     uint64
 	Trouble  string // name of one of Troubles, or empty
+	External bool   // the gateways are processes that somebody else starts; see WriteSettings
 	// HeaderTimeout is the configured limit on the time to read a request's header; 0 is defaultHeaderTimeout.
 	HeaderTimeout time.Duration
 }
@@ -124,6 +125,10 @@
 	}
 	for _, g := range s.gateways {
 		g.setting.Seeds = seeds
+		if s.opts.External {
+			g.setting.Scheduling = externalScheduling()
+			continue
+		}
 		again := *g.setting
 		g.setting.FirstStart = true
 		if err := s.startGateway(g); err != nil {
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -152,6 +152,9 @@
 // Duration is a time.Duration in TOML, written like "250ms".
 type Duration struct{ time.Duration }
 
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
