--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzRefused -fuzztime 60s ./platform
 	$(GO) test -run '^$$' -fuzz FuzzRegister -fuzztime 60s ./platform
 	$(GO) test -run '^$$' -fuzz FuzzSoftware -fuzztime 60s ./platform
+	$(GO) test -run '^$$' -fuzz FuzzRows -fuzztime 60s ./platform
 	$(GO) test -run '^$$' -fuzz FuzzRead -fuzztime 60s ./modules/retryafter
 	$(GO) test -run '^$$' -fuzz FuzzGateway -fuzztime 60s ./modules/setting
 	$(GO) test -run '^$$' -fuzz FuzzMesh -fuzztime 60s ./services/mesh
--- a/core/entry/machine.go
+++ b/core/entry/machine.go
@@ -73,8 +73,8 @@
 	former        map[schedulerOfCell]*formerState
 	suspects      map[string]*suspectBackoff
 	unlisted      map[schedulerOfCell]time.Time // until then a scheduler without a list of targets is not asked
-	full          map[cell.Key]time.Time // last refusal of a moved request
-	lag           time.Duration          // sum of the delays of all ticks
+	full          map[cell.Key]time.Time        // last refusal of a moved request
+	lag           time.Duration                 // sum of the delays of all ticks
 	linkSaturated bool
 	settledAt     time.Time // until then requests may be held back
 	actions       []Action
