lab: Test answers that stop in their head, through gateways

Streams, resumable streams, requests that must not be repeated and others, through three gateways, to callers of HTTP/1.1 and 1.0: workers stop after 1 to 100 bytes of a head, with a length, chunks or neither, after an interim answer or none, by close, reset or half-close. Not shown: requests handed over between gateways, and the routers' own interface, which reads answers with net/http.

--- a/lab/platform/framing.go
+++ b/lab/platform/framing.go
@@ -31,6 +31,7 @@
 	BreakByClose           // an orderly close of the connection
 	BreakByReset           // a reset of the connection
 	BreakByCrash           // the worker crashes; its connections are closed in order
+	BreakByHalfClose       // the worker writes no more and goes on reading
 	BreakByFinish          // the framing says that the answer is complete
 )
 
@@ -40,6 +41,10 @@
 	BreakOff BreakOff
 	// After is the number of bytes of the body that are sent before the answer breaks off.
 	After int
+	// HeadBytes, if not 0, is the number of bytes of the answer, its head first, that are sent
+	// before it breaks off. After is not used then.
+	HeadBytes int
+	Interim   bool // interim answers come first
 	// LineEnd ends the lines of events; "\n" if empty.
 	LineEnd string
 }
@@ -60,7 +65,7 @@
 // write writes an answer with its own framing and end, on the connection of the request.
 func (a Answers) write(w *Worker, rw http.ResponseWriter, body string) {
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: %s\r\n", rw.Header().Get("Attempt-Id"), rw.Header().Get("Response-Signature"))
-	if a.BreakOff != NoBreakOff {
+	if a.BreakOff != NoBreakOff && a.HeadBytes == 0 {
 		body = body[:min(a.After, len(body))]
 	}
 	if a.LineEnd != "" {
@@ -72,8 +77,18 @@
 	}
 	defer conn.Close()
 	whole := a.BreakOff == NoBreakOff || a.BreakOff == BreakByFinish
-	_, _ = io.WriteString(conn, head+a.frame(body, whole))
+	text := head + a.frame(body, whole || a.HeadBytes > 0)
+	if a.Interim {
+		text = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + text
+	}
+	if a.HeadBytes > 0 {
+		text = text[:min(a.HeadBytes, len(text))]
+	}
+	_, _ = io.WriteString(conn, text)
 	switch a.BreakOff {
+	case BreakByHalfClose:
+		_ = conn.(*net.TCPConn).CloseWrite()
+		_, _ = io.Copy(io.Discard, conn)
 	case BreakByReset:
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	case BreakByCrash:
