--- a/cmd/madderway-lab/outages.go
+++ b/cmd/madderway-lab/outages.go
@@ -19,6 +19,7 @@
 	Dir      string  `long:"dir" required:"true" description:"folder for the settings of the gateways"`
 	Gateways int     `long:"gateways" default:"3" description:"number of gateways"`
 	Seconds  int     `long:"seconds" default:"60" description:"duration of the run in seconds"`
+	Store    string  `long:"store" default:"serves" choice:"serves" choice:"slow" choice:"slow-workers" description:"behaviour of the store; slow-workers delays the lists of workers at random"`
 	Longest  float64 `long:"longest" default:"12" description:"longest allowed outage in seconds, restarts included"`
 }
 
@@ -37,6 +38,7 @@
 	if err := s.WriteSettings(c.Dir); err != nil {
 		return err
 	}
+	s.SetStoreMode(map[string]platform.StoreMode{"slow": platform.StoreSlow, "slow-workers": platform.StoreSlowWorkers}[c.Store])
 	ctx, cancel := context.WithTimeout(context.Background(), o.Length)
 	defer cancel()
 	start, worst, count := time.Now(), time.Duration(0), 0
--- a/lab/platform/framing.go
+++ b/lab/platform/framing.go
@@ -27,12 +27,12 @@
 
 // Ways to end an answer early.
 const (
-	NoBreakOff    BreakOff = iota
-	BreakByClose           // an orderly close of the connection
-	BreakByReset           // a reset of the connection
-	BreakByCrash           // the worker crashes; its connections are closed in order
-	BreakByHalfClose       // the worker writes no more and goes on reading
-	BreakByFinish          // the framing says that the answer is complete
+	NoBreakOff       BreakOff = iota
+	BreakByClose              // an orderly close of the connection
+	BreakByReset              // a reset of the connection
+	BreakByCrash              // the worker crashes; its connections are closed in order
+	BreakByHalfClose          // the worker writes no more and goes on reading
+	BreakByFinish             // the framing says that the answer is complete
 )
 
 // Answers describes how a worker frames its answers and ends them.
--- a/lab/platform/outage.go
+++ b/lab/platform/outage.go
@@ -52,6 +52,9 @@
 	return nil
 }
 
+// SetStoreMode changes the store's behaviour towards all gateways.
+func (s *Site) SetStoreMode(m StoreMode) { s.store.SetMode("", m) }
+
 // externalScheduling returns the settings that a deployment has.
 func externalScheduling() setting.Scheduling {
 	return setting.Scheduling{CompactTokenKB: int(tokenBytes) >> 9, Forecast: true, Returns: true, Room: true, Handover: true, Pace: true}
--- a/lab/platform/store.go
+++ b/lab/platform/store.go
@@ -9,6 +9,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sort"
@@ -32,10 +33,11 @@
 
 // Modes of the store.
 const (
-	StoreServes StoreMode = iota
-	StoreBusy             // answers 503
-	StoreSilent           // never answers
-	StoreSlow             // answers late
+	StoreServes      StoreMode = iota
+	StoreBusy                  // answers 503
+	StoreSilent                // never answers
+	StoreSlow                  // answers late
+	StoreSlowWorkers           // answers late where the workers are read, by a random time
 )
 
 const (
@@ -153,6 +155,10 @@
 			panic(http.ErrAbortHandler)
 		case StoreSlow:
 			time.Sleep(storeDelay)
+		case StoreSlowWorkers:
+			if r.URL.Query().Get("table") == "servers" {
+				time.Sleep(rand.N(storeDelay))
+			}
 		}
 		next.ServeHTTP(w, r)
 	})
