--- a/core/batch/booking_test.go
+++ b/core/batch/booking_test.go
@@ -5,6 +5,8 @@
 
 import (
 	"math"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -52,3 +54,41 @@
 		}
 	}
 }
+
+// Guards against failures, silence or bookings that keep requests from an engine for good, once no run
+// is left that could end them.
+func TestIdleEngineIsUsableAgainAfterAnyRuns(t *testing.T) {
+	for seed := range uint64(500) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		e := NewEngine(1+rng.IntN(64), 1_000_000, []float64{0, minSpeed, 45_000, maxSpeed}[rng.IntN(4)])
+		now := start
+		var runs []*Run
+		for range 200 {
+			now = now.Add(time.Duration(rng.ExpFloat64() * float64(300*time.Millisecond)))
+			switch {
+			case len(runs) == 0 || rng.IntN(3) == 0:
+				runs = append(runs, e.Start(now, prompt(rng.Uint64N(20), 1+rng.IntN(200_000)), rng.IntN(500)))
+			case rng.IntN(2) == 0:
+				e.Begin(now, runs[rng.IntN(len(runs))])
+			default:
+				i := rng.IntN(len(runs))
+				e.End(now, runs[i], Outcome(1+rng.IntN(int(OutcomeUnlisted))))
+				runs = slices.Delete(runs, i, i+1)
+			}
+			if rng.IntN(40) == 0 {
+				now = now.Add(time.Duration(rng.Int64N(int64(20 * time.Second))))
+				e.EndStandstill(now)
+			}
+		}
+		for _, r := range runs {
+			e.End(now, r, Outcome(1+rng.IntN(int(OutcomeUnlisted))))
+		}
+		at := now.Add(movedPause)
+		if !e.Usable(at) || e.Booked(at) > 0 || e.SlotWait() > 0 || e.Running() > 0 {
+			t.Errorf("seed %d: usable %t, booked %v, slot in %v, %d runs %v after the last run ended", seed, e.Usable(at), e.Booked(at), e.SlotWait(), e.Running(), movedPause)
+		}
+		if speed := e.PrefillSpeed(); !(speed > 0 && speed <= maxSpeed*maxSpeedup) {
+			t.Errorf("seed %d: speed %v, want one above 0", seed, speed)
+		}
+	}
+}
--- a/core/cell/stall.go
+++ b/core/cell/stall.go
@@ -37,12 +37,12 @@
 	if w.placed != c.counts.Placed {
 		*w = stallWatch{placed: c.counts.Placed}
 	}
-	least, idle := c.idleTargets()
-	if least == nil {
+	least, idle := c.unusedTargets()
+	if idle == 0 {
 		w.since = time.Time{}
 		return
 	}
-	if !c.waitsForTarget() {
+	if least == nil {
 		return
 	}
 	if w.since.IsZero() {
@@ -55,25 +55,27 @@
 	}
 }
 
-// idleTargets returns the number of usable targets without a run, and the one with the least booked.
-func (c *Cell) idleTargets() (least *view, count int) {
+// unusedTargets returns the number of usable targets without a run, and of those that a waiting
+// request may use the one with the least booked, nil if there is none.
+func (c *Cell) unusedTargets() (least *view, idle int) {
 	for i := range c.views {
 		v := &c.views[i]
 		if !v.usable || v.full || !v.target.engine.Idle() {
 			continue
 		}
-		count++
-		if least == nil || v.booked < least.booked {
+		idle++
+		if (least == nil || v.booked < least.booked) && c.awaited(v) {
 			least = v
 		}
 	}
-	return least, count
+	return least, idle
 }
 
-// waitsForTarget reports whether a waiting request has a target that may serve it.
-func (c *Cell) waitsForTarget() bool {
+// awaited reports whether a waiting request may use the target.
+func (c *Cell) awaited(v *view) bool {
 	for _, w := range c.waiting {
-		if w.best != nil {
+		p := w.ask.Prompt
+		if w.ask.mayUse(&v.target.info) && v.target.engine.Fits(v.target.engine.UncachedTokens(p), p.OutputEstimate()) {
 			return true
 		}
 	}
--- a/core/cell/stall_test.go
+++ b/core/cell/stall_test.go
@@ -40,6 +40,7 @@
 		"memory too small":         {func(c *Cell) { c.Step(epoch, smallTargets()) }, false},
 		"leaving":                  {func(c *Cell) { c.targets["a"].info.Leaving, c.targets["b"].info.Leaving = true, true }, false},
 		"all targets run requests": {occupy, false},
+		"other version":            {func(c *Cell) { c.targets["a"].info.Software, c.targets["b"].info.Software = "v2", "v2" }, false},
 	} {
 		cell := New()
 		cell.Step(epoch, targetsNamed(handoverRules, "a", "b"))
@@ -48,7 +49,7 @@
 		stalled := false
 		for i := range 40 {
 			now := epoch.Add(time.Duration(i) * 100 * time.Millisecond)
-			a := AskSeen{"e", Ask{ID: RequestID(i + 1), Account: "a", Prompt: promptWithBeginning(uint64(i + 1)), Hold: 90 * time.Millisecond}}
+			a := AskSeen{"e", Ask{Bound: name == "other version", Software: "v1", ID: RequestID(i + 1), Account: "a", Prompt: promptWithBeginning(uint64(i + 1)), Hold: 90 * time.Millisecond}}
 			cell.Step(now, a)
 			if s, now := cell.Stalled(); now {
 				st, stalled = s, true
--- a/lab/platform/single.go
+++ b/lab/platform/single.go
@@ -194,6 +194,7 @@
 // KillGateways kills all gateways, then starts them again.
 func (s *Site) KillGateways() {
 	for _, g := range s.gateways {
+		s.checkStalls(g)
 		g.running.Stop()
 	}
 	for _, g := range s.gateways {
--- a/lab/platform/site.go
+++ b/lab/platform/site.go
@@ -408,6 +408,9 @@
 }
 
 func (s *Site) result() Result {
+	for _, g := range s.gateways {
+		s.checkStalls(g)
+	}
 	r := Result{Violations: s.ledger.Violations(), StoreCalls: s.store.Calls()}
 	r.Counts, r.Accounts = s.ledger.Totals()
 	for _, w := range s.workers {
--- a/lab/platform/trouble.go
+++ b/lab/platform/trouble.go
@@ -282,18 +282,27 @@
 	g := s.gateways[i]
 	g.ready = false
 	s.mu.Unlock()
+	s.checkStalls(g)
 	g.running.Stop()
 	if err := s.startGateway(g); err != nil {
 		s.ledger.AddViolation("gateway: %v", err)
 	}
 }
 
+// checkStalls records a violation if a gateway has left idle targets without requests.
+func (s *Site) checkStalls(g *gatewayNode) {
+	if n := g.running.StalledSeconds(); n > 0 {
+		s.ledger.AddViolation("%s placed nothing beside idle workers for %d seconds", g.name, n)
+	}
+}
+
 // drainAndRestart drains a gateway and starts it again.
 func (s *Site) drainAndRestart(i int) {
 	s.mu.Lock()
 	g := s.gateways[i]
 	g.ready = false
 	s.mu.Unlock()
+	s.checkStalls(g)
 	g.running.Drain()
 	if err := s.startGateway(g); err != nil {
 		s.ledger.AddViolation("gateway: %v", err)
--- a/router/gatewaystate.go
+++ b/router/gatewaystate.go
@@ -57,6 +57,10 @@
 	}
 }
 
+// StalledSeconds returns the number of seconds in which a scheduler of this gateway placed nothing
+// beside idle targets.
+func (g *Gateway) StalledSeconds() int { return g.loop.StalledSeconds() }
+
 // operatorHandler serves metrics and dumps.
 func (g *Gateway) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -148,7 +148,9 @@
 	keeper      atomic.Bool // of records of streams
 	registrar   atomic.Bool // whether this gateway keeps its address in the registry
 	busy        atomic.Int64
-	requests    atomic.Uint64
+	// Seconds in which a scheduler placed nothing beside idle targets.
+	stalledSeconds atomic.Int64
+	requests       atomic.Uint64
 }
 
 // NewLoop starts a loop that runs until the tomb dies.
--- a/services/mesh/second.go
+++ b/services/mesh/second.go
@@ -31,11 +31,16 @@
 		return
 	}
 	s.lastStall = st.Unplaced
+	l.stalledSeconds.Add(1)
 	l.traffic.set.GetOrCreateCounter("madderway_gateway_stalled_seconds_total").Inc()
 	l.log.Warn("Idle targets get no requests.", "cell", key, "for", st.For.Round(time.Millisecond), "idle", st.Idle, "waiting", st.Waiting,
 		"target", st.Target, "booked", st.Booked, "tokens_per_second", saturate.Int64(st.Speed), "caches_due", st.CachesDue)
 }
 
+// StalledSeconds returns the number of seconds in which a scheduler here placed nothing beside idle
+// targets.
+func (l *Loop) StalledSeconds() int { return int(l.stalledSeconds.Load()) }
+
 // logCellStats logs for each active cell the requests and tokens since its last line and the load of
 // its targets.
 func (l *Loop) logCellStats(now time.Time) {
