--- a/core/batch/booking_test.go
+++ b/core/batch/booking_test.go
@@ -39,8 +39,8 @@
 	r := e.Start(start, prompt(1, 600_000), 10)
 	e.prefill.bookedUntil = start.Add(math.MaxInt64)
 	e.End(start, r, OutcomeExpired)
-	if booked := e.Booked(start.Add(idleTrial)); booked > 0 {
-		t.Errorf("%v booked %v after the last run, want nothing", booked, idleTrial)
+	if booked := e.Booked(start.Add(idleReset)); booked > 0 {
+		t.Errorf("%v booked %v after the last run, want nothing", booked, idleReset)
 	}
 }
 
--- a/core/batch/engine.go
+++ b/core/batch/engine.go
@@ -143,7 +143,7 @@
 // should send nothing more while it is long. It is 0 for an engine that has been idle for a while,
 // whatever its estimated speed, as only requests correct the estimate.
 func (e *Engine) Booked(now time.Time) time.Duration {
-	if e.Idle() && now.Sub(e.idleFrom) >= idleTrial {
+	if e.Idle() && now.Sub(e.idleFrom) >= idleReset {
 		return 0
 	}
 	return max(e.Backlog(now), e.prefill.bookedUntil.Sub(now))
--- a/core/batch/pace.go
+++ b/core/batch/pace.go
@@ -39,8 +39,8 @@
 	minPrefillShare    = 0.6
 	// maxDecodeTime is the booked time that may be left to decoding from before a run.
 	maxDecodeTime = time.Second
-	// idleTrial is the time without a run after which nothing is booked at an engine.
-	idleTrial = 120 * time.Millisecond
+	// idleReset is the time without a run after which nothing is booked at an engine.
+	idleReset = 120 * time.Millisecond
 )
 
 // prefillEstimator estimates the prefill speed and backlog of an engine. Engines prefill
--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -206,11 +206,11 @@
 	ReasonUnseen                 // lowest cost, but no target has the shared parts in its cache
 	ReasonSpilled                // the targets with the shared parts were too busy
 	ReasonStarved                // as ReasonSpilled, for an account that was starved
-	ReasonTrial                  // instead of a refusal, at a target that had long been idle
+	ReasonProbe                  // instead of a refusal, at a target that had long been idle
 	reasonCount    = 5
 )
 
-var reasonNames = [reasonCount]string{"cheapest", "unseen", "spilled", "starved", "trial"}
+var reasonNames = [reasonCount]string{"cheapest", "unseen", "spilled", "starved", "probe"}
 
 // String returns the reason as used in logs and metrics.
 func (r Reason) String() string { return reasonNames[r] }
--- a/core/cell/trial_test.go
+++ b/core/cell/probe_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against requests that are refused beside a target which is idle because it was told to be slow.
-func TestTargetToldToBeSlowIsTried(t *testing.T) {
+func TestTargetToldToBeSlowIsProbed(t *testing.T) {
 	for _, rules := range []Rules{{Handover: true}, {Forecast: true, Returns: true, Handover: true, Pace: true}} {
 		s := newSim(3, 45_000, 570_000)
 		s.rules, s.assumed = rules, 45_000
--- a/core/cell/refuse.go
+++ b/core/cell/refuse.go
@@ -34,7 +34,7 @@
 // the time after which the client should retry. If a target has long been idle, the request is placed
 // there instead.
 func (c *Cell) refuse(now time.Time, w *waiter, a *account, least float64, accounts int) {
-	if c.placeTrial(now, w) {
+	if c.placeProbe(now, w) {
 		return
 	}
 	unservable := c.unservable(w)
