--- a/core/entry/machine.go
+++ b/core/entry/machine.go
@@ -192,13 +192,18 @@
 // suspected and knows targets, or "".
 func (m *Machine) candidate(now time.Time, g *cell.Group, p *pending) string {
 	for _, id := range g.Schedulers() {
-		if !p.tried[id] && !m.suspected(now, id) && !now.Before(m.unlisted[schedulerOfCell{g.Key, id}]) {
+		if !p.tried[id] && !m.suspected(now, id) && !m.isUnlisted(now, g.Key, id) {
 			return id
 		}
 	}
 	return ""
 }
 
+// isUnlisted reports whether a scheduler has lately said that it knows no targets of the cell.
+func (m *Machine) isUnlisted(now time.Time, key cell.Key, scheduler string) bool {
+	return now.Before(m.unlisted[schedulerOfCell{key, scheduler}])
+}
+
 // onlySelfLeft reports whether only this gateway itself is left to schedule a request.
 func (m *Machine) onlySelfLeft(now time.Time, p *pending) bool {
 	g := m.layout.Group(p.cell)
--- a/lab/platform/outage.go
+++ b/lab/platform/outage.go
@@ -55,9 +55,10 @@
 // SetStoreMode changes the store's behaviour towards all gateways.
 func (s *Site) SetStoreMode(m StoreMode) { s.store.SetMode("", m) }
 
-// externalScheduling returns the settings that a deployment has.
+// externalScheduling returns settings that switch all of the scheduling on, for the model workers.
 func externalScheduling() setting.Scheduling {
-	return setting.Scheduling{CompactTokenKB: int(tokenBytes) >> 9, Forecast: true, Returns: true, Room: true, Handover: true, Pace: true}
+	const largestTokenKB = 2 * tokenBytes / 1024
+	return setting.Scheduling{CompactTokenKB: int(largestTokenKB), Forecast: true, Returns: true, Room: true, Handover: true, Pace: true}
 }
 
 // WatchOutages sends requests of each kind to all gateways until the context ends, and reports each
