--- a/lab/platform/outage.go
+++ b/lab/platform/outage.go
@@ -57,8 +57,8 @@
 
 // externalScheduling returns settings that switch all of the scheduling on, for the model workers.
 func externalScheduling() setting.Scheduling {
-	const largestTokenKB = 2 * tokenBytes / 1024
-	return setting.Scheduling{CompactTokenKB: int(largestTokenKB), Forecast: true, Returns: true, Room: true, Handover: true, Pace: true}
+	const largestTokenKB = 200 // above tokenBytes
+	return setting.Scheduling{CompactTokenKB: largestTokenKB, Forecast: true, Returns: true, Room: true, Handover: true, Pace: true}
 }
 
 // WatchOutages sends requests of each kind to all gateways until the context ends, and reports each
