--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -47,41 +47,41 @@
 
 // Cell schedules the requests of one cell. It is not safe for concurrent use.
 type Cell struct {
-	targets         map[string]*target
-	sorted          []*target
-	draining        map[string]*target // unlisted targets that still run requests
-	accounts        map[string]*account
-	waiting         map[requestKey]*waiter
-	runs            map[requestKey]*run
-	remoteTallies   map[string]*remoteTally
-	lastEviction    time.Time
-	speed           float64      // initial estimate of one target's tokens per second
-	prior           *batch.Prior // prefill speed of all targets, the initial estimate for new ones
-	siblings        int          // number of the service's other cells
-	transfer        *routing.Transfer
-	rules           Rules
-	forecaster      forecaster
-	fairWindow      time.Duration
-	coldRate        float64 // requests per second that a cold target can serve, 0 for no limit
-	coldShare       float64 // part of coldRate that this scheduler may use
-	demand          hallDemand
-	rooms           rooms                     // of the service's other cells
-	lastRoom        readingSample             // as of the last report of this cell's room
-	told            map[string]batch.Estimate // by an earlier scheduler, of targets that are not listed yet
-	holdersByHall   map[string]cacheHolder    // reused by findHolders
-	counts          Counts
-	returns         returns
-	stall           stallWatch
-	layoutVersion   uint64  // incremented when the list of targets changes
-	maxWaitingLevel float64 // highest level of the waiting accounts
-	maxLevel        float64 // highest level of all accounts at maxLevelAt
-	maxLevelAt      time.Time
-	views           []view     // targets in the order of sorted, as seen by the current decision
-	newWaiters      []*waiter  // arrived since the last decision
-	waitingAccounts []*account // result of the last orderAccounts
-	cachesDue       time.Time  // until then the caches of some targets may be unknown
-	scratch         []option   // reused by options
-	out             []Action
+	targets          map[string]*target
+	sorted           []*target
+	draining         map[string]*target // unlisted targets that still run requests
+	accounts         map[string]*account
+	waiting          map[requestKey]*waiter
+	runs             map[requestKey]*run
+	remoteTallies    map[string]*remoteTally
+	lastEviction     time.Time
+	speed            float64      // initial estimate of one target's tokens per second
+	prior            *batch.Prior // prefill speed of all targets, the initial estimate for new ones
+	siblings         int          // number of the service's other cells
+	transfer         *routing.Transfer
+	rules            Rules
+	forecaster       forecaster
+	fairWindow       time.Duration
+	coldRate         float64 // requests per second that a cold target can serve, 0 for no limit
+	coldShare        float64 // part of coldRate that this scheduler may use
+	demand           hallDemand
+	rooms            rooms                     // of the service's other cells
+	lastRoom         readingSample             // as of the last report of this cell's room
+	pendingEstimates map[string]batch.Estimate // of an earlier scheduler, of targets that are not listed yet
+	holdersByHall    map[string]cacheHolder    // reused by findHolders
+	counts           Counts
+	returns          returns
+	stall            stallWatch
+	layoutVersion    uint64  // incremented when the list of targets changes
+	maxWaitingLevel  float64 // highest level of the waiting accounts
+	maxLevel         float64 // highest level of all accounts at maxLevelAt
+	maxLevelAt       time.Time
+	views            []view     // targets in the order of sorted, as seen by the current decision
+	newWaiters       []*waiter  // arrived since the last decision
+	waitingAccounts  []*account // result of the last orderAccounts
+	cachesDue        time.Time  // until then the caches of some targets may be unknown
+	scratch          []option   // reused by options
+	out              []Action
 }
 
 // New returns a cell without targets.
--- a/core/cell/handover.go
+++ b/core/cell/handover.go
@@ -60,13 +60,13 @@
 	if !c.rules.Handover {
 		return
 	}
-	c.told = map[string]batch.Estimate{}
+	c.pendingEstimates = map[string]batch.Estimate{}
 	for _, e := range h.Engines {
 		if t := c.targets[e.Target]; t != nil {
 			t.engine.Seed(e.Within(c.speed))
 			continue
 		}
-		c.told[e.Target] = e.Estimate
+		c.pendingEstimates[e.Target] = e.Estimate
 	}
 	if c.returns.table == nil {
 		return
@@ -85,8 +85,8 @@
 	if !c.rules.Handover {
 		return
 	}
-	if est, known := c.told[id]; known {
-		delete(c.told, id)
+	if est, known := c.pendingEstimates[id]; known {
+		delete(c.pendingEstimates, id)
 		e.Seed(est.Within(c.speed))
 		return
 	}
--- a/core/cell/stall.go
+++ b/core/cell/stall.go
@@ -5,9 +5,9 @@
 
 import "time"
 
-// StallAfter is the time without a placement, with requests waiting for idle targets, from which
+// stallAfter is the time without a placement, with requests waiting for idle targets, from which
 // a scheduler counts as stalled. Waits that a decision intends are a fraction of it.
-const StallAfter = time.Second
+const stallAfter = time.Second
 
 // Stall describes a scheduler that places nothing although targets could take the requests that
 // wait, with the estimates that keep it from it.
@@ -82,7 +82,7 @@
 	return false
 }
 
-// Stalled returns the last decision of a stall that has lasted for StallAfter, or false.
+// Stalled returns the last decision of a stall that has lasted for stallAfter, or false.
 func (c *Cell) Stalled() (Stall, bool) {
-	return c.stall.last, !c.stall.since.IsZero() && c.stall.last.For >= StallAfter
+	return c.stall.last, !c.stall.since.IsZero() && c.stall.last.For >= stallAfter
 }
--- a/core/cell/stall_test.go
+++ b/core/cell/stall_test.go
@@ -58,7 +58,7 @@
 		if stalled != c.stalled {
 			t.Errorf("%s: stalled %t, want %t: %+v", name, stalled, c.stalled, st)
 		}
-		if stalled && (st.Idle != 2 || st.Waiting == 0 || st.For < StallAfter || st.Target == "" || st.Speed <= 0) {
+		if stalled && (st.Idle != 2 || st.Waiting == 0 || st.For < stallAfter || st.Target == "" || st.Speed <= 0) {
 			t.Errorf("%s: got %+v, want two idle targets and their estimates", name, st)
 		}
 	}
--- a/core/cell/start_test.go
+++ b/core/cell/start_test.go
@@ -14,8 +14,12 @@
 	"madderway/models/routing"
 )
 
-// Time from the last input that a scheduler needs until it must place requests again.
-const startBound = 2 * time.Second
+const (
+	// startBound is the time from the last input that a scheduler needs until it must place requests.
+	startBound = 2 * time.Second
+	// inventoryTime is the time until an entry gateway repeats its inventory.
+	inventoryTime = 2 * time.Second
+)
 
 // Guards against a scheduler that was asked before it had a list of targets and then places nothing
 // at them.
@@ -48,7 +52,7 @@
 		"negative":                      {[]float64{5000, -1}, 5000},
 	} {
 		cell := New()
-		for _, speed := range c.told {
+		for _, speed := range c.pendingEstimates {
 			ev := targetsNamed(handoverRules, "t")
 			ev.TokensPerSecond = speed
 			if speed == 0 {
@@ -81,8 +85,8 @@
 		t.Errorf("speed %.0f of a target that nothing was told of, want 20000", got)
 	}
 	c.Step(epoch, HandoverSeen{})
-	if len(c.told) > 0 {
-		t.Errorf("%d estimates kept after the next handover, want none", len(c.told))
+	if len(c.pendingEstimates) > 0 {
+		t.Errorf("%d estimates kept after the next handover, want none", len(c.pendingEstimates))
 	}
 }
 
@@ -232,9 +236,6 @@
 	}
 }
 
-// Time until an entry gateway repeats its inventory.
-const inventoryTime = 2 * time.Second
-
 // list sends a list of some of the targets.
 func (st *randomStart) list(n int) {
 	ev := TargetsSeen{Rules: st.sim.rules}
