--- a/core/cell/start_test.go
+++ b/core/cell/start_test.go
@@ -52,7 +52,7 @@
 		"negative":                      {[]float64{5000, -1}, 5000},
 	} {
 		cell := New()
-		for _, speed := range c.pendingEstimates {
+		for _, speed := range c.told {
 			ev := targetsNamed(handoverRules, "t")
 			ev.TokensPerSecond = speed
 			if speed == 0 {
