cell: Take back sending requests on from a scheduler without targets

The tests of core/cell, core/entry, core/batch and services/mesh pass, the property tests of starts among them.

--- a/core/cell/event.go
+++ b/core/cell/event.go
@@ -227,7 +227,6 @@
 	ID         RequestID
 	RetryAfter time.Duration
 	Elsewhere  bool // the request should be tried in another cell of the service
-	Unlisted   bool // no target is known here; another scheduler of the cell should be asked
 	Cell       Key  // the cell to try it in, or empty if none is known to have room
 	Account    string
 	Waited     time.Duration
--- a/core/cell/forecaster.go
+++ b/core/cell/forecaster.go
@@ -64,7 +64,7 @@
 
 // mayWait reports whether a request may wait on, and books its prefill in the forecast.
 func (c *Cell) mayWait(now time.Time, w *waiter) bool {
-	if c.unservable(w) || c.mayAskAnother(now, w) {
+	if c.unservable(w) {
 		return false
 	}
 	waited := now.Sub(w.arrived)
--- a/core/cell/refuse.go
+++ b/core/cell/refuse.go
@@ -9,10 +9,6 @@
 // listed within about a second of their start.
 const unservableRetryAfter = time.Second
 
-// unlistedWait is the time for which a request waits for a first list of targets. Another scheduler
-// may have one by then.
-const unlistedWait = 100 * time.Millisecond
-
 func (c *Cell) refuseOverdue(now time.Time, accounts []*account) {
 	least := leastLevel(accounts)
 	for _, a := range accounts {
@@ -57,24 +53,15 @@
 		Elsewhere: elsewhere || moveTo != "", Cell: moveTo,
 		Entry: w.key.entry, ID: w.key.id, RetryAfter: after, Account: a.name,
 		Waited: now.Sub(w.arrived), Ahead: a.level - least, Booked: c.leastBooked(), Waiting: len(c.waiting),
-		Return: told, SinceFirst: now.Sub(w.first), Unlisted: c.unlisted(),
+		Return: told, SinceFirst: now.Sub(w.first),
 	})
 }
 
-// unlisted reports whether no target of the cell is known: it has none, or this gateway has just
-// started.
-func (c *Cell) unlisted() bool { return len(c.targets) == 0 }
-
-// mayAskAnother reports whether a request has waited long enough for a list of targets.
-func (c *Cell) mayAskAnother(now time.Time, w *waiter) bool {
-	return c.unlisted() && now.Sub(w.arrived) >= unlistedWait
-}
-
 // overdue returns the account's requests that must be refused now.
 func (c *Cell) overdue(now time.Time, a *account) []*waiter {
 	var late []*waiter
 	for _, w := range a.queue {
-		if c.unservable(w) || c.mayAskAnother(now, w) || !now.Before(w.waitUntil) && !c.extendWait(now, w, a) {
+		if c.unservable(w) || !now.Before(w.waitUntil) && !c.extendWait(now, w, a) {
 			late = append(late, w)
 		}
 	}
--- a/core/entry/event.go
+++ b/core/entry/event.go
@@ -60,10 +60,8 @@
 	From       string
 	ID         cell.RequestID
 	RetryAfter time.Duration
-	Elsewhere  bool // another cell or scheduler may have capacity
-	// Cell is the cell that has room, empty if none is known. If it is the request's own, another
-	// of its schedulers should be asked.
-	Cell cell.Key
+	Elsewhere  bool     // another cell may have capacity
+	Cell       cell.Key // the cell that has room, or empty if none is known
 }
 
 // LayoutSeen replaces the assignment of targets and schedulers to cells.
--- a/core/entry/machine.go
+++ b/core/entry/machine.go
@@ -4,7 +4,6 @@
 package entry
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -22,8 +21,6 @@
 	// roomInterval is the time after which a scheduler has told its cell's room again.
 	roomInterval  = 500 * time.Millisecond
 	noTargetRetry = 500 * time.Millisecond
-	// unlistedPause is the time for which a scheduler that knows no targets of a cell is not asked.
-	unlistedPause = 500 * time.Millisecond
 	// saturatedRetry is short because the retry reaches another gateway.
 	saturatedRetry = 50 * time.Millisecond
 )
@@ -72,9 +69,8 @@
 	schedulers    map[cell.Key]*schedulerState
 	former        map[schedulerOfCell]*formerState
 	suspects      map[string]*suspectBackoff
-	unlisted      map[schedulerOfCell]time.Time // until then a scheduler without a list of targets is not asked
-	full          map[cell.Key]time.Time        // last refusal of a moved request
-	lag           time.Duration                 // sum of the delays of all ticks
+	full          map[cell.Key]time.Time // last refusal of a moved request
+	lag           time.Duration          // sum of the delays of all ticks
 	linkSaturated bool
 	settledAt     time.Time // until then requests may be held back
 	actions       []Action
@@ -84,7 +80,7 @@
 func New(self string) *Machine {
 	return &Machine{
 		self: self, layout: &cell.Layout{}, pending: map[cell.RequestID]*pending{}, running: map[cell.RequestID]*running{},
-		schedulers: map[cell.Key]*schedulerState{}, former: map[schedulerOfCell]*formerState{}, suspects: map[string]*suspectBackoff{}, unlisted: map[schedulerOfCell]time.Time{}, full: map[cell.Key]time.Time{},
+		schedulers: map[cell.Key]*schedulerState{}, former: map[schedulerOfCell]*formerState{}, suspects: map[string]*suspectBackoff{}, full: map[cell.Key]time.Time{},
 	}
 }
 
@@ -188,22 +184,17 @@
 	m.emit(AskOut{p.scheduler, p.cell, ask})
 }
 
-// candidate returns the best scheduler of a cell that has not been tried for a request, is not
-// suspected and knows targets, or "".
+// candidate returns the best scheduler of a cell that has not been tried for a request
+// and is not suspected, or "".
 func (m *Machine) candidate(now time.Time, g *cell.Group, p *pending) string {
 	for _, id := range g.Schedulers() {
-		if !p.tried[id] && !m.suspected(now, id) && !m.isUnlisted(now, g.Key, id) {
+		if !p.tried[id] && !m.suspected(now, id) {
 			return id
 		}
 	}
 	return ""
 }
 
-// isUnlisted reports whether a scheduler has lately said that it knows no targets of the cell.
-func (m *Machine) isUnlisted(now time.Time, key cell.Key, scheduler string) bool {
-	return now.Before(m.unlisted[schedulerOfCell{key, scheduler}])
-}
-
 // onlySelfLeft reports whether only this gateway itself is left to schedule a request.
 func (m *Machine) onlySelfLeft(now time.Time, p *pending) bool {
 	g := m.layout.Group(p.cell)
@@ -267,7 +258,7 @@
 
 func (m *Machine) refused(now time.Time, e RefusalSeen) {
 	p := m.pending[e.ID]
-	if p == nil || p.scheduler != e.From || e.Elsewhere && m.askElsewhere(now, p, e.Cell) {
+	if p == nil || p.scheduler != e.From || e.Elsewhere && m.move(now, p, e.Cell) {
 		return
 	}
 	if p.moved {
@@ -277,20 +268,6 @@
 	m.emit(Refuse{e.ID, e.From, e.RetryAfter})
 }
 
-// askElsewhere asks another cell, or another scheduler of the same cell if that one is named: the one
-// that refused knows no targets.
-func (m *Machine) askElsewhere(now time.Time, p *pending, named cell.Key) bool {
-	if named != p.cell {
-		return m.move(now, p, named)
-	}
-	m.unlisted[schedulerOfCell{p.cell, p.scheduler}] = now.Add(unlistedPause)
-	if m.onlySelfLeft(now, p) && p.tried[m.self] {
-		return false
-	}
-	m.askNext(now, p)
-	return true
-}
-
 // move asks a second cell to place a request, once: the one that the first cell's scheduler
 // names, else the next by affinity for an account that is below its fair share in the first.
 func (m *Machine) move(now time.Time, p *pending, named cell.Key) bool {
@@ -398,7 +375,6 @@
 			m.sendInventory(key, s)
 		}
 	}
-	maps.DeleteFunc(m.unlisted, func(_ schedulerOfCell, until time.Time) bool { return !now.Before(until) })
 	m.tickFormer(now)
 }
 
--- a/services/mesh/step.go
+++ b/services/mesh/step.go
@@ -206,12 +206,9 @@
 		f := l.out.Frame(now, a.Entry, true)
 		f.EngineWaits = append(f.EngineWaits, &wire.EngineWait{Id: uint64(a.ID)})
 	case cell.Refuse:
-		if a.Unlisted {
-			a.Elsewhere, a.Cell = true, key
-		}
 		values := []any{
 			"cell", key, "entry", a.Entry, "number", a.ID, "account", a.Account, "waited", a.Waited,
-			"ahead", saturate.Int64(a.Ahead), "booked", a.Booked, "waiting", a.Waiting, "retry_after", a.RetryAfter, "elsewhere", a.Elsewhere, "move_to", a.Cell, "unlisted", a.Unlisted,
+			"ahead", saturate.Int64(a.Ahead), "booked", a.Booked, "waiting", a.Waiting, "retry_after", a.RetryAfter, "elsewhere", a.Elsewhere, "move_to", a.Cell,
 		}
 		l.log.Request("Request refused.", append(values, refusalValues(a)...)...)
 		if a.Entry == self {
