origin: Reproduce streams joined at gateways out of step

Random orders of releases, cuts (one way, of the store, of all), standstills of 20 ms and more, and restarts of 3 to 6 gateways, each with its own view of the list.

The older property test (anyorder_test.go) missed it since its gateways know at once, and exactly, whether they are in contact.

--- /dev/null
+++ b/services/origin/outofstep_test.go
@@ -0,0 +1,368 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package origin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	coreorigin "madderway/core/origin"
+	"madderway/core/place"
+	"madderway/models/routing"
+	"madderway/modules/clock"
+	"madderway/modules/log"
+)
+
+// network is a group of gateways whose links to each other and to the store can be cut one by one,
+// so that each has its own view of the list of targets.
+type network struct {
+	t        *testing.T
+	clock    *waitingClock
+	archive  *fakeArchive
+	store    *routing.TargetSet // what the store lists
+	nodes    map[string]*networkNode
+	ids      []string
+	cut      map[[2]string]bool // links from one gateway to another
+	storeOff bool
+	reads    int // of the list, for streams that come back
+}
+
+type networkNode struct {
+	*Service
+	view     *routing.TargetSet
+	freshAt  time.Time // of view
+	storeCut bool
+	frozenAt time.Time // zero if it runs
+	inbox    []func()  // messages that wait for a frozen gateway
+}
+
+const (
+	viewMaxAge    = 3 * time.Second
+	minStandstill = 1500 * time.Millisecond
+)
+
+var errCut = errors.New("no path to the store")
+
+func newNetwork(t *testing.T, gateways int, versions ...string) *network {
+	fake := clock.NewFake()
+	n := &network{t: t, clock: &waitingClock{Fake: fake}, archive: newFakeArchive(fake), nodes: map[string]*networkNode{}, cut: map[[2]string]bool{}}
+	n.list(versions...)
+	for i := range gateways {
+		n.ids = append(n.ids, fmt.Sprint("g", i))
+	}
+	for _, id := range n.ids {
+		n.start(id, true)
+	}
+	n.pass(patience)
+	return n
+}
+
+// start starts a gateway, or starts it anew without its records.
+func (n *network) start(id string, first bool) {
+	node := &networkNode{view: routing.NewTargetSet(0)}
+	if old := n.nodes[id]; old != nil {
+		node.storeCut = old.storeCut
+	}
+	n.nodes[id] = node
+	node.Service = New(log.New("origin"), Options{
+		Clock: n.clock, MetricsPrefix: "test", Sender: uint32(place.Score(id, uint64(n.clock.Now().UnixNano()))), FirstStart: first,
+		InContact: func() bool { return n.followsTargets(id) },
+		CutOff:    func() bool { return !n.followsTargets(id) },
+		Backup: func(messages []Backup) {
+			for _, to := range coreorigin.Backups(n.members(), id) {
+				for _, b := range messages {
+					n.send(id, to, func(s *Service) { s.ReceiveBackup(b) })
+				}
+			}
+		},
+		Share: func(records []coreorigin.Record, _ bool) {
+			for _, r := range records {
+				for _, to := range coreorigin.Replicas(n.members(), id, r.Key) {
+					n.send(id, to, func(s *Service) { s.Receive([]coreorigin.Record{r}) })
+				}
+			}
+		},
+		Ask: func(k coreorigin.Key) []string {
+			asked := coreorigin.Holders(n.members(), id, k)
+			for _, to := range asked {
+				n.send(id, to, func(s *Service) {
+					reply := s.Lookup(k)
+					reply.Peer = to
+					n.send(to, id, func(s *Service) { s.Replied(k, reply) })
+				})
+			}
+			return asked
+		},
+		Confirm: func(context.Context) error {
+			if node.storeCut || n.storeOff {
+				return errCut
+			}
+			n.reads++
+			n.read(node)
+			return nil
+		},
+	})
+	n.read(node)
+}
+
+// members returns all gateways, also those that cannot be reached.
+func (n *network) members() []place.Node {
+	var out []place.Node
+	for _, id := range n.ids {
+		out = append(out, place.Node{ID: id})
+	}
+	return out
+}
+
+// send delivers a message, unless the link is cut. A frozen gateway gets it when it wakes.
+func (n *network) send(from, to string, deliver func(*Service)) {
+	if n.cut[[2]string{from, to}] {
+		return
+	}
+	node := n.nodes[to]
+	if node.frozen() {
+		node.inbox = append(node.inbox, func() { deliver(node.Service) })
+		return
+	}
+	deliver(node.Service)
+}
+
+func (node *networkNode) frozen() bool { return !node.frozenAt.IsZero() }
+
+// followsTargets reports whether a gateway's list is young, or most others can be heard.
+func (n *network) followsTargets(id string) bool {
+	node := n.nodes[id]
+	if n.clock.Now().Sub(node.freshAt) < viewMaxAge {
+		return true
+	}
+	heard := 1
+	for _, other := range n.ids {
+		if other != id && !n.cut[[2]string{other, id}] && !n.nodes[other].frozen() {
+			heard++
+		}
+	}
+	return 2*heard > len(n.ids)
+}
+
+// read gives a gateway the store's list.
+func (n *network) read(node *networkNode) {
+	node.view, node.freshAt = n.store, n.clock.Now()
+	node.SetTargets(n.store)
+}
+
+// list replaces the store's list by targets of the given versions.
+func (n *network) list(versions ...string) {
+	var targets []routing.Target
+	for _, v := range versions {
+		targets = append(targets, target(v, v))
+	}
+	revision := routing.Revision(1)
+	if n.store != nil {
+		revision = n.store.Revision + 1
+	}
+	n.store = routing.NewTargetSet(revision, targets...)
+}
+
+// exchange has the running gateways follow the store and each other.
+func (n *network) exchange() {
+	for _, id := range n.ids {
+		node := n.nodes[id]
+		if node.frozen() || node.storeCut || n.storeOff {
+			continue
+		}
+		n.read(node)
+		if node.archiveDue(func() (bool, int) { return true, len(n.ids) }, 0) {
+			if err := node.syncArchive(n.t.Context(), n.archive); err != nil {
+				n.t.Logf("%s: archive: %v", id, err)
+			}
+		}
+	}
+	for _, from := range n.ids {
+		for _, to := range n.ids {
+			sender, receiver := n.nodes[from], n.nodes[to]
+			if from == to || sender.frozen() || receiver.frozen() || n.cut[[2]string{from, to}] {
+				continue
+			}
+			if sender.view.Revision >= receiver.view.Revision && sender.freshAt.After(receiver.freshAt) {
+				receiver.view, receiver.freshAt = sender.view, sender.freshAt
+				receiver.SetTargets(sender.view)
+			}
+			receiver.Learn(from, sender.Memory(), sender.view.Revision)
+		}
+	}
+	for _, id := range n.ids {
+		if !n.nodes[id].frozen() {
+			n.nodes[id].checkContact()
+			n.nodes[id].stepBackups()
+		}
+	}
+}
+
+// pass lets time pass in steps in which gateways exchange what is new.
+func (n *network) pass(d time.Duration) {
+	const step = 250 * time.Millisecond
+	for ; d > 0; d -= step {
+		n.clock.Advance(min(step, d))
+		n.exchange()
+	}
+}
+
+// wake ends a standstill. Requests that waited are read before the messages of others are.
+func (n *network) wake(id string) {
+	node := n.nodes[id]
+	length := n.clock.Now().Sub(node.frozenAt)
+	node.frozenAt = time.Time{}
+	if length >= minStandstill {
+		node.NoteGap("standstill")
+	}
+}
+
+func (n *network) deliverInbox(id string) {
+	node := n.nodes[id]
+	for _, deliver := range node.inbox {
+		deliver()
+	}
+	node.inbox = nil
+}
+
+// begin begins a stream at a gateway, at a target of its own list.
+func (n *network) begin(id, attempt, software string) {
+	n.nodes[id].Sent(coreorigin.KeyOf(account, attempt), service, n.nodes[id].view.Find(software), 1)
+}
+
+// takeUp has a caller come back to a gateway. Nothing arrives while the gateway waits.
+func (n *network) takeUp(id, attempt string) (Origin, error) {
+	defer n.clock.endWait()
+	return n.nodes[id].Resolve(n.t.Context(), coreorigin.KeyOf(account, attempt), service)
+}
+
+// waitingClock is a fake clock on which waits end at once. The time that they would have taken passes
+// until endWait only.
+type waitingClock struct {
+	*clock.Fake
+	waited time.Duration
+}
+
+func (c *waitingClock) Now() time.Time { return c.Fake.Now().Add(c.waited) }
+
+func (c *waitingClock) After(d time.Duration) <-chan time.Time {
+	c.waited += max(d, 0)
+	ch := make(chan time.Time, 1)
+	ch <- c.Now()
+	return ch
+}
+
+func (c *waitingClock) endWait() { c.waited = 0 }
+
+// Guards against a stream that continues at another version at a gateway that has not heard of it:
+// cut off from others or the store in any direction, standing still for any time, or just started.
+func TestStreamsKeepTheirVersionOutOfStep(t *testing.T) {
+	const seeds, steps = 300, 40
+	resolved := 0
+	for seed := range uint64(seeds) {
+		resolved += playOutOfStep(t, seed, steps)
+		if t.Failed() {
+			return
+		}
+	}
+	if resolved < seeds {
+		t.Errorf("got %d streams that continue, want some in each play", resolved)
+	}
+}
+
+func playOutOfStep(t *testing.T, seed uint64, steps int) (resolved int) {
+	rng := rand.New(rand.NewPCG(seed, 94))
+	n := newNetwork(t, 3+rng.IntN(4), "v0")
+	versions, next, streams := []string{"v0"}, 1, map[string]string{}
+	var order []string
+	for step := range steps {
+		id, other := n.ids[rng.IntN(len(n.ids))], n.ids[rng.IntN(len(n.ids))]
+		node := n.nodes[id]
+		what := rng.IntN(14)
+		switch {
+		case what < 2:
+			versions = append(versions, fmt.Sprint("v", next))
+			next++
+			n.list(versions...)
+		case what == 2 && len(versions) > 1:
+			i := rng.IntN(len(versions))
+			versions = slices.Delete(slices.Clone(versions), i, i+1)
+			n.list(versions...)
+		case what == 3:
+			node.storeCut = !node.storeCut
+		case what == 4:
+			n.cut[[2]string{id, other}] = !n.cut[[2]string{id, other}]
+		case what == 5:
+			for _, peer := range n.ids {
+				n.cut[[2]string{id, peer}], n.cut[[2]string{peer, id}] = true, true
+			}
+			node.storeCut = rng.IntN(2) == 0
+		case what == 6:
+			clear(n.cut)
+			for _, x := range n.nodes {
+				x.storeCut = false
+			}
+		case what < 9 && !node.frozen():
+			node.frozenAt = n.clock.Now()
+		case what == 9 && !node.frozen():
+			n.start(id, false)
+		case what == 10:
+			n.storeOff = !n.storeOff
+		default:
+			n.exchange()
+		}
+		n.clock.Advance(time.Duration(20+rng.IntN(1000)) * time.Millisecond)
+		if rng.IntN(2) == 0 {
+			n.exchange()
+		}
+		for _, id := range n.ids {
+			if n.nodes[id].frozen() && rng.IntN(3) == 0 {
+				n.wake(id)
+			}
+		}
+		resolved += checkTakeUps(n, streams, fmt.Sprintf("seed %d, step %d", seed, step))
+		for _, id := range n.ids {
+			if !n.nodes[id].frozen() {
+				n.deliverInbox(id)
+			}
+		}
+		begun := n.ids[rng.IntN(len(n.ids))]
+		if listed := n.nodes[begun].view.ByService(service); !n.nodes[begun].frozen() && len(listed) > 0 {
+			attempt, software := fmt.Sprint("attempt-", len(order)), listed[rng.IntN(len(listed))].Software
+			n.begin(begun, attempt, software)
+			streams[attempt], order = software, append(order, attempt)
+			n.clock.Advance(20 * time.Millisecond)
+		}
+		if len(order) > 5 {
+			delete(streams, order[len(order)-6])
+		}
+	}
+	return resolved
+}
+
+// checkTakeUps has the callers of streams come back to all running gateways and returns how many
+// streams continue.
+func checkTakeUps(n *network, streams map[string]string, what string) (resolved int) {
+	for attempt, software := range streams {
+		for _, id := range n.ids {
+			if n.nodes[id].frozen() {
+				continue
+			}
+			got, err := n.takeUp(id, attempt)
+			switch {
+			case err != nil:
+			case got.Software != software:
+				n.t.Errorf("%s: %s continues a stream of %s at %s, found by %s", what, id, software, got.Software, got.Basis)
+			default:
+				resolved++
+			}
+		}
+	}
+	return resolved
+}
