origin: Log what the version of a continued stream was taken from

The lines of requests could not tell knowledge from before the caller came back from an answer after it, nor a record of another gateway from none: the list's revision and age, whether a record of another gateway was held, and how many gateways were asked and replied are named now. No decision changes.

--- a/router/gateway.go
+++ b/router/gateway.go
@@ -159,6 +159,10 @@
 	store := platform.NewStore(s.Store, s.StoreCall.Duration)
 	g.origins = origin.New(log.New("origin").With(s.ID), origin.Options{
 		Clock: g.clock, MetricsPrefix: "madderway_gateway", Sender: uint32(place.Score(s.ID, g.self.Incarnation)), FirstStart: s.FirstStart, InContact: g.inContact, CutOff: g.cutOff,
+		ListFreshAt: func() time.Time {
+			at, _ := g.follow.TargetsFreshAt()
+			return at
+		},
 		Backup:  func(messages []origin.Backup) { g.loop.BackUpOrigins(messages) },
 		Share:   func(records []coreorigin.Record, urgent bool) { g.loop.ShareOrigins(records, urgent) },
 		Ask:     func(k coreorigin.Key) []string { return g.loop.AskOrigin(k) },
--- a/services/forward/bind.go
+++ b/services/forward/bind.go
@@ -26,6 +26,7 @@
 	bound    bool
 	software string
 	basis    origin.Basis
+	evidence origin.Evidence
 }
 
 // allows reports whether the stream may be sent to a target.
@@ -63,7 +64,7 @@
 		j.s.log.Request("Origin of a stream is not known.", "id", j.r.Call.ID, "resumes", j.r.Call.Resumes, "service", j.r.Service.Name, "in_answer", j.headOut, "error", err)
 		return result.Wrap(result.OriginUnknown, err).WithRetryAfter(unknownOriginRetryAfter)
 	}
-	j.binding = binding{true, began.Software, began.Basis}
+	j.binding = binding{true, began.Software, began.Basis, began.Evidence}
 	return nil
 }
 
--- a/services/forward/bind_test.go
+++ b/services/forward/bind_test.go
@@ -29,7 +29,7 @@
 func newStreamJob(call upstream.Call) (*job, *listedTargets) {
 	targets, fake := &listedTargets{}, clock.NewFake()
 	o := origin.New(log.New("origin"), origin.Options{
-		Clock: fake, MetricsPrefix: "test", FirstStart: true, InContact: func() bool { return true },
+		Clock: fake, MetricsPrefix: "test", FirstStart: true, InContact: func() bool { return true }, ListFreshAt: fake.Now,
 		Share: func([]coreorigin.Record, bool) {}, Ask: func(coreorigin.Key) []string { return nil },
 	})
 	s := New(log.New("forward"), Options{Clock: fake, Targets: targets, Origins: o, Notices: notice.New(log.New("notice"), notice.Options{Clock: fake})})
--- a/services/forward/requestlog.go
+++ b/services/forward/requestlog.go
@@ -134,5 +134,8 @@
 	if j.r.Call.Resuming {
 		values = append(values, "resumes", j.r.Call.Resumes, "from_event", j.r.Call.LastEvent, "bound_to", j.binding.software, "bound_by", j.binding.basis)
 	}
+	if e := j.binding.evidence; j.binding.bound {
+		values = append(values, "list_revision", e.ListRevision, "list_age", e.ListAge, "record_held", e.Held, "asked", e.Asked, "replied", e.Replied)
+	}
 	return values
 }
--- a/services/origin/origin.go
+++ b/services/origin/origin.go
@@ -39,6 +39,8 @@
 	// InContact reports whether the list of targets is as new as that of the rest of the fleet, and
 	// CutOff whether updates of it may have been missed.
 	InContact, CutOff func() bool
+	// ListFreshAt returns when the list of targets was last known to be complete.
+	ListFreshAt func() time.Time
 	// Backup sends records to the gateways that are to share them if this one falls silent.
 	Backup func(messages []Backup)
 	// Share sends records to the gateways that are to hold them, urgent ones at once. Ask asks those
--- a/services/origin/origin_test.go
+++ b/services/origin/origin_test.go
@@ -84,8 +84,9 @@
 func (f *fleet) launch(id string, first bool) {
 	f.gateways[id] = New(log.New("origin"), Options{
 		Clock: f.clock, MetricsPrefix: "test", Sender: uint32(place.Score(id, uint64(f.clock.Now().UnixNano()))), FirstStart: first,
-		InContact: func() bool { return !f.outOf[id] },
-		CutOff:    func() bool { return f.outOf[id] },
+		InContact:   func() bool { return !f.outOf[id] },
+		CutOff:      func() bool { return f.outOf[id] },
+		ListFreshAt: f.clock.Now,
 		Backup: func(messages []Backup) {
 			for _, to := range coreorigin.Backups(f.nodes(id), id) {
 				for _, b := range messages {
--- a/services/origin/outofstep_test.go
+++ b/services/origin/outofstep_test.go
@@ -72,8 +72,9 @@
 	n.nodes[id] = node
 	node.Service = New(log.New("origin"), Options{
 		Clock: n.clock, MetricsPrefix: "test", Sender: uint32(place.Score(id, uint64(n.clock.Now().UnixNano()))), FirstStart: first,
-		InContact: func() bool { return n.followsTargets(id) },
-		CutOff:    func() bool { return !n.followsTargets(id) },
+		InContact:   func() bool { return n.followsTargets(id) },
+		CutOff:      func() bool { return !n.followsTargets(id) },
+		ListFreshAt: func() time.Time { return node.freshAt },
 		Backup: func(messages []Backup) {
 			for _, to := range coreorigin.Backups(n.members(), id) {
 				for _, b := range messages {
--- a/services/origin/resolve.go
+++ b/services/origin/resolve.go
@@ -63,11 +63,21 @@
 type Origin struct {
 	Software string
 	Basis    Basis
+	Evidence Evidence
+}
+
+// Evidence is what the version of a stream was taken from, for the log.
+type Evidence struct {
+	ListRevision   routing.Revision // of the list of targets
+	ListAge        time.Duration    // since the list was last known to be complete
+	Held           bool             // this gateway held a record of another one
+	Asked, Replied int              // gateways asked for a record after the request came
 }
 
 // Resolve returns where a stream of a service began, or an ErrUnknown.
 func (s *Service) Resolve(ctx context.Context, k coreorigin.Key, service string) (Origin, error) {
 	o, err := s.resolve(ctx, k, service)
+	o.Evidence.ListRevision, o.Evidence.ListAge = s.listState()
 	switch {
 	case err != nil:
 		s.counters.unknown.Inc()
@@ -82,12 +92,13 @@
 func (s *Service) resolve(ctx context.Context, k coreorigin.Key, service string) (Origin, error) {
 	reply := s.Lookup(k)
 	own := reply.Found && reply.Record.Sender == s.opts.Sender
+	held := reply.Found && !own
 	if !reply.Found {
 		s.awaitCoverage(ctx, service)
 	}
 	if !own {
 		if software, ok := s.onlyVersion(service); ok && (!reply.Found || reply.Record.Software == software) {
-			return Origin{software, FromSingleVersion}, nil
+			return Origin{software, FromSingleVersion, Evidence{Held: reply.Found}}, nil
 		}
 	}
 	if !reply.Found {
@@ -112,7 +123,15 @@
 	if !s.holds(reply.Record) {
 		return Origin{}, ErrUnknown{"the target restarted with other software at about that time"}
 	}
-	return Origin{reply.Record.Software, FromRecord}, nil
+	return Origin{reply.Record.Software, FromRecord, Evidence{Held: held, Asked: asked, Replied: replied}}, nil
+}
+
+// listState returns the revision of the list of targets and its age.
+func (s *Service) listState() (routing.Revision, time.Duration) {
+	age := s.opts.Clock.Now().Sub(s.opts.ListFreshAt())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets.Revision, age
 }
 
 // awaitCoverage waits until all versions of a service are known if this gateway has just started:
