origin: Bind streams without a record only to a list that was read after they came back

Callers saw streams that had begun at one software version go on at another one, at a gateway that was cut off or had stood still.

Cause: such a stream was bound to the only listed version while the list was at most 3 s old or most members seemed to be there: knowledge from before the question. No bound on the age repairs that, and a process that stood still does not know the age.

The store now confirms the list by a read that begins after the caller came back, shared by all that wait at a gateway and at most 1,000 a second in a whole fleet. The read continues from the newest answer of the store, which heartbeats tell (targets_complete), since the history from the last change of the list on may be gone; then the whole list is read. A list to which expired entries may still return is not confirmed. Without the store only a record decides; up to 64 gateways are asked for it also while there is one version. Replies that came while this process stood still count when the wait ends.

--- a/core/origin/replicas.go
+++ b/core/origin/replicas.go
@@ -24,6 +24,8 @@
 	askedPerHall = 2
 	askedOfAll   = replicas + 2
 	maxAsked     = 12
+	// MaxAsked is the number of gateways that are asked at most, also where any may have the record.
+	MaxAsked = 64
 	// Records are kept by all gateways of a small fleet, and by a part of a larger one that grows
 	// with its square root: neither the connections of a gateway nor the records of a keeper
 	// then grow like the fleet.
@@ -79,6 +81,21 @@
 	return ids(union(firstOf(all, askedOfAll), firstOfHalls(all, askedPerHall), maxAsked))
 }
 
+// WideHolders returns the gateways that may have the record of a stream which began while its service
+// had one version: all others of a small fleet, and the keepers of a larger one.
+func WideHolders(nodes, keepers []place.Node, self string, k Key) []string {
+	if len(nodes) > MaxAsked {
+		return Holders(keepers, self, k)
+	}
+	var out []string
+	for _, n := range nodes {
+		if n.ID != self {
+			out = append(out, n.ID)
+		}
+	}
+	return out
+}
+
 // scores returns the hashes of all nodes but self for a key.
 func scores(nodes []place.Node, self string, k Key) []ranked {
 	out := make([]ranked, 0, len(nodes))
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -163,6 +163,9 @@
 	w.advance(at)
 }
 
+// Confirmed records that the local copy was complete at a time, found by a read that is no poll.
+func (w *Watch) Confirmed(at time.Time) { w.advance(at) }
+
 // MarkGap makes the next poll due at once, since the local copy may miss changes.
 func (w *Watch) MarkGap() { w.gap = true }
 
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -165,7 +165,7 @@
 		},
 		Backup:  func(messages []origin.Backup) { g.loop.BackUpOrigins(messages) },
 		Share:   func(records []coreorigin.Record, urgent bool) { g.loop.ShareOrigins(records, urgent) },
-		Ask:     func(k coreorigin.Key) []string { return g.loop.AskOrigin(k) },
+		Ask:     func(k coreorigin.Key, wide bool) []string { return g.loop.AskOrigin(k, wide) },
 		Confirm: func(ctx context.Context) error { return g.follow.Confirm(ctx) },
 	})
 	g.notices = notice.New(log.New("notice").With(s.ID), notice.Options{Clock: g.clock, MetricsPrefix: "madderway_gateway", OnLeaving: func() { g.follow.LeavingChanged() }})
--- a/services/follow/age_test.go
+++ b/services/follow/age_test.go
@@ -58,7 +58,7 @@
 func newSyncedService(c *clock.Fake) *Service {
 	var t tomb.Tomb
 	s := New(&t, log.New("test"), Options{Clock: c, Fleet: func() (bool, int) { return true, 2 }, OnChange: func() {}})
-	s.applyTargets(func(time.Time) bool { return s.table.replace([]routing.Target{{ID: "a"}}, 5) })
+	s.applyTargets(5, func(time.Time) bool { return s.table.replace([]routing.Target{{ID: "a"}}, 5) })
 	s.callSucceeded(s.watchTargets, c.Now(), 7_000_000)
 	return s
 }
--- a/services/follow/confirm.go
+++ b/services/follow/confirm.go
@@ -12,14 +12,21 @@
 	"madderway/core/watch"
 )
 
-// errNoCopy reports that the list of targets was never read.
-var errNoCopy = errors.New("the list of targets is not known")
+// Reasons for which a read does not confirm the list.
+var (
+	errNoCopy    = errors.New("the list of targets is not known")
+	errUnsettled = errors.New("entries may be missing after a silence of the store")
+)
+
+// maxConfirmsPerSecond bounds the reads of a whole fleet for Confirm.
+const maxConfirmsPerSecond = 1000
 
 // confirmations shares reads of the targets' changes among concurrent calls of Confirm.
 type confirmations struct {
-	mu   sync.Mutex
-	next *confirmation // not begun yet, nil if nobody waits for it
-	busy bool
+	mu    sync.Mutex
+	next  *confirmation // not begun yet, nil if nobody waits for it
+	busy  bool
+	pause func() // waits until the next read may begin; may be nil
 }
 
 type confirmation struct {
@@ -27,10 +34,10 @@
 	err  error
 }
 
-// Confirm reads the changes of targets from the store and applies them. The read begins after the
-// call, so that the list includes all that the store had taken by then.
+// Confirm updates the list of targets by a read of the store that begins after the call, so that the
+// list includes all that the store had taken by then.
 func (s *Service) Confirm(ctx context.Context) error {
-	c := s.confirmations.join(func() error { return s.readTargetChanges(s.t.Context(context.Background())) })
+	c := s.confirmations.join(func() error { return s.confirmTargets(s.t.Context(context.Background())) })
 	select {
 	case <-c.done:
 		return c.err
@@ -46,32 +53,82 @@
 	if c.next == nil {
 		c.next = &confirmation{done: make(chan struct{})}
 	}
+	next := c.next
 	if !c.busy {
 		c.busy = true
 		go c.run(read)
 	}
-	return c.next
+	return next
 }
 
 func (c *confirmations) run(read func() error) {
-	for {
-		c.mu.Lock()
-		current := c.next
-		c.next = nil
-		c.busy = current != nil
-		c.mu.Unlock()
-		if current == nil {
-			return
+	for c.isNeeded() {
+		if c.pause != nil {
+			c.pause()
 		}
+		current := c.begin()
 		current.err = read()
 		close(current.done)
 	}
 }
 
+// isNeeded reports whether somebody waits for the next read; otherwise run ends.
+func (c *confirmations) isNeeded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = c.next != nil
+	return c.busy
+}
+
+// begin returns the read that begins now. Later calls wait for the one after it.
+func (c *confirmations) begin() *confirmation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	current := c.next
+	c.next = nil
+	return current
+}
+
+// pauseConfirmations waits so long after the last read that the whole fleet stays within its bound.
+func (s *Service) pauseConfirmations() {
+	_, members := s.opts.Fleet()
+	if wait := confirmWait(s.opts.Clock.Now(), s.lastConfirm, members); wait > 0 {
+		s.sleep(wait)
+	}
+	s.lastConfirm = s.opts.Clock.Now()
+}
+
+// confirmWait returns the time until the next read may begin.
+func confirmWait(now, last time.Time, members int) time.Duration {
+	interval := time.Duration(members) * time.Second / maxConfirmsPerSecond
+	return max(last.Add(interval).Sub(now), 0)
+}
+
+// confirmTargets reads the changes of targets and reports whether the list is complete as of a time
+// after the call.
+func (s *Service) confirmTargets(ctx context.Context) error {
+	asked := s.opts.Clock.Now()
+	err := s.readTargetChanges(ctx)
+	if IsErrHistoryGone(err) {
+		err = s.readAllTargets(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	now := s.opts.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchTargets.Confirmed(asked)
+	if s.watchTargets.Unsettled(now) {
+		return errUnsettled
+	}
+	return nil
+}
+
 // readTargetChanges reads the changes since the local copy, without waiting for one.
 func (s *Service) readTargetChanges(ctx context.Context) error {
 	s.mu.Lock()
-	since, known := s.table.revision, !s.watchTargets.FreshAt().IsZero()
+	since, known := max(s.table.revision, s.completeAsOf), !s.watchTargets.FreshAt().IsZero()
 	s.mu.Unlock()
 	if !known {
 		return errNoCopy
@@ -84,7 +141,21 @@
 	if err := s.checkEra(update.Revision, since, false); err != nil {
 		return err
 	}
-	s.applyTargets(func(now time.Time) bool { return s.table.apply(s.table.toLocalChanges(now, update.Changes)) })
+	s.applyTargetChanges(update)
+	return nil
+}
+
+func (s *Service) readAllTargets(ctx context.Context) error {
+	s.countCall("targets", reasonConfirm)
+	asked := s.opts.Clock.Now()
+	update, err := s.opts.Source.Targets(ctx)
+	if err != nil {
+		return err
+	}
+	if err := s.checkEra(update.Revision, 0, true); err != nil {
+		return err
+	}
+	s.replaceTargets(update, asked)
 	return nil
 }
 
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -84,7 +84,9 @@
 	peerReports chan peerReport
 	packCache   packCache
 
+	completeAsOf  routing.Revision // the newest revision as of which the list is complete; guarded by mu
 	confirmations confirmations
+	lastConfirm   time.Time // used by the goroutine that confirms
 	fetches       atomic.Uint64
 	counters      *metrics.Set
 	badRowLog     *log.RateLimiter
@@ -100,6 +102,7 @@
 		t: t, log: logger, opts: o, table: newTargetTable(), halls: newHallTable(), held: newHeldTargets(), peerReports: make(chan peerReport, peerQueueSize), counters: metrics.NewSet(), badRowLog: log.NewRateLimiter(badRowLogInterval, badRowLogBurst),
 		watchConfiguration: watch.New(rand.Float64()), watchTargets: watch.New(rand.Float64()),
 	}
+	s.confirmations.pause = s.pauseConfirmations
 	s.targets.Store(routing.NewTargetSet(0))
 	wait, now := watch.StartWait(o.Seed, rand.Float64()), o.Clock.Now()
 	s.watchConfiguration.DelayFirstPoll(now, wait)
@@ -146,22 +149,30 @@
 		if all {
 			asked := s.opts.Clock.Now()
 			update, err := s.opts.Source.Targets(ctx)
-			return answer{update.Stamp, func() {
-				s.applyTargets(func(now time.Time) bool {
-					s.log.Info("List of targets read.", "revision", update.Revision, "known_revision", s.table.revision, "targets", len(update.Targets), "call_took", now.Sub(asked), "ignored_as_older", s.table.isOlder(update.Revision))
-					s.enterEra(now, update.Revision, fromStore)
-					return s.table.replaceFromStore(s.table.toLocalTargets(now, update.Targets), update.Revision)
-				})
-			}}, err
+			return answer{update.Stamp, func() { s.replaceTargets(update, asked) }}, err
 		}
 		update, err := s.opts.Source.WatchTargets(ctx, since, watch.LongPollTimeout)
-		return answer{update.Stamp, func() {
-			s.applyTargets(func(now time.Time) bool { return s.table.apply(s.table.toLocalChanges(now, update.Changes)) })
-		}}, err
+		return answer{update.Stamp, func() { s.applyTargetChanges(update) }}, err
 	})
 	return nil
 }
 
+// replaceTargets takes a whole list of the store, which was asked at a time.
+func (s *Service) replaceTargets(update TargetUpdate, asked time.Time) {
+	s.applyTargets(update.Revision, func(now time.Time) bool {
+		s.log.Info("List of targets read.", "revision", update.Revision, "known_revision", s.table.revision, "targets", len(update.Targets), "call_took", now.Sub(asked), "ignored_as_older", s.table.isOlder(update.Revision))
+		s.enterEra(now, update.Revision, fromStore)
+		return s.table.replaceFromStore(s.table.toLocalTargets(now, update.Targets), update.Revision)
+	})
+}
+
+// applyTargetChanges takes changes of the list from the store.
+func (s *Service) applyTargetChanges(update TargetUpdate) {
+	s.applyTargets(update.Revision, func(now time.Time) bool {
+		return s.table.apply(s.table.toLocalChanges(now, update.Changes))
+	})
+}
+
 // answer is an answer of the store and the function that applies it.
 type answer struct {
 	Stamp
@@ -296,10 +307,13 @@
 	s.opts.OnChange()
 }
 
-func (s *Service) applyTargets(apply func(now time.Time) bool) {
+// applyTargets applies an answer of the store, after which the list is complete as of a revision.
+func (s *Service) applyTargets(revision routing.Revision, apply func(now time.Time) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if apply(s.opts.Clock.Now()) {
+	changed := apply(s.opts.Clock.Now())
+	s.completeAsOf = max(s.completeAsOf, revision)
+	if changed {
 		s.publish(fromStore)
 	}
 }
--- a/services/follow/peers.go
+++ b/services/follow/peers.go
@@ -35,6 +35,9 @@
 	Store             watch.Reading
 	ConfigurationAsOf watch.StoreTime
 	TargetsAsOf       watch.StoreTime
+	// TargetsComplete is the newest revision of the store as of which the list of targets is complete.
+	// It rises also while the list does not change.
+	TargetsComplete routing.Revision
 }
 
 // Peers fetches state from other gateways.
@@ -65,6 +68,7 @@
 	v := Versions{
 		Targets: s.table.revision, Leaving: s.leavingDigest, Evacuations: s.halls.revision, ConfigurationAge: s.watchConfiguration.Age(now), TargetsAge: s.watchTargets.Age(now),
 		Store: s.storeClock.Reading(now), ConfigurationAsOf: s.storeClock.FromLocal(s.watchConfiguration.FreshAt()), TargetsAsOf: s.storeClock.FromLocal(s.watchTargets.FreshAt()),
+		TargetsComplete: s.completeAsOf,
 	}
 	if x := s.index.Load(); x != nil {
 		v.Configuration = x.Configuration.Version
@@ -104,6 +108,7 @@
 		s.watchTargets.ObservePeerCopy(now.Add(-age))
 		if v.Targets <= mine.Targets {
 			s.watchTargets.ObservePeerAge(now, age)
+			s.completeAsOf = max(s.completeAsOf, v.TargetsComplete)
 		}
 	}
 	hasLeaving := v.Leaving == 0 || v.Leaving == mine.Leaving
--- a/services/mesh/origin.go
+++ b/services/mesh/origin.go
@@ -48,12 +48,16 @@
 	}
 }
 
-// AskOrigin asks the gateways that may hold the record of a stream, and returns their IDs.
-func (l *Loop) AskOrigin(k coreorigin.Key) []string {
+// AskOrigin asks the gateways that may hold the record of a stream, and returns their IDs. wide
+// includes those that may hold it while its service has one version.
+func (l *Loop) AskOrigin(k coreorigin.Key, wide bool) []string {
 	asked := make(chan []string, 1)
 	l.Do(func() {
 		now := l.opts.Clock.Now()
 		holders := coreorigin.Holders(l.originKeepers, l.opts.Self.ID, k)
+		if wide {
+			holders = coreorigin.WideHolders(l.members.Nodes(), l.originKeepers, l.opts.Self.ID, k)
+		}
 		for _, id := range holders {
 			f := l.out.Frame(now, id, false)
 			f.StreamOriginAsks = append(f.StreamOriginAsks, uint64(k))
--- a/services/mesh/translate.go
+++ b/services/mesh/translate.go
@@ -82,6 +82,7 @@
 		Configuration: v.Configuration, Targets: uint64(v.Targets), Evacuations: uint64(v.Evacuations), Leaving: v.Leaving,
 		ConfigurationAgeMs: uint32(v.ConfigurationAge.Milliseconds()), TargetsAgeMs: uint32(v.TargetsAge.Milliseconds()),
 		StoreNowMs: int64(v.Store.Now), StoreAskedMs: int64(v.Store.Asked), ConfigurationAsOfMs: int64(v.ConfigurationAsOf), TargetsAsOfMs: int64(v.TargetsAsOf),
+		TargetsComplete: uint64(v.TargetsComplete),
 	}
 }
 
@@ -92,5 +93,6 @@
 		TargetsAge:        time.Duration(v.GetTargetsAgeMs()) * time.Millisecond,
 		Store:             watch.Reading{Now: watch.StoreTime(v.GetStoreNowMs()), Asked: watch.StoreTime(v.GetStoreAskedMs())},
 		ConfigurationAsOf: watch.StoreTime(v.GetConfigurationAsOfMs()), TargetsAsOf: watch.StoreTime(v.GetTargetsAsOfMs()),
+		TargetsComplete: routing.Revision(v.GetTargetsComplete()),
 	}
 }
--- a/services/origin/origin.go
+++ b/services/origin/origin.go
@@ -6,8 +6,9 @@
 //
 // Each gateway records to which targets it sends the attempts that begin streams. While a service
 // has, or had lately, targets of several versions, the records go to a few other gateways, which
-// are asked when a caller comes back. With one version nobody is asked, and the records go in batches
-// to two backups only, which share them if the gateway is silent when a second version is listed.
+// are asked when a caller comes back. With one version the store confirms that there is no other, and
+// the records go in batches to two backups only, which share them if the gateway is silent when a
+// second version is listed.
 package origin
 
 import (
@@ -44,10 +45,11 @@
 	// Backup sends records to the gateways that are to share them if this one falls silent.
 	Backup func(messages []Backup)
 	// Share sends records to the gateways that are to hold them, urgent ones at once. Ask asks those
-	// that may hold the record of a stream and returns their IDs.
+	// that may hold the record of a stream and returns their IDs; wide includes gateways that serve
+	// streams or back them up while their service has one version.
 	Share func(records []coreorigin.Record, urgent bool)
-	Ask   func(k coreorigin.Key) []string
-	// Confirm reads the changes of targets from the store.
+	Ask   func(k coreorigin.Key, wide bool) []string
+	// Confirm updates the list of targets by a read of the store that begins after the call.
 	Confirm func(ctx context.Context) error
 }
 
@@ -289,7 +291,7 @@
 	shared, asked, dropped                       *metrics.Counter
 	backedUp, notBackedUp                        *metrics.Counter
 	stored, notStored, storeFailures             *metrics.Counter // records, and calls that failed
-	found, unknown, unasked                      *metrics.Counter // streams that callers continue
+	found, unknown, unasked, unconfirmed         *metrics.Counter // streams that callers continue
 	archiveReads, archiveWrites, archiveFailures *metrics.Counter
 }
 
@@ -311,6 +313,7 @@
 		stored: set.NewCounter(prefix + "_stream_origins_stored_total"), notStored: set.NewCounter(prefix + "_stream_origins_not_stored_total"),
 		storeFailures: set.NewCounter(prefix + "_stream_origins_store_failures_total"),
 		found:         resolved("record"), unknown: resolved("unknown"), unasked: resolved("single_version"),
+		unconfirmed:  set.NewCounter(prefix + "_stream_origins_unconfirmed_total"),
 		archiveReads: archived("read", "ok"), archiveWrites: archived("write", "ok"), archiveFailures: archived("any", "failed"),
 	}
 }
--- a/services/origin/origin_test.go
+++ b/services/origin/origin_test.go
@@ -106,8 +106,11 @@
 				}
 			}
 		},
-		Ask: func(k coreorigin.Key) []string {
+		Ask: func(k coreorigin.Key, wide bool) []string {
 			asked := coreorigin.Holders(f.nodes(id), id, k)
+			if wide {
+				asked = coreorigin.WideHolders(f.nodes(id), f.nodes(id), id, k)
+			}
 			f.asks += len(asked)
 			for _, to := range asked {
 				reply := f.gateways[to].Lookup(k)
@@ -116,7 +119,12 @@
 			}
 			return asked
 		},
-		Confirm: func(context.Context) error { return f.confirm },
+		Confirm: func(context.Context) error {
+			if f.outOf[id] {
+				return errCut
+			}
+			return f.confirm
+		},
 	})
 	f.gateways[id].SetTargets(f.targets)
 }
--- a/services/origin/outofstep_test.go
+++ b/services/origin/outofstep_test.go
@@ -89,8 +89,11 @@
 				}
 			}
 		},
-		Ask: func(k coreorigin.Key) []string {
+		Ask: func(k coreorigin.Key, wide bool) []string {
 			asked := coreorigin.Holders(n.members(), id, k)
+			if wide {
+				asked = coreorigin.WideHolders(n.members(), n.members(), id, k)
+			}
 			for _, to := range asked {
 				n.send(id, to, func(s *Service) {
 					reply := s.Lookup(k)
@@ -232,9 +235,11 @@
 	node.inbox = nil
 }
 
-// begin begins a stream at a gateway, at a target of its own list.
-func (n *network) begin(id, attempt, software string) {
-	n.nodes[id].Sent(coreorigin.KeyOf(account, attempt), service, n.nodes[id].view.Find(software), 1)
+// begin begins a stream at a gateway, at the last of some targets of its own list that are tried.
+func (n *network) begin(id, attempt string, tried ...string) {
+	for i, software := range tried {
+		n.nodes[id].Sent(coreorigin.KeyOf(account, attempt), service, n.nodes[id].view.Find(software), i+1)
+	}
 }
 
 // takeUp has a caller come back to a gateway. Nothing arrives while the gateway waits.
@@ -336,7 +341,11 @@
 		begun := n.ids[rng.IntN(len(n.ids))]
 		if listed := n.nodes[begun].view.ByService(service); !n.nodes[begun].frozen() && len(listed) > 0 {
 			attempt, software := fmt.Sprint("attempt-", len(order)), listed[rng.IntN(len(listed))].Software
-			n.begin(begun, attempt, software)
+			if rng.IntN(4) == 0 {
+				n.begin(begun, attempt, listed[rng.IntN(len(listed))].Software, software)
+			} else {
+				n.begin(begun, attempt, software)
+			}
 			streams[attempt], order = software, append(order, attempt)
 			n.clock.Advance(20 * time.Millisecond)
 		}
@@ -367,3 +376,59 @@
 	}
 	return resolved
 }
+
+// Guards against refusing streams of which a gateway that is out of step can find out where they began.
+func TestStreamsContinueAtGatewayOutOfStep(t *testing.T) {
+	const attempt = "attempt"
+	cutPeers := func(n *network) {
+		for _, id := range n.ids {
+			n.cut[[2]string{"g0", id}], n.cut[[2]string{id, "g0"}] = true, true
+		}
+	}
+	cutStore := func(n *network) { n.nodes["g0"].storeCut = true }
+	stop := func(length time.Duration) func(*network) {
+		return func(n *network) {
+			n.nodes["g0"].frozenAt = n.clock.Now()
+			n.pass(length)
+			n.wake("g0")
+		}
+	}
+	for _, c := range []struct {
+		what    string
+		trouble []func(*network)
+		release bool // a second version is listed in the trouble, and the stream begins there
+		want    string
+		basis   Basis
+	}{
+		{"no trouble", nil, false, "v0", FromSingleVersion},
+		{"no trouble", nil, true, "v1", FromRecord},
+		{"cut off from other gateways", []func(*network){cutPeers}, false, "v0", FromSingleVersion},
+		{"cut off from other gateways", []func(*network){cutPeers}, true, "", ""},
+		{"cut off from the store", []func(*network){cutStore}, false, "v0", FromRecord},
+		{"cut off from the store", []func(*network){cutStore}, true, "v1", FromRecord},
+		{"cut off from all", []func(*network){cutPeers, cutStore}, false, "", ""},
+		{"cut off from all", []func(*network){cutPeers, cutStore}, true, "", ""},
+		{"the store is away", []func(*network){func(n *network) { n.storeOff = true }}, false, "v0", FromRecord},
+		{"woken from 50 ms", []func(*network){stop(50 * time.Millisecond)}, false, "v0", FromSingleVersion},
+		{"woken from 1.4 s", []func(*network){stop(1400 * time.Millisecond)}, false, "v0", FromSingleVersion},
+	} {
+		n := newNetwork(t, 5, "v0")
+		if c.release {
+			for _, f := range c.trouble {
+				f(n)
+			}
+			n.list("v0", "v1")
+			n.read(n.nodes["g1"])
+			n.begin("g1", attempt, "v1")
+		} else {
+			n.begin("g1", attempt, "v0")
+			for _, f := range c.trouble {
+				f(n)
+			}
+		}
+		got, err := n.takeUp("g0", attempt)
+		if got.Software != c.want || got.Basis != c.basis || (c.want == "") != IsErrUnknown(err) {
+			t.Errorf("%s, release %v: got %q by %q, error %v, want %q by %q", c.what, c.release, got.Software, got.Basis, err, c.want, c.basis)
+		}
+	}
+}
--- a/services/origin/resolve.go
+++ b/services/origin/resolve.go
@@ -23,8 +23,8 @@
 	joinPollInterval = 20 * time.Millisecond
 	// clockSlack bounds the difference between the clocks of a gateway and a target.
 	clockSlack = time.Second
-	// maxReplies bounds the replies to one lookup.
-	maxReplies = 16
+	// confirmTimeout bounds the wait for the store's answer.
+	confirmTimeout = 400 * time.Millisecond
 )
 
 // ErrUnknown reports that it is not known at which software version a stream began.
@@ -91,39 +91,77 @@
 
 func (s *Service) resolve(ctx context.Context, k coreorigin.Key, service string) (Origin, error) {
 	reply := s.Lookup(k)
-	own := reply.Found && reply.Record.Sender == s.opts.Sender
-	held := reply.Found && !own
-	if !reply.Found {
-		s.awaitCoverage(ctx, service)
+	if reply.Found && reply.Record.Sender == s.opts.Sender {
+		return s.resolveOwn(ctx, reply, service)
 	}
-	if !own {
+	evidence := Evidence{Held: reply.Found}
+	// What was known before the caller came back says nothing of targets that were listed since.
+	unconfirmed := s.confirm(ctx)
+	if unconfirmed == nil {
+		s.awaitCoverage(ctx, service)
 		if software, ok := s.onlyVersion(service); ok && (!reply.Found || reply.Record.Software == software) {
-			return Origin{software, FromSingleVersion, Evidence{Held: reply.Found}}, nil
+			return Origin{software, FromSingleVersion, evidence}, nil
 		}
 	}
 	if !reply.Found {
 		s.awaitRecords(ctx, service)
 		reply = s.Lookup(k)
 	}
-	asked, replied := 0, 0
-	if !own {
-		reply, asked, replied = s.ask(ctx, k, reply)
-	}
+	reply, evidence.Asked, evidence.Replied = s.ask(ctx, k, reply, unconfirmed != nil)
 	switch {
 	case reply.Ambiguous:
 		return Origin{}, ErrUnknown{"two gateways have attempts of this ID"}
 	case !reply.Found:
-		return Origin{}, ErrUnknown{fmt.Sprintf("no gateway has a record, %d of %d that were asked replied", replied, asked)}
+		return Origin{}, errNoRecord(evidence, unconfirmed)
+	}
+	if unconfirmed != nil && s.mayRestartMixed(service) {
+		return Origin{}, errUnconfirmed(unconfirmed)
 	}
-	if s.mustConfirm(service) {
+	return s.checkRecord(reply.Record, evidence)
+}
+
+// resolveOwn returns where a stream began that this gateway has begun itself.
+func (s *Service) resolveOwn(ctx context.Context, own Reply, service string) (Origin, error) {
+	if own.Ambiguous {
+		return Origin{}, ErrUnknown{"two gateways have attempts of this ID"}
+	}
+	if s.mayRestartMixed(service) {
 		if err := s.opts.Confirm(ctx); err != nil {
-			return Origin{}, ErrUnknown{"targets may have restarted with other software: " + err.Error()}
+			return Origin{}, errUnconfirmed(err)
 		}
 	}
-	if !s.holds(reply.Record) {
+	return s.checkRecord(own.Record, Evidence{})
+}
+
+// confirm updates the list of targets from the store, by a read that begins after the call.
+func (s *Service) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	err := s.opts.Confirm(ctx)
+	if err != nil {
+		s.counters.unconfirmed.Inc()
+	}
+	return err
+}
+
+func errNoRecord(e Evidence, unconfirmed error) error {
+	reason := fmt.Sprintf("no gateway has a record, %d of %d that were asked replied", e.Replied, e.Asked)
+	if unconfirmed != nil {
+		reason += ", and the list of targets is not confirmed: " + unconfirmed.Error()
+	}
+	return ErrUnknown{reason}
+}
+
+func errUnconfirmed(err error) error {
+	return ErrUnknown{"targets may have restarted with other software: " + err.Error()}
+}
+
+// checkRecord returns the origin that a record names, unless its target ran other software.
+func (s *Service) checkRecord(r coreorigin.Record, e Evidence) (Origin, error) {
+	if !s.holds(r) {
 		return Origin{}, ErrUnknown{"the target restarted with other software at about that time"}
 	}
-	return Origin{reply.Record.Software, FromRecord, Evidence{Held: held, Asked: asked, Replied: replied}}, nil
+	return Origin{r.Software, FromRecord, e}, nil
 }
 
 // listState returns the revision of the list of targets and its age.
@@ -161,28 +199,28 @@
 }
 
 // onlyVersion returns the version of a service at which all streams began that may continue, false
-// if there may be several.
+// if there may be several. It is valid only for a list that was read after the caller came back.
 func (s *Service) onlyVersion(service string) (string, bool) {
-	inContact := s.opts.InContact()
 	now := s.opts.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !inContact || !s.covers(now, service) || s.versions.Mixed(now, service, s.life.at(now)) {
+	if !s.covers(now, service) || s.versions.Mixed(now, service, s.life.at(now)) {
 		return "", false
 	}
 	return s.versions.Only(service)
 }
 
-// ask asks other gateways for a record and returns the latest one, which may be the own: a later
+// ask asks other gateways for a record and returns the latest one, which may be the held one: a later
 // record of the same attempt may have been lost on its way here. It also returns how many gateways
-// were asked and how many replied.
-func (s *Service) ask(ctx context.Context, k coreorigin.Key, own Reply) (best Reply, asked, replied int) {
+// were asked and how many replied. wide asks gateways besides those that hold records while versions
+// differ.
+func (s *Service) ask(ctx context.Context, k coreorigin.Key, held Reply, wide bool) (best Reply, asked, replied int) {
 	l := s.startLookup(k)
 	defer s.endLookup(k, l)
-	asked = len(s.opts.Ask(k))
+	asked = len(s.opts.Ask(k, wide))
 	s.counters.asked.Add(asked)
-	best, wait := own, lookupTimeout
-	if own.Found {
+	best, wait := held, lookupTimeout
+	if held.Found {
 		wait = graceTime
 	}
 	timeout := s.opts.Clock.After(wait)
@@ -191,6 +229,10 @@
 		case <-ctx.Done():
 			return best, asked, replied
 		case <-timeout:
+			// Replies may have come while this process stood still.
+			for len(l.replies) > 0 {
+				best, replied = best.merge(<-l.replies), replied+1
+			}
 			return best, asked, replied
 		case r := <-l.replies:
 			replied++
@@ -219,7 +261,7 @@
 }
 
 func (s *Service) startLookup(k coreorigin.Key) *lookup {
-	l := &lookup{replies: make(chan Reply, maxReplies)}
+	l := &lookup{replies: make(chan Reply, coreorigin.MaxAsked)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lookups[k] = append(s.lookups[k], l)
@@ -254,9 +296,9 @@
 	}
 }
 
-// mustConfirm reports whether a listed target may run other software than the list says: workers of
+// mayRestartMixed reports whether a listed target may run other software than the list says: workers of
 // the service restart under their names, and its versions differ.
-func (s *Service) mustConfirm(service string) bool {
+func (s *Service) mayRestartMixed(service string) bool {
 	now := s.opts.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
