origin: Let streams wait for the versions that were missed in a gap

Callers that came back to a gateway right after a gap in its list were refused (origin_unknown) until a heartbeat or the archive told which versions there were, though that takes some hundred milliseconds. Since a gateway that has just started waits 0.8 s at most for them, one that has just missed something does too; if the store does not confirm the list it still refuses without that wait.

TestStreamAfterGapWaitsForOthers fails before (an error without waiting). Three checks of TestGapIsNoKnowledge and TestReadBeforeGapProvesNothing look 0.8 s after the gap now: what they refuse is refused once the wait is over.

--- a/services/origin/archive.go
+++ b/services/origin/archive.go
@@ -168,6 +168,7 @@
 		return
 	}
 	s.versions.Uncover(now)
+	s.gapAt = now
 	s.archiving.gaps++
 	s.noteCoverage(now, reason)
 	s.requestSync(now)
--- a/services/origin/archive_test.go
+++ b/services/origin/archive_test.go
@@ -7,9 +7,11 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
+	coreorigin "madderway/core/origin"
 	"madderway/models/routing"
 )
 
@@ -243,6 +245,7 @@
 	f := newFleet(t, fleetSize, a)
 	f.archive.down = true
 	f.gateways["g0"].NoteGap("standstill")
+	f.clock.Advance(joinTime)
 	f.expect("right after a standstill", "g0", "lost", "")
 	f.exchange()
 	f.expect("after a heartbeat", "g0", "lost", "v1")
@@ -250,12 +253,42 @@
 	f.settle()
 	f.outOf["g0"], f.silent = false, true
 	f.settle()
+	f.clock.Advance(joinTime)
 	f.expect("back in contact, nothing heard", "g0", "lost", "")
 	f.archive.down = false
 	f.settle()
 	f.expect("the archive was read", "g0", "lost", "v1")
 }
 
+// Guards against refusing a stream while others are about to tell what was missed in a gap.
+func TestStreamAfterGapWaitsForOthers(t *testing.T) {
+	f := newFleet(t, fleetSize, target("a", "v1"))
+	g := f.gateways["g0"]
+	g.NoteGap("standstill")
+	timers, done := f.clock.PendingTimers(), make(chan struct{})
+	var got Origin
+	var err error
+	go func() {
+		defer close(done)
+		got, err = g.Resolve(t.Context(), coreorigin.KeyOf(account, "lost"), service)
+	}()
+	for waiting := false; !waiting; {
+		select {
+		case <-done:
+			t.Fatalf("got version %q, error %v without waiting", got.Software, err)
+		default:
+			runtime.Gosched()
+			waiting = f.clock.PendingTimers() > timers
+		}
+	}
+	f.exchange()
+	f.clock.Advance(joinPollInterval)
+	<-done
+	if err != nil || got.Software != "v1" {
+		t.Errorf("got version %q, error %v, want v1", got.Software, err)
+	}
+}
+
 // Guards against an answer of the archive that is older than a gap, as it lay in a buffer while the
 // process was suspended.
 func TestReadBeforeGapProvesNothing(t *testing.T) {
@@ -267,6 +300,7 @@
 	if err := g.syncArchive(t.Context(), f.archive); !errors.Is(err, errGap) {
 		t.Errorf("got %v, want errGap", err)
 	}
+	f.clock.Advance(joinTime)
 	f.expect("the read was older", "g0", "lost", "")
 	f.archive.onRead = nil
 	f.settle()
--- a/services/origin/origin.go
+++ b/services/origin/origin.go
@@ -61,6 +61,7 @@
 	started time.Time
 
 	mu       sync.Mutex // guards the fields below; not held while calling Options' functions
+	gapAt    time.Time  // start of the process, or the last time up to which versions may have been missed
 	versions *coreorigin.Versions
 	targets  *routing.TargetSet
 	table    *coreorigin.Table
@@ -85,6 +86,7 @@
 		lookups: map[coreorigin.Key][]*lookup{}, life: lifetime{current: maxLife}, archiving: archiving{wake: make(chan struct{}, 1)}, backups: newBackups(), storing: storing{loaded: o.FirstStart, keeps: true},
 		covered: o.FirstStart,
 	}
+	s.gapAt = s.started
 	s.versions = coreorigin.NewVersions(s.started)
 	if o.FirstStart {
 		s.versions = coreorigin.NewVersions(time.Time{})
--- a/services/origin/resolve.go
+++ b/services/origin/resolve.go
@@ -18,7 +18,8 @@
 	// a record was found: a later one may replace it.
 	lookupTimeout = 300 * time.Millisecond
 	graceTime     = 30 * time.Millisecond
-	// joinTime is the age up to which a gateway may not have heard of others, nor read the archive.
+	// joinTime is the time after the start, or after a gap, in which a gateway may not have heard of
+	// others, nor read the archive.
 	joinTime         = 800 * time.Millisecond
 	joinPollInterval = 20 * time.Millisecond
 	// clockSlack bounds the difference between the clocks of a gateway and a target.
@@ -172,8 +173,8 @@
 	return s.targets.Revision, age
 }
 
-// awaitCoverage waits until all versions of a service are known if this gateway has just started:
-// the archive or a heartbeat of another gateway is about to tell.
+// awaitCoverage waits until all versions of a service are known if this gateway has just started or may
+// just have missed versions: the archive or a heartbeat of another gateway is about to tell.
 func (s *Service) awaitCoverage(ctx context.Context, service string) {
 	for ctx.Err() == nil && s.isJoining(service) {
 		select {
@@ -187,7 +188,7 @@
 	now := s.opts.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.covers(now, service) && now.Sub(s.started) < joinTime
+	return !s.covers(now, service) && now.Sub(s.gapAt) < joinTime
 }
 
 // Lookup returns what this gateway knows of a stream.
