origin: Record where a stream begins with its first event

A gateway that is cut off could take up a stream by the record of a target that had begun nothing: the record of each target that was tried went to the keepers, so that one that could not be reached at a later try, at another version, kept the first one and could not know.

The record is made once now, right before the caller gets the first event, and leaves at once. A gateway that is lost within the millisecond between the two leaves a stream that is refused, not joined.

TestLastTryBeginsTheStream gives the records of two tries in both orders, as older releases send them, and TestStreamWithoutEventIsNotBound records the first event as the code does; both check what they did.

--- a/services/forward/bind.go
+++ b/services/forward/bind.go
@@ -77,16 +77,16 @@
 	return result.New(result.NoTarget, "no target of %s takes work at version %q, which began the stream", j.r.Service.Name, j.binding.software).WithRetryAfter(noTargetRetryAfter)
 }
 
-// beginsStream reports whether the next target may send the first event of a stream that can be
-// resumed. A caller that names no attempt must not find one without an ID.
+// beginsStream reports whether the first event of the answer begins a stream that can be resumed. A caller
+// that names no attempt must not find one without an ID.
 func (j *job) beginsStream() bool {
-	return j.r.Route.Stream && j.r.Route.Resumable && j.r.Call.ID != "" && !j.r.Call.Resuming && !j.headOut
+	return j.r.Route.Stream && j.r.Route.Resumable && j.r.Call.ID != "" && !j.r.Call.Resuming
 }
 
-// recordOrigin records that the attempt is sent to a target that may begin the stream. That is done
-// before the first event, so that others have the record when the caller has a part of the stream.
-func (j *job) recordOrigin(t *routing.Target) {
+// recordOrigin records at which target the stream begins, right before the caller gets its first event.
+// Targets that were tried before it and sent no event began nothing.
+func (j *job) recordOrigin() {
 	if j.beginsStream() {
-		j.s.opts.Origins.Sent(j.r.streamKey(), j.r.Service.Name, t, j.history.Sent+j.history.Unsent+1)
+		j.s.opts.Origins.Began(j.r.streamKey(), j.r.Service.Name, j.sentTo, j.sentAt)
 	}
 }
--- a/services/forward/bind_test.go
+++ b/services/forward/bind_test.go
@@ -51,6 +51,7 @@
 	if err := j.startSending(); err != nil {
 		t.Fatal(err)
 	}
+	j.recordOrigin()
 	j.headOut = true
 	if err := j.bind(); err != nil || j.binding.software != "v1" {
 		t.Fatalf("got version %q, error %v, want v1", j.binding.software, err)
@@ -81,6 +82,7 @@
 			t.Fatal(err)
 		}
 	}
+	j.recordOrigin()
 	j.headOut = true
 	if err := j.bind(); err != nil || j.binding.software != "v2" {
 		t.Errorf("got version %q, error %v, want v2", j.binding.software, err)
@@ -113,6 +115,7 @@
 	if err := j.startSending(); err != nil {
 		t.Fatal(err)
 	}
+	j.recordOrigin()
 	j.r.Call = upstream.Call{ID: "a2", Resuming: true, LastEvent: "1"}
 	if err := j.bind(); err == nil {
 		t.Errorf("got version %q, want an error", j.binding.software)
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -58,6 +58,7 @@
 	framing             string // of the last answer whose body was read
 	ending              ending // how that body ended
 	binding             binding
+	sentTo              *routing.Target // target of the last attempt, as listed when it was sent
 	headOut             bool
 	takeFromRetryBudget func() bool
 	retryReserved       atomic.Bool   // a retry was taken before the attempt was cut
--- a/services/forward/permit.go
+++ b/services/forward/permit.go
@@ -34,7 +34,7 @@
 		return errors.Join(errWithheld, err)
 	}
 	j.permit = permit
-	j.recordOrigin(listed)
+	j.sentTo = listed
 	return nil
 }
 
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -169,6 +169,7 @@
 
 func (j *job) forwardEvents(a *upstream.Answer, flusher *http.ResponseController, out []byte) bool {
 	if !j.headOut {
+		j.recordOrigin()
 		j.writeHead(a)
 	}
 	if _, err := j.w.Write(out); err != nil {
--- a/services/origin/origin.go
+++ b/services/origin/origin.go
@@ -150,11 +150,12 @@
 	s.opts.Share(records, true)
 }
 
-// Sent records that an attempt that begins a stream is sent to a target of a service. The number of
-// the try rises with the targets of the attempt.
-func (s *Service) Sent(k coreorigin.Key, service string, t *routing.Target, try int) {
+// Began records that a stream of a service begins at a target, to which its attempt was sent at a time.
+// It is called before the caller gets the first event, and once for a stream: others never hold the
+// record of a target that was tried and sent no event.
+func (s *Service) Began(k coreorigin.Key, service string, t *routing.Target, sentAt time.Time) {
 	now := s.opts.Clock.Now()
-	r := coreorigin.Record{Key: k, Target: t.ID, Software: t.Software, Sender: s.opts.Sender, Try: uint32(try), SentAt: now.UnixMilli(), At: now}
+	r := coreorigin.Record{Key: k, Target: t.ID, Software: t.Software, Sender: s.opts.Sender, Try: 1, SentAt: sentAt.UnixMilli(), At: now}
 	s.mu.Lock()
 	shared := s.table.PutLocal(r, service, s.versions.Mixed(now, service, s.life.at(now)) || !s.covers(now, service))
 	if !shared {
@@ -164,7 +165,7 @@
 	s.mu.Unlock()
 	if shared {
 		s.counters.shared.Inc()
-		s.opts.Share([]coreorigin.Record{r}, false)
+		s.opts.Share([]coreorigin.Record{r}, true)
 	}
 }
 
--- a/services/origin/origin_test.go
+++ b/services/origin/origin_test.go
@@ -197,7 +197,7 @@
 
 // begin begins a stream at a gateway.
 func (f *fleet) begin(id, attempt, target string) {
-	f.gateways[id].Sent(coreorigin.KeyOf(account, attempt), service, f.targets.Find(target), 1)
+	f.gateways[id].Began(coreorigin.KeyOf(account, attempt), service, f.targets.Find(target), f.clock.Now())
 }
 
 // expect checks the version that a gateway resolves, "" for unknown.
@@ -258,13 +258,18 @@
 	f.expect("after the loss of all", "g1", "one", "")
 }
 
-// Guards against a target that gave no event: the try after it counts.
+// Guards against an earlier record of an attempt that counts: gateways of older releases send one for
+// each target that they try.
 func TestLastTryBeginsTheStream(t *testing.T) {
 	f := newFleet(t, 3, target("a", "v1"), target("b", "v2"))
-	f.begin("g0", "one", "a")
-	f.gateways["g0"].Sent(coreorigin.KeyOf(account, "one"), service, f.targets.Find("b"), 2)
-	f.expect("at the same gateway", "g0", "one", "v2")
-	f.expect("at another one", "g1", "one", "v2")
+	first := coreorigin.Record{Key: coreorigin.KeyOf(account, "one"), Target: "a", Software: "v1", Sender: 7, Try: 1, At: f.clock.Now()}
+	last := first
+	last.Target, last.Software, last.Try = "b", "v2", 2
+	f.gateways["g1"].Receive([]coreorigin.Record{first})
+	f.gateways["g1"].Receive([]coreorigin.Record{last})
+	f.gateways["g2"].Receive([]coreorigin.Record{last, first})
+	f.expect("at a gateway that has both", "g1", "one", "v2")
+	f.expect("at one that got them in the other order", "g2", "one", "v2")
 }
 
 // Guards against a gateway that keeps an earlier record and has not got the later one.
--- a/services/origin/outofstep_test.go
+++ b/services/origin/outofstep_test.go
@@ -265,11 +265,9 @@
 	node.inbox = nil
 }
 
-// begin begins a stream at a gateway, at the last of some targets of its own list that are tried.
-func (n *network) begin(id, attempt string, tried ...string) {
-	for i, software := range tried {
-		n.nodes[id].Sent(coreorigin.KeyOf(account, attempt), service, n.nodes[id].view.Find(software), i+1)
-	}
+// begin begins a stream at a gateway, at a target of its own list.
+func (n *network) begin(id, attempt, software string) {
+	n.nodes[id].Began(coreorigin.KeyOf(account, attempt), service, n.nodes[id].view.Find(software), n.clock.Now())
 }
 
 // takeUp has a caller come back to a gateway. Nothing arrives while the gateway waits.
@@ -302,7 +300,10 @@
 	const seeds, steps = 300, 40
 	resolved := 0
 	for seed := range uint64(seeds) {
-		resolved += playOutOfStep(t, seed, steps)
+		p := newOutOfStepPlay(t, seed)
+		for step := range steps {
+			resolved += p.step(fmt.Sprintf("seed %d, step %d", seed, step))
+		}
 		if t.Failed() {
 			return
 		}
@@ -312,95 +313,156 @@
 	}
 }
 
-func playOutOfStep(t *testing.T, seed uint64, steps int) (resolved int) {
+// outOfStepPlay is a random sequence of events in a network.
+type outOfStepPlay struct {
+	n        *network
+	rng      *rand.Rand
+	listed   []string // versions
+	next     int      // number of the next version
+	attempts int
+	streams  []begunStream
+	sent     []sentAttempt
+}
+
+// sentAttempt is an attempt that was sent to a target and has no event yet.
+type sentAttempt struct {
+	gateway *networkNode
+	id      string
+	attempt string
+	target  *routing.Target
+	at      time.Time
+}
+
+// maxFollowed is the number of streams whose callers come back.
+const maxFollowed = 5
+
+func newOutOfStepPlay(t *testing.T, seed uint64) *outOfStepPlay {
 	rng := rand.New(rand.NewPCG(seed, 94))
-	n := newNetwork(t, 3+rng.IntN(4), "v0")
-	versions, next, streams := []string{"v0"}, 1, map[string]string{}
-	var order []string
-	for step := range steps {
-		id, other := n.ids[rng.IntN(len(n.ids))], n.ids[rng.IntN(len(n.ids))]
-		node := n.nodes[id]
-		what := rng.IntN(14)
-		switch {
-		case what < 2:
-			versions = append(versions, fmt.Sprint("v", next))
-			next++
-			n.list(versions...)
-		case what == 2 && len(versions) > 1:
-			// A version that comes and goes between two writes of the archive is known to few.
-			if i := rng.IntN(len(versions)); n.isArchived(versions[i]) {
-				versions = slices.Delete(slices.Clone(versions), i, i+1)
-				n.list(versions...)
-			}
-		case what == 3:
-			node.storeCut = !node.storeCut
-		case what == 4:
-			n.cut[[2]string{id, other}] = !n.cut[[2]string{id, other}]
-		case what == 5:
-			for _, peer := range n.ids {
-				n.cut[[2]string{id, peer}], n.cut[[2]string{peer, id}] = true, true
-			}
-			node.storeCut = rng.IntN(2) == 0
-		case what == 6:
-			clear(n.cut)
-			for _, x := range n.nodes {
-				x.storeCut = false
-			}
-		case what < 9 && !node.frozen():
-			node.frozenAt = n.clock.Now()
-		case what == 9 && !node.frozen():
-			n.start(id, false)
-		case what == 10:
-			n.storeOff = !n.storeOff
-		default:
-			n.exchange()
+	return &outOfStepPlay{n: newNetwork(t, 3+rng.IntN(4), "v0"), rng: rng, listed: []string{"v0"}, next: 1}
+}
+
+// step plays one event, has callers come back and begins a stream. It returns how many streams continue.
+func (p *outOfStepPlay) step(what string) (resolved int) {
+	n := p.n
+	p.event()
+	n.clock.Advance(time.Duration(20+p.rng.IntN(1000)) * time.Millisecond)
+	if p.rng.IntN(2) == 0 {
+		n.exchange()
+	}
+	for _, id := range n.ids {
+		if n.nodes[id].frozen() && p.rng.IntN(3) == 0 {
+			n.wake(id)
 		}
-		n.clock.Advance(time.Duration(20+rng.IntN(1000)) * time.Millisecond)
-		if rng.IntN(2) == 0 {
-			n.exchange()
+	}
+	resolved = checkTakeUps(n, p.streams, what)
+	for _, id := range n.ids {
+		if !n.nodes[id].frozen() {
+			n.deliverInbox(id)
 		}
-		for _, id := range n.ids {
-			if n.nodes[id].frozen() && rng.IntN(3) == 0 {
-				n.wake(id)
-			}
+	}
+	p.beginLater()
+	p.begin()
+	p.streams = p.streams[max(len(p.streams)-maxFollowed, 0):]
+	return resolved
+}
+
+// event plays a change of the list, or the beginning or end of a trouble.
+func (p *outOfStepPlay) event() {
+	n := p.n
+	id, other := n.ids[p.rng.IntN(len(n.ids))], n.ids[p.rng.IntN(len(n.ids))]
+	node := n.nodes[id]
+	switch what := p.rng.IntN(14); {
+	case what < 2:
+		p.listed = append(p.listed, fmt.Sprint("v", p.next))
+		p.next++
+		n.list(p.listed...)
+	case what == 2 && len(p.listed) > 1:
+		// A version that comes and goes between two writes of the archive is known to few.
+		if i := p.rng.IntN(len(p.listed)); n.isArchived(p.listed[i]) {
+			p.listed = slices.Delete(slices.Clone(p.listed), i, i+1)
+			n.list(p.listed...)
 		}
-		resolved += checkTakeUps(n, streams, fmt.Sprintf("seed %d, step %d", seed, step))
-		for _, id := range n.ids {
-			if !n.nodes[id].frozen() {
-				n.deliverInbox(id)
-			}
+	case what == 3:
+		node.storeCut = !node.storeCut
+	case what == 4:
+		n.cut[[2]string{id, other}] = !n.cut[[2]string{id, other}]
+	case what == 5:
+		for _, peer := range n.ids {
+			n.cut[[2]string{id, peer}], n.cut[[2]string{peer, id}] = true, true
 		}
-		begun := n.ids[rng.IntN(len(n.ids))]
-		if listed := n.nodes[begun].view.ByService(service); !n.nodes[begun].frozen() && len(listed) > 0 {
-			attempt, software := fmt.Sprint("attempt-", len(order)), listed[rng.IntN(len(listed))].Software
-			if rng.IntN(4) == 0 {
-				n.begin(begun, attempt, listed[rng.IntN(len(listed))].Software, software)
-			} else {
-				n.begin(begun, attempt, software)
-			}
-			streams[attempt], order = software, append(order, attempt)
-			n.clock.Advance(20 * time.Millisecond)
+		node.storeCut = p.rng.IntN(2) == 0
+	case what == 6:
+		clear(n.cut)
+		for _, x := range n.nodes {
+			x.storeCut = false
 		}
-		if len(order) > 5 {
-			delete(streams, order[len(order)-6])
+	case what < 9 && !node.frozen():
+		node.frozenAt = n.clock.Now()
+	case what == 9 && !node.frozen():
+		n.start(id, false)
+	case what == 10:
+		n.storeOff = !n.storeOff
+	default:
+		n.exchange()
+	}
+}
+
+// begin sends a new attempt to a target, which begins the stream at once or later.
+func (p *outOfStepPlay) begin() {
+	id := p.n.ids[p.rng.IntN(len(p.n.ids))]
+	a := sentAttempt{gateway: p.n.nodes[id], id: id, attempt: fmt.Sprint("attempt-", p.attempts)}
+	p.attempts++
+	switch {
+	case !p.send(&a):
+	case p.rng.IntN(4) == 0:
+		p.sent = append(p.sent, a)
+	default:
+		p.began(a)
+	}
+}
+
+// beginLater begins the streams of attempts that were sent before the last event of the play, at their
+// target or at another one that is tried. Gateways that are gone or stand still begin none.
+func (p *outOfStepPlay) beginLater() {
+	for _, a := range p.sent {
+		if p.n.nodes[a.id] != a.gateway || a.gateway.frozen() || p.rng.IntN(2) == 0 && !p.send(&a) {
+			continue
 		}
+		p.began(a)
 	}
-	return resolved
+	p.sent = nil
+}
+
+// send sends an attempt to a target of its gateway's list, and reports whether there is one.
+func (p *outOfStepPlay) send(a *sentAttempt) bool {
+	listed := a.gateway.view.ByService(service)
+	if a.gateway.frozen() || len(listed) == 0 {
+		return false
+	}
+	a.target, a.at = listed[p.rng.IntN(len(listed))], p.n.clock.Now()
+	return true
+}
+
+// began has a caller get the first event of a stream.
+func (p *outOfStepPlay) began(a sentAttempt) {
+	a.gateway.Began(coreorigin.KeyOf(account, a.attempt), service, a.target, a.at)
+	p.streams = append(p.streams, begunStream{attempt: a.attempt, software: a.target.Software, at: p.n.clock.Now()})
+	p.n.clock.Advance(20 * time.Millisecond)
 }
 
 // checkTakeUps has the callers of streams come back to all running gateways and returns how many
 // streams continue.
-func checkTakeUps(n *network, streams map[string]string, what string) (resolved int) {
-	for attempt, software := range streams {
+func checkTakeUps(n *network, streams []begunStream, what string) (resolved int) {
+	for _, s := range streams {
 		for _, id := range n.ids {
 			if n.nodes[id].frozen() {
 				continue
 			}
-			got, err := n.takeUp(id, attempt)
+			got, err := n.takeUp(id, s.attempt)
 			switch {
 			case err != nil:
-			case got.Software != software:
-				n.t.Errorf("%s: %s continues a stream of %s at %s, found by %s", what, id, software, got.Software, got.Basis)
+			case got.Software != s.software:
+				n.t.Errorf("%s: %s continues a stream of %s at %s, found by %s", what, id, s.software, got.Software, got.Basis)
 			default:
 				resolved++
 			}
