origin: Store the record of an attempt before its first event

The keeper that writes to the store gets the record of each attempt again when it is sent, for the store only; the record of the first event follows it if another target sent that. Backups get records each quarter of a second, in place of half a second from the sending on.

--- a/router/gateway.go
+++ b/router/gateway.go
@@ -163,10 +163,11 @@
 			at, _ := g.follow.TargetsFreshAt()
 			return at
 		},
-		Backup:  func(messages []origin.Backup) { g.loop.BackUpOrigins(messages) },
-		Share:   func(records []coreorigin.Record, urgent bool) { g.loop.ShareOrigins(records, urgent) },
-		Ask:     func(k coreorigin.Key, wide bool) []string { return g.loop.AskOrigin(k, wide) },
-		Confirm: func(ctx context.Context) error { return g.follow.Confirm(ctx) },
+		Backup:     func(messages []origin.Backup) { g.loop.BackUpOrigins(messages) },
+		Share:      func(records []coreorigin.Record, store bool) { g.loop.ShareOrigins(records, store) },
+		ShareEarly: func(r coreorigin.Record) { g.loop.ShareEarlyOrigin(r) },
+		Ask:        func(k coreorigin.Key, wide bool) []string { return g.loop.AskOrigin(k, wide) },
+		Confirm:    func(ctx context.Context) error { return g.follow.Confirm(ctx) },
 	})
 	g.notices = notice.New(log.New("notice").With(s.ID), notice.Options{Clock: g.clock, MetricsPrefix: "madderway_gateway", OnLeaving: func() { g.follow.LeavingChanged() }})
 	g.follow = follow.New(&g.t, log.New("follow").With(s.ID), follow.Options{
--- a/services/forward/bind.go
+++ b/services/forward/bind.go
@@ -83,10 +83,19 @@
 	return j.r.Route.Stream && j.r.Route.Resumable && j.r.Call.ID != "" && !j.r.Call.Resuming
 }
 
+// noteSent notes the target that an attempt is sent to, as listed, if its answer begins a stream.
+func (j *job) noteSent(t *routing.Target) {
+	if !j.beginsStream() || j.headOut {
+		return
+	}
+	j.sent = origin.Attempt{Key: j.r.streamKey(), Service: j.r.Service.Name, Target: t, Try: j.history.Sent + j.history.Unsent + 1, SentAt: j.sentAt}
+	j.sentStored = j.s.opts.Origins.Sent(j.sent)
+}
+
 // recordOrigin records at which target the stream begins, right before the caller gets its first event.
 // Targets that were tried before it and sent no event began nothing.
 func (j *job) recordOrigin() {
 	if j.beginsStream() {
-		j.s.opts.Origins.Began(j.r.streamKey(), j.r.Service.Name, j.sentTo, j.sentAt)
+		j.s.opts.Origins.Began(j.sent, j.sentStored)
 	}
 }
--- a/services/forward/bind_test.go
+++ b/services/forward/bind_test.go
@@ -30,7 +30,7 @@
 	targets, fake := &listedTargets{}, clock.NewFake()
 	o := origin.New(log.New("origin"), origin.Options{
 		Clock: fake, MetricsPrefix: "test", FirstStart: true, InContact: func() bool { return true }, ListFreshAt: fake.Now,
-		Share: func([]coreorigin.Record, bool) {}, Ask: func(coreorigin.Key, bool) []string { return nil }, Confirm: func(context.Context) error { return nil },
+		Share: func([]coreorigin.Record, bool) {}, ShareEarly: func(coreorigin.Record) {}, Ask: func(coreorigin.Key, bool) []string { return nil }, Confirm: func(context.Context) error { return nil },
 	})
 	s := New(log.New("forward"), Options{Clock: fake, Targets: targets, Origins: o, Notices: notice.New(log.New("notice"), notice.Options{Clock: fake})})
 	r := &Request{Call: call, Route: &routing.Route{Stream: true, Resumable: true, MaxAttempts: 3}, Service: &routing.Service{Name: "s"}}
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -15,6 +15,7 @@
 	"madderway/models/routing"
 	"madderway/services/mesh"
 	"madderway/services/notice"
+	"madderway/services/origin"
 	"madderway/services/quarantine"
 	"madderway/services/upstream"
 )
@@ -58,7 +59,8 @@
 	framing             string // of the last answer whose body was read
 	ending              ending // how that body ended
 	binding             binding
-	sentTo              *routing.Target // target of the last attempt, as listed when it was sent
+	sent                origin.Attempt // the last attempt, which may begin the stream
+	sentStored          bool           // its record goes to the store
 	headOut             bool
 	takeFromRetryBudget func() bool
 	retryReserved       atomic.Bool   // a retry was taken before the attempt was cut
--- a/services/forward/permit.go
+++ b/services/forward/permit.go
@@ -34,7 +34,7 @@
 		return errors.Join(errWithheld, err)
 	}
 	j.permit = permit
-	j.sentTo = listed
+	j.noteSent(listed)
 	return nil
 }
 
--- a/services/mesh/loop.go
+++ b/services/mesh/loop.go
@@ -259,6 +259,8 @@
 		l.records.Share(now, e.record, "")
 	case partNewsIn:
 		l.records.SharePart(now, e.news, "")
+	case earlyOriginIn:
+		l.shareEarlyOrigin(now, e.record)
 	case originsIn:
 		l.shareOrigins(now, e)
 	case backupsIn:
--- a/services/mesh/origin.go
+++ b/services/mesh/origin.go
@@ -13,20 +13,44 @@
 
 type originsIn struct {
 	records []coreorigin.Record
-	urgent  bool
+	store   bool
 }
 
 func (originsIn) isInput() {}
 
-// ShareOrigins sends records of streams to the gateways that keep them. It is also called on the
-// loop's goroutine, so it does not wait for room; a stream without its record is refused later.
-// Urgent records are of streams whose callers have events already.
-func (l *Loop) ShareOrigins(records []coreorigin.Record, urgent bool) {
-	if !l.inputs.TryPut(originsIn{records, urgent}) {
+// ShareOrigins sends records of streams to the gateways that keep them, of which one writes them to the
+// store if store is set. It is also called on the loop's goroutine, so it does not wait for room; a
+// stream without its record is refused later.
+func (l *Loop) ShareOrigins(records []coreorigin.Record, store bool) {
+	if !l.inputs.TryPut(originsIn{records, store}) {
 		l.log.Request("Records of streams not sent, too much waits.", "records", len(records))
 	}
 }
 
+// earlyOriginIn is the record of an attempt that has no event yet.
+type earlyOriginIn struct{ record coreorigin.Record }
+
+func (earlyOriginIn) isInput() {}
+
+// ShareEarlyOrigin sends the record of an attempt that has no event yet to the gateway that writes it to
+// the store.
+func (l *Loop) ShareEarlyOrigin(r coreorigin.Record) {
+	if !l.inputs.TryPut(earlyOriginIn{r}) {
+		l.log.Request("Record of an attempt not sent, too much waits.")
+	}
+}
+
+func (l *Loop) shareEarlyOrigin(now time.Time, r coreorigin.Record) {
+	replicas := coreorigin.Replicas(l.originKeepers, l.opts.Self.ID, r.Key)
+	if len(replicas) == 0 {
+		return
+	}
+	f := l.out.Frame(now, replicas[0], true)
+	w := originToWire(now, r)
+	w.Store, w.Early = true, true
+	f.StreamOrigins = append(f.StreamOrigins, w)
+}
+
 // backupsIn are messages to the backups of this gateway.
 type backupsIn []origin.Backup
 
@@ -72,14 +96,13 @@
 	}
 }
 
-// shareOrigins adds records to the frames of the gateways that keep them. The first event of a
-// stream takes longer than a lazy frame.
+// shareOrigins adds records to the frames of the gateways that keep them.
 func (l *Loop) shareOrigins(now time.Time, in originsIn) {
 	for _, r := range in.records {
 		for i, id := range coreorigin.Replicas(l.originKeepers, l.opts.Self.ID, r.Key) {
-			f := l.out.Frame(now, id, !in.urgent)
+			f := l.out.Frame(now, id, false)
 			w := originToWire(now, r)
-			w.Store = i == 0
+			w.Store = i == 0 && in.store
 			f.StreamOrigins = append(f.StreamOrigins, w)
 		}
 	}
@@ -88,12 +111,14 @@
 // handleOrigins handles the records, the asks and the replies in a frame.
 func (l *Loop) handleOrigins(now time.Time, peer string, f *wire.Frame) {
 	if len(f.StreamOrigins) > 0 {
-		records := make([]coreorigin.Record, len(f.StreamOrigins))
-		var toStore []coreorigin.Record
-		for i, r := range f.StreamOrigins {
-			records[i] = originFromWire(now, r)
-			if r.Store {
-				toStore = append(toStore, records[i])
+		var records, toStore []coreorigin.Record
+		for _, w := range f.StreamOrigins {
+			r := originFromWire(now, w)
+			if !w.Early {
+				records = append(records, r)
+			}
+			if w.Store {
+				toStore = append(toStore, r)
 			}
 		}
 		l.opts.Origins.Receive(records)
--- a/services/origin/backup.go
+++ b/services/origin/backup.go
@@ -15,7 +15,7 @@
 const (
 	// backupInterval is the time between two messages to the backups, which do not know of streams
 	// that began since the last one.
-	backupInterval = 500 * time.Millisecond
+	backupInterval = 250 * time.Millisecond
 	// backupDelay is the time that a gateway has to share the records of its own streams after a
 	// second version was listed, before its backups do so.
 	backupDelay = 500 * time.Millisecond
--- a/services/origin/origin.go
+++ b/services/origin/origin.go
@@ -44,11 +44,13 @@
 	ListFreshAt func() time.Time
 	// Backup sends records to the gateways that are to share them if this one falls silent.
 	Backup func(messages []Backup)
-	// Share sends records to the gateways that are to hold them, urgent ones at once. Ask asks those
-	// that may hold the record of a stream and returns their IDs; wide includes gateways that serve
-	// streams or back them up while their service has one version.
-	Share func(records []coreorigin.Record, urgent bool)
-	Ask   func(k coreorigin.Key, wide bool) []string
+	// Share sends records to the gateways that are to hold them, of which one writes them to the store
+	// if store is set. ShareEarly sends that one the record of an attempt without an event.
+	Share      func(records []coreorigin.Record, store bool)
+	ShareEarly func(r coreorigin.Record)
+	// Ask asks the gateways that may hold the record of a stream and returns their IDs; wide includes
+	// those that serve streams or back them up while their service has one version.
+	Ask func(k coreorigin.Key, wide bool) []string
 	// Confirm updates the list of targets by a read of the store that begins after the call.
 	Confirm func(ctx context.Context) error
 }
@@ -150,25 +152,57 @@
 	s.opts.Share(records, true)
 }
 
-// Began records that a stream of a service begins at a target, to which its attempt was sent at a time.
-// It is called before the caller gets the first event, and once for a stream: others never hold the
-// record of a target that was tried and sent no event.
-func (s *Service) Began(k coreorigin.Key, service string, t *routing.Target, sentAt time.Time) {
+// Attempt is an attempt of a caller that may begin a stream.
+type Attempt struct {
+	Key     coreorigin.Key
+	Service string
+	Target  *routing.Target // as listed when the attempt was sent to it
+	Try     int             // rises with the targets that are tried
+	SentAt  time.Time
+}
+
+func (s *Service) recordOf(a Attempt, now time.Time) coreorigin.Record {
+	return coreorigin.Record{Key: a.Key, Target: a.Target.ID, Software: a.Target.Software, Sender: s.opts.Sender, Try: uint32(a.Try), SentAt: a.SentAt.UnixMilli(), At: now}
+}
+
+// Sent has the record of an attempt written to the store while versions differ, since a record made at
+// the first event could come too late for the batch before a loss of all gateways. It reports whether it
+// did so. No gateway goes by it: the target may send no event.
+func (s *Service) Sent(a Attempt) bool {
+	now := s.opts.Clock.Now()
+	s.mu.Lock()
+	differ := s.mayDiffer(now, a.Service)
+	s.mu.Unlock()
+	if differ {
+		s.opts.ShareEarly(s.recordOf(a, now))
+	}
+	return differ
+}
+
+// Began records that an attempt begins its stream. It is called before the caller gets the first event.
+// stored is set if Sent has had the record of the target written to the store.
+func (s *Service) Began(a Attempt, stored bool) {
 	now := s.opts.Clock.Now()
-	r := coreorigin.Record{Key: k, Target: t.ID, Software: t.Software, Sender: s.opts.Sender, Try: 1, SentAt: sentAt.UnixMilli(), At: now}
+	r := s.recordOf(a, now)
 	s.mu.Lock()
-	shared := s.table.PutLocal(r, service, s.versions.Mixed(now, service, s.life.at(now)) || !s.covers(now, service))
+	shared := s.table.PutLocal(r, a.Service, s.mayDiffer(now, a.Service))
 	if !shared {
-		s.addBackup(r, service)
+		s.addBackup(r, a.Service)
 	}
 	s.expire(now)
 	s.mu.Unlock()
 	if shared {
 		s.counters.shared.Inc()
-		s.opts.Share([]coreorigin.Record{r}, true)
+		s.opts.Share([]coreorigin.Record{r}, !stored)
 	}
 }
 
+// mayDiffer reports whether streams of a service may have begun at several versions; the caller holds
+// mu.
+func (s *Service) mayDiffer(now time.Time, service string) bool {
+	return s.versions.Mixed(now, service, s.life.at(now)) || !s.covers(now, service)
+}
+
 // covers reports whether all versions of a service are known whose streams may continue; the caller
 // holds mu.
 func (s *Service) covers(now time.Time, service string) bool {
--- a/services/origin/origin_test.go
+++ b/services/origin/origin_test.go
@@ -95,17 +95,22 @@
 				}
 			}
 		},
-		Share: func(records []coreorigin.Record, _ bool) {
+		Share: func(records []coreorigin.Record, store bool) {
 			for _, r := range records {
 				for i, to := range coreorigin.Replicas(f.nodes(id), id, r.Key) {
 					f.shared++
 					f.gateways[to].Receive([]coreorigin.Record{r})
-					if i == 0 {
+					if i == 0 && store {
 						f.gateways[to].Store([]coreorigin.Record{r})
 					}
 				}
 			}
 		},
+		ShareEarly: func(r coreorigin.Record) {
+			if replicas := coreorigin.Replicas(f.nodes(id), id, r.Key); len(replicas) > 0 {
+				f.gateways[replicas[0]].Store([]coreorigin.Record{r})
+			}
+		},
 		Ask: func(k coreorigin.Key, wide bool) []string {
 			asked := coreorigin.Holders(f.nodes(id), id, k)
 			if wide {
@@ -197,7 +202,8 @@
 
 // begin begins a stream at a gateway.
 func (f *fleet) begin(id, attempt, target string) {
-	f.gateways[id].Began(coreorigin.KeyOf(account, attempt), service, f.targets.Find(target), f.clock.Now())
+	a := Attempt{Key: coreorigin.KeyOf(account, attempt), Service: service, Target: f.targets.Find(target), Try: 1, SentAt: f.clock.Now()}
+	f.gateways[id].Began(a, f.gateways[id].Sent(a))
 }
 
 // expect checks the version that a gateway resolves, "" for unknown.
--- a/services/origin/outofstep_test.go
+++ b/services/origin/outofstep_test.go
@@ -95,6 +95,7 @@
 				}
 			}
 		},
+		ShareEarly: func(coreorigin.Record) {},
 		Ask: func(k coreorigin.Key, wide bool) []string {
 			asked := coreorigin.Holders(n.members(), id, k)
 			if wide {
@@ -267,7 +268,7 @@
 
 // begin begins a stream at a gateway, at a target of its own list.
 func (n *network) begin(id, attempt, software string) {
-	n.nodes[id].Began(coreorigin.KeyOf(account, attempt), service, n.nodes[id].view.Find(software), n.clock.Now())
+	n.nodes[id].Began(Attempt{Key: coreorigin.KeyOf(account, attempt), Service: service, Target: n.nodes[id].view.Find(software), Try: 1, SentAt: n.clock.Now()}, false)
 }
 
 // takeUp has a caller come back to a gateway. Nothing arrives while the gateway waits.
@@ -330,6 +331,7 @@
 	id      string
 	attempt string
 	target  *routing.Target
+	tries   int
 	at      time.Time
 }
 
@@ -439,13 +441,14 @@
 	if a.gateway.frozen() || len(listed) == 0 {
 		return false
 	}
+	a.tries++
 	a.target, a.at = listed[p.rng.IntN(len(listed))], p.n.clock.Now()
 	return true
 }
 
 // began has a caller get the first event of a stream.
 func (p *outOfStepPlay) began(a sentAttempt) {
-	a.gateway.Began(coreorigin.KeyOf(account, a.attempt), service, a.target, a.at)
+	a.gateway.Began(Attempt{Key: coreorigin.KeyOf(account, a.attempt), Service: service, Target: a.target, Try: a.tries, SentAt: a.at}, false)
 	p.streams = append(p.streams, begunStream{attempt: a.attempt, software: a.target.Software, at: p.n.clock.Now()})
 	p.n.clock.Advance(20 * time.Millisecond)
 }
--- a/services/origin/recordstore_test.go
+++ b/services/origin/recordstore_test.go
@@ -113,3 +113,30 @@
 		}
 	}
 }
+
+// Guards against refusing a stream that began right before the loss of all gateways, and against going by
+// a target that was tried and sent no event.
+func TestAttemptIsStoredBeforeItsFirstEvent(t *testing.T) {
+	a, b := target("a", "v1"), target("b", "v2")
+	f := newFleet(t, fleetSize, a)
+	f.listAndSettle(a, b)
+	attempt := func(name, target string, try int) Attempt {
+		return Attempt{Key: coreorigin.KeyOf(account, name), Service: service, Target: f.targets.Find(target), Try: try, SentAt: f.clock.Now()}
+	}
+	g := f.gateways["g0"]
+	begun, retried := attempt("begun", "a", 1), attempt("retried", "b", 2)
+	storedBegun := g.Sent(begun)
+	g.Sent(attempt("retried", "a", 1))
+	g.Sent(attempt("tried", "a", 1))
+	storedRetried := g.Sent(retried)
+	f.settle()
+	f.expectEverywhere("no event yet", "tried", "")
+	g.Began(begun, storedBegun)
+	g.Began(retried, storedRetried)
+	f.expectEverywhere("the second target sent the first event", "retried", "v2")
+	f.loseAll()
+	f.clock.Advance(loadTime)
+	f.settle()
+	f.expectEverywhere("begun right before the loss", "begun", "v1")
+	f.expectEverywhere("begun at the second target right before the loss", "retried", "v2")
+}
