relay: Hand requests over within one configuration only

Callers saw: 401 "unknown key" for keys that are in the configuration by which their gateway admits them. An overloaded gateway handed their requests over to a gateway of its hall that had not heard of that configuration yet, or stood still since before it. A 401 is not repeated by callers. A caller was served by the newer and by the older configuration in turn through the same gateway.

Cause: a hand-over took it for known that all gateways of the hall have the same configuration. Nothing in it names one; the receiver looks route and key up in whatever it has.

Change: a gateway announces the version of its configuration on each connection over which requests come, at its begin and with each change, as a probe with a payload (gateways of older releases skip it). Requests are handed over only to a gateway that has announced the version in force here, looked at right before the write; a gateway with another one does not count as available. Whoever hears of a newer version fetches it at once. Why it works: a process never returns to an older configuration and a connection ends with its process, so that an announcement, however old, is never newer than the truth, and one that equals the version here was true when it was sent.

Packages core/relay, services/relay, services/follow and handlers/gateway pass with -race, services/relay ten times.

Left: a gateway that activates a newer version while a request is on its way to it serves it by that; the sender fetches the version within a message or two. With gateways of older releases nothing is handed over.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -52,10 +52,11 @@
 	}
 }
 
-// Available reports whether there is a gateway to choose.
-func (c *Chooser) Available(now time.Time) bool {
+// Available reports whether there is a gateway to choose beside those that exclude reports, which may be
+// nil.
+func (c *Chooser) Available(now time.Time, exclude func(id string) bool) bool {
 	for _, p := range c.peers {
-		if !now.Before(p.avoidUntil) {
+		if !now.Before(p.avoidUntil) && (exclude == nil || !exclude(p.ID)) {
 			return true
 		}
 	}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -68,10 +68,10 @@
 		}
 	}
 	c.Failed(start, "b")
-	if _, ok := c.Choose(start, rng.Float64, nil); ok || c.Available(start) {
+	if _, ok := c.Choose(start, rng.Float64, nil); ok || c.Available(start, nil) {
 		t.Error("chose an unreachable gateway")
 	}
-	if later := start.Add(avoidFor); !c.Available(later) {
+	if later := start.Add(avoidFor); !c.Available(later, nil) {
 		t.Error("no gateway is available after avoidFor")
 	}
 }
@@ -105,3 +105,14 @@
 		t.Error("chose none although all are to be avoided")
 	}
 }
+
+// Gateways that are excluded do not count as available.
+func TestExcludedGatewaysAreNotAvailable(t *testing.T) {
+	c := chooser(map[string]float64{"a": 0.2, "b": 0.2})
+	if !c.Available(start, func(id string) bool { return id == "a" }) {
+		t.Error("the other gateway does not count as available")
+	}
+	if c.Available(start, func(string) bool { return true }) {
+		t.Error("a gateway counts as available although all are excluded")
+	}
+}
--- a/handlers/gateway/relay_test.go
+++ b/handlers/gateway/relay_test.go
@@ -35,6 +35,7 @@
 func newRelay(t *testing.T, h http.Handler) *relay.Service {
 	t.Helper()
 	const key = "a key of the test"
+	version := func() uint64 { return 1 }
 	var owner tomb.Tomb
 	t.Cleanup(func() {
 		owner.Kill(nil)
@@ -44,8 +45,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	peernet.NewRelayServer(&owner, log.New("far"), peernet.NewSharedKey("far", key), &peernet.Meter{}, l, nopHandler{}, relay.NewServer(log.New("far"), h))
-	s := relay.New(&owner, log.New("relay"), relay.Options{Auth: peernet.NewSharedKey("near", key), Meter: &peernet.Meter{}, Clock: clock.System{}})
+	peernet.NewRelayServer(&owner, log.New("far"), peernet.NewSharedKey("far", key), &peernet.Meter{}, l, nopHandler{}, relay.NewServer(log.New("far"), h, version))
+	s := relay.New(&owner, log.New("relay"), relay.Options{Auth: peernet.NewSharedKey("near", key), Meter: &peernet.Meter{}, Clock: clock.System{}, Version: version})
 	s.SetPeers([]relay.Peer{{ID: "far", Address: l.Addr().String(), Strength: 1}})
 	return s
 }
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -120,7 +120,7 @@
 		return nil, err
 	}
 	g.assemble()
-	g.relayed = relay.NewServer(log.New("relay").With(s.ID), g.handler)
+	g.relayed = relay.NewServer(log.New("relay").With(s.ID), g.handler, g.configurationVersion)
 	g.peers = peernet.NewRelayServer(&g.t, log.New("peer").With(s.ID), peernet.NewSharedKey(s.ID, s.PeerKey), g.meter, listeners[0], g.loop, g.relayed)
 	g.serve(listeners[1:])
 	probe, err := lateness.Start(&g.t, probeInterval, g.noteLateness)
@@ -181,7 +181,7 @@
 		SharePart: func(n core.PartNews) { g.loop.SharePartNews(n) },
 	})
 	client := upstream.NewClient(g.pool, platform.Dialect{}, g.notices.Answered)
-	g.relay = relay.New(&g.t, log.New("relay").With(s.ID), relay.Options{Auth: auth, Meter: g.relayMeter, Clock: g.clock})
+	g.relay = relay.New(&g.t, log.New("relay").With(s.ID), relay.Options{Auth: auth, Meter: g.relayMeter, Clock: g.clock, Version: g.configurationVersion, OnNewerVersion: g.follow.ObservePeerConfiguration})
 	g.loop = mesh.NewLoop(&g.t, log.New("mesh").With(s.ID), mesh.Options{
 		Self: g.self, Seeds: s.Seeds, Clock: g.clock, Auth: auth, Meter: g.meter, Member: members, Follow: g.follow, Quarantine: g.quarantine, Notices: g.notices, Origins: g.origins,
 		FetchCachedParts: client.CachedParts, FairWindow: s.FairWindow.Duration, Scheduling: schedulingOf(s), OnMembers: g.setRelayPeers, OnIncarnationEnd: g.relay.Disconnect,
@@ -345,6 +345,7 @@
 	g.pool.Prune(targets)
 	g.forward.SetRouting(g.follow.Index(), targets)
 	g.loop.SetRouting(g.follow.Index(), targets)
+	g.relayed.AnnounceVersion()
 	if index := g.follow.Index(); index != nil {
 		g.origins.SetConfiguration(index.Configuration)
 		g.callers.SetLimits(index.Configuration.Limits)
--- a/router/gatewaystate.go
+++ b/router/gatewaystate.go
@@ -57,6 +57,15 @@
 	}
 }
 
+// configurationVersion returns the version of the configuration in force, 0 if there is none.
+func (g *Gateway) configurationVersion() uint64 {
+	index := g.follow.Index()
+	if index == nil {
+		return 0
+	}
+	return index.Configuration.Version
+}
+
 // StalledSeconds returns the number of seconds in which a scheduler of this gateway placed nothing
 // beside idle targets.
 func (g *Gateway) StalledSeconds() int { return g.loop.StalledSeconds() }
--- a/services/follow/follow_test.go
+++ b/services/follow/follow_test.go
@@ -237,6 +237,41 @@
 	}
 }
 
+// A peer that announces a newer configuration is asked for it. The announcement says nothing of the age
+// of the copies.
+func TestAnnouncedConfigurationIsFetched(t *testing.T) {
+	newer, err := json.Marshal(routing.Configuration{Version: 9})
+	if err != nil {
+		t.Fatal(err)
+	}
+	source := newFakeSource()
+	source.config = &routing.Configuration{Version: 7}
+	h := start(t, source, fakePeers{"peer": newer})
+	h.await()
+	for h.nextWatch(); ; h.clock.Advance(minRecheck) {
+		h.mu.Lock()
+		fresh := !h.watchConfiguration.FreshAt().IsZero()
+		h.mu.Unlock()
+		if fresh {
+			break
+		}
+	}
+	h.clock.Advance(time.Minute)
+	before := h.clock.Now()
+	h.ObservePeerConfiguration("peer", 7)
+	h.ObservePeerConfiguration("peer", 9)
+	h.await()
+	if v := h.Versions().Configuration; v != 9 {
+		t.Errorf("got version %d, want 9", v)
+	}
+	if h.FreshSince(before) {
+		t.Error("the copies count as fresh since the announcement")
+	}
+	if _, fetches := h.CallCounts(); fetches != 1 {
+		t.Errorf("got %d fetches, want 1", fetches)
+	}
+}
+
 func TestNewerTargetsFromPeer(t *testing.T) {
 	set, err := json.Marshal(targetState{Revision: 12, Changes: []TargetChange{{ID: "a", Revision: 12, Target: routing.Target{ID: "a", Leaving: true}}}})
 	if err != nil {
--- a/services/follow/peers.go
+++ b/services/follow/peers.go
@@ -84,6 +84,17 @@
 	}
 }
 
+// ObservePeerConfiguration fetches the configuration from a peer that has a newer one.
+func (s *Service) ObservePeerConfiguration(peer string, version uint64) {
+	if x := s.index.Load(); x != nil && version <= x.Configuration.Version {
+		return
+	}
+	select {
+	case s.peerReports <- peerReport{peer, Versions{Configuration: version}}:
+	default: // dropped: heartbeats repeat it
+	}
+}
+
 // observePeer records the age of a peer's copy and reports whether the local one includes it.
 func (s *Service) observePeer(v Versions) bool {
 	mine, now := s.Versions(), s.opts.Clock.Now()
--- a/services/relay/frame.go
+++ b/services/relay/frame.go
@@ -18,7 +18,7 @@
 	kindEnd                     // last bytes
 	kindAborted                 // the response ends incomplete
 	kindCancel                  // the caller has disconnected
-	kindProbe                   // keep-alive; the receiver returns it
+	kindProbe                   // keep-alive; the receiver returns it, with its configuration's version
 )
 
 const (
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -56,6 +56,11 @@
 	Auth  *peernet.Auth
 	Meter *peernet.Meter
 	Clock clock.Clock
+	// Version returns the version of the configuration in force here, 0 if there is none. Requests are
+	// handed over to gateways with the same one only.
+	Version func() uint64
+	// OnNewerVersion is called when a gateway announces a newer configuration than before; optional.
+	OnNewerVersion func(peer string, version uint64)
 }
 
 // Service hands requests over to other gateways.
@@ -128,7 +133,8 @@
 func (s *Service) Available() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.chooser.Available(s.opts.Clock.Now())
+	own := s.opts.Version()
+	return s.chooser.Available(s.opts.Clock.Now(), func(id string) bool { return s.peers[id].hasOtherVersion(own) })
 }
 
 // Waiting returns the age of the oldest request that waits to be written to a gateway.
@@ -159,7 +165,7 @@
 		var t *tunnel
 		if t, err = s.open(ctx, p); err == nil {
 			h := &Handover{s: s, Peer: p.ID, caller: caller, tunnel: t, done: make(chan struct{})}
-			if err = t.send(h, buffer, check); err == nil {
+			if err = t.send(h, buffer, func() error { return s.checkSend(t, check) }); err == nil {
 				return h, nil
 			}
 		}
@@ -167,7 +173,7 @@
 			s.finished(p.ID)
 			return nil, err
 		}
-		if errors.Is(err, ErrCongested) {
+		if errors.Is(err, ErrCongested) || errors.Is(err, ErrOtherConfiguration) {
 			s.finished(p.ID)
 			continue
 		}
@@ -180,12 +186,14 @@
 }
 
 // choose selects a gateway and counts a request in flight; it returns nil if none is available. It avoids
-// gateways that have stopped reading.
+// gateways that have stopped reading or have another configuration.
 func (s *Service) choose() *peer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.opts.Clock.Now()
-	id, ok := s.chooser.Choose(now, rand.Float64, func(id string) bool { return s.peers[id].stalled(now) })
+	now, own := s.opts.Clock.Now(), s.opts.Version()
+	id, ok := s.chooser.Choose(now, rand.Float64, func(id string) bool {
+		return s.peers[id].stalled(now) || s.peers[id].hasOtherVersion(own)
+	})
 	p := s.peers[id]
 	if !ok || p == nil {
 		return nil
@@ -222,9 +230,14 @@
 		return nil, err
 	}
 	t := newTunnel(conn, s.opts.Clock)
+	t.configuration.observed = func(version uint64) { s.observeVersion(p.ID, version) }
+	go t.readLoop()
+	if err := t.awaitVersion(ctx); err != nil {
+		t.close()
+		return nil, err
+	}
 	p.tunnel.Store(t)
 	s.log.Info("Opened a connection to hand requests over.", "peer", p.ID, "address", p.Address)
-	go t.readLoop()
 	go t.probeLoop(s.opts.Clock)
 	return t, nil
 }
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +32,8 @@
 	t       *tomb.Tomb
 	blocked chan struct{} // receives a value for each request for /wait
 	release chan struct{}
+	version atomic.Uint64 // of its configuration
+	server  *Server
 }
 
 func (*remoteGateway) HandleFrame(string, *wire.Frame) {}
@@ -65,7 +68,8 @@
 		Peer: Peer{ID: id, Incarnation: 1, Address: l.Addr().String(), Strength: 0.2}, t: &tomb.Tomb{},
 		blocked: make(chan struct{}, 8), release: make(chan struct{}),
 	}
-	peernet.NewRelayServer(f.t, log.New("far"), peernet.NewSharedKey(id, key), &peernet.Meter{}, l, f, NewServer(log.New("far"), f))
+	f.server = NewServer(log.New("far"), f, f.version.Load)
+	peernet.NewRelayServer(f.t, log.New("far"), peernet.NewSharedKey(id, key), &peernet.Meter{}, l, f, f.server)
 	t.Cleanup(f.stop)
 	return f
 }
@@ -78,7 +82,7 @@
 func newService(t *testing.T, key string, c clock.Clock) *Service {
 	t.Helper()
 	var owner tomb.Tomb
-	s := New(&owner, log.New("relay"), Options{Auth: peernet.NewSharedKey("near", key), Meter: &peernet.Meter{}, Clock: c})
+	s := New(&owner, log.New("relay"), Options{Auth: peernet.NewSharedKey("near", key), Meter: &peernet.Meter{}, Clock: c, Version: func() uint64 { return 0 }})
 	t.Cleanup(func() {
 		owner.Kill(nil)
 		_ = owner.Wait()
--- a/services/relay/serve.go
+++ b/services/relay/serve.go
@@ -32,11 +32,19 @@
 type Server struct {
 	log      log.Logger
 	handler  http.Handler
+	version  func() uint64
 	inFlight atomic.Int64 // requests being received, served or answered
+
+	mu        sync.Mutex
+	conns     map[*serverConn]bool
+	announced uint64 // version of the last announcement
 }
 
-// NewServer returns a server that passes requests to the handler.
-func NewServer(logger log.Logger, h http.Handler) *Server { return &Server{log: logger, handler: h} }
+// NewServer returns a server that passes requests to the handler. version returns the version of the
+// configuration by which the handler serves, 0 if there is none.
+func NewServer(logger log.Logger, h http.Handler, version func() uint64) *Server {
+	return &Server{log: logger, handler: h, version: version, conns: map[*serverConn]bool{}}
+}
 
 // InFlight returns the number of requests of which a part has come and whose answers are not sent.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
@@ -56,6 +64,9 @@
 	c := &serverConn{s: s, ctx: ctx, conn: conn, requests: map[uint32]*incomingRequest{}}
 	defer conn.Close()
 	defer c.dropIncomplete()
+	s.addConn(c)
+	defer s.removeConn(c)
+	go c.sendVersion()
 	buffer := make([]byte, readBufferSize)
 	var d decoder
 	for {
@@ -93,7 +104,7 @@
 func (c *serverConn) handleFrame(fr frame, piece []byte, last bool) {
 	switch fr.kind {
 	case kindProbe:
-		c.sendControl(kindProbe, 0)
+		c.sendVersion()
 	case kindCancel:
 		c.cancelRequest(fr.number)
 	case kindData, kindEnd:
--- a/services/relay/tunnel.go
+++ b/services/relay/tunnel.go
@@ -58,6 +58,8 @@
 	conn     net.Conn
 	clock    clock.Clock
 	received atomic.Bool // whether anything arrived since the last probe
+	// The configuration of the other gateway.
+	configuration announcedVersion
 
 	// Requests for writeLoop. wakeup signals new requests or control frames.
 	queue  []*queuedRequest
@@ -76,7 +78,7 @@
 
 // newTunnel returns a tunnel and starts its writeLoop, which ends when the tunnel is closed.
 func newTunnel(conn net.Conn, c clock.Clock) *tunnel {
-	t := &tunnel{conn: conn, clock: c, inFlight: map[uint32]*Handover{}, wakeup: make(chan struct{}, 1)}
+	t := &tunnel{conn: conn, clock: c, inFlight: map[uint32]*Handover{}, wakeup: make(chan struct{}, 1), configuration: announcedVersion{first: make(chan struct{})}}
 	go t.writeLoop()
 	return t
 }
@@ -334,6 +336,10 @@
 }
 
 func (t *tunnel) handleFrame(f frame, piece []byte, last bool) {
+	if f.kind == kindProbe {
+		t.configuration.observe(piece, last)
+		return
+	}
 	h := t.find(f.number)
 	if h == nil {
 		return
@@ -355,6 +361,7 @@
 	t.inFlight, t.closed = map[uint32]*Handover{}, true
 	t.mu.Unlock()
 	_ = t.conn.Close()
+	t.configuration.isFirst.Do(func() { close(t.configuration.first) })
 	t.wake()
 	for _, h := range aborted {
 		h.end(false)
