upstream: Tell targets the time that is left at the write

Callers and targets saw: a target worked past the caller's deadline by as long as the request had waited for a connection in a process that was late or stood still (up to a second, from which a place counts as too old). A request whose deadline had passed meanwhile was answered "may have run" (504) although no byte of it was written.

Cause: the time left was read before the connection was there, and used after. The deadline was looked at by a timer only, which fires later than the write that a process does first when it wakes.

Left: a stop between the reading and the write.

--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -202,7 +202,7 @@
 		ID: j.r.Call.ID, Method: j.r.Method, URI: j.r.URI, Host: j.r.Host, Header: j.r.Header, Body: j.r.Body,
 		MayRepeat: j.r.Route.MayRepeat(), TrustKeepAlive: j.s.plainByRecent.Load(), Deadline: j.r.Deadline, Check: j.checkAtSend,
 		Outgoing: upstream.Outgoing{
-			Remaining: j.r.Deadline.Sub(j.s.opts.Clock.Now()), TargetID: t.WorkerName(), Account: j.r.account(), LastEvent: j.lastEvent,
+			TargetID: t.WorkerName(), Account: j.r.account(), LastEvent: j.lastEvent,
 			CopyFrom: j.s.sourceAddress(j.sourceID),
 		},
 	}
--- a/services/upstream/dialect.go
+++ b/services/upstream/dialect.go
@@ -30,7 +30,7 @@
 
 // Outgoing holds the fields that a gateway sets in the header of a request to a target.
 type Outgoing struct {
-	Remaining time.Duration
+	Remaining time.Duration // until the deadline; set by Client.Send
 	TargetID  string
 	Account   string
 	LastEvent string
--- a/services/upstream/exchange.go
+++ b/services/upstream/exchange.go
@@ -115,17 +115,16 @@
 	if err != nil {
 		return nil, ErrExchange{false, err.Error()}
 	}
-	if r.Check != nil {
-		if err := r.Check(); err != nil {
-			_ = connection.Close()
-			return nil, err
-		}
+	if err := c.checkSend(r); err != nil {
+		_ = connection.Close()
+		return nil, err
 	}
+	remaining := r.Deadline.Sub(c.pool.clock.Now())
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	// If the machine is suspended meanwhile, the context ends the exchange earlier.
-	_ = connection.SetDeadline(netopt.DeadlineIn(r.Deadline.Sub(c.pool.clock.Now())))
+	_ = connection.SetDeadline(netopt.DeadlineIn(remaining))
 	a := &Answer{client: c, target: t, conn: connection, stop: stop}
-	if err := a.write(c.encodeHead(r), r.Body); err != nil {
+	if err := a.write(c.encodeHead(r, remaining), r.Body); err != nil {
 		a.Close()
 		return nil, ErrExchange{true, err.Error()}
 	}
@@ -147,11 +146,24 @@
 	return c.exits.ExitedNow(ctx, t.Address)
 }
 
+// checkSend reports why a request must not be written any more.
+func (c *Client) checkSend(r *Request) error {
+	if !c.pool.clock.Now().Before(r.Deadline) {
+		return ErrExchange{false, "the deadline passed before it was sent"}
+	}
+	if r.Check == nil {
+		return nil
+	}
+	return r.Check()
+}
+
 // encodeHead encodes the request line and the header without hop-by-hop fields.
-func (c *Client) encodeHead(r *Request) *bytes.Buffer {
+func (c *Client) encodeHead(r *Request, remaining time.Duration) *bytes.Buffer {
 	h := r.Header.Clone()
 	RemoveHopByHop(h)
-	c.dialect.WriteCall(h, r.Outgoing)
+	o := r.Outgoing
+	o.Remaining = remaining
+	c.dialect.WriteCall(h, o)
 	h.Del("Content-Length")
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
--- a/services/upstream/exchange_test.go
+++ b/services/upstream/exchange_test.go
@@ -121,7 +121,7 @@
 func request(id, body string) *Request {
 	return &Request{
 		ID: id, Method: http.MethodPost, URI: "/a/b?c=%2F", Host: "host", Header: http.Header{"Id": {id}, "Te": {"x"}, "Connection": {"Drop-Me"}, "Drop-Me": {"1"}},
-		Body: []byte(body), MayRepeat: true, Deadline: time.Now().Add(10 * time.Second), Outgoing: Outgoing{TargetID: "t", Remaining: time.Second},
+		Body: []byte(body), MayRepeat: true, Deadline: time.Now().Add(10 * time.Second), Outgoing: Outgoing{TargetID: "t"},
 	}
 }
 
