claim: Keep claims of calls that may still run

Callers saw: nothing yet; found by reading for age that is taken for knowledge.

The next attempt found no row and was sent.

Evidence, before the change: claim_test.go:211: second attempt while the first one runs: got verdict 0, granted true, want unknown

Change: an expired claim becomes one whose outcome is unknown, under the condition of its version, and is deleted after another retention. Why it works: the next attempt reads "unknown" and is never sent; the first one's outcome meets a changed row and is given to its caller only, as at any row that has a final state.

--- a/router/router.go
+++ b/router/router.go
@@ -159,7 +159,7 @@
 	r.peers.Attach(r.loop, r.config, r.traces)
 	r.server = peernet.NewServer(&r.t, log.New("peer").With(id), auth, r.meter, peerListener, r.peers)
 	r.claims = claim.New(&r.t, log.New("claim").With(id), claim.Options{
-		Clock: r.clock, Table: table, Timeout: s.Platform.Timeout.Duration, IsDead: r.memberIsDead,
+		Clock: r.clock, Table: table, Timeout: s.Platform.Timeout.Duration, Retention: s.Platform.ClaimKept.Duration, IsDead: r.memberIsDead,
 	})
 	r.claims.Sweep(r.isSweeper)
 	r.answers = answer.NewStore(&r.t, log.New("answer").With(id), answer.Options{
--- a/services/claim/claim.go
+++ b/services/claim/claim.go
@@ -32,6 +32,8 @@
 	Clock   clock.Clock
 	Table   platform.Table
 	Timeout time.Duration // for each call of the table
+	// Retention is the time for which a claim is kept after it has expired without an outcome.
+	Retention time.Duration
 	// IsDead reports whether an incarnation of a router is known to be dead.
 	IsDead func(router string, incarnation uint64) bool
 }
--- a/services/claim/claim_test.go
+++ b/services/claim/claim_test.go
@@ -109,10 +109,13 @@
 		_ = tb.Wait()
 	})
 	return New(&tb, log.New("claim"), Options{
-		Clock: c, Table: table, Timeout: time.Second, IsDead: func(string, uint64) bool { return false },
+		Clock: c, Table: table, Timeout: time.Second, Retention: testRetention, IsDead: func(string, uint64) bool { return false },
 	})
 }
 
+// testRetention is the retention of rows in the tests.
+const testRetention = time.Hour
+
 func rowOf(i int) core.Row { return core.Row{Attempt: fmt.Sprint("att-", i), Digest: "d"} }
 
 // Guards against one conflicting row that fails the other claims of its transaction.
@@ -189,3 +192,29 @@
 		t.Fatalf("%d rows left, want the unexpired one only", len(table.rows))
 	}
 }
+
+// Guards against a call that runs twice because the claim of its first attempt was deleted by age while
+// that attempt still ran.
+func TestSweepKeepsClaimsOfCallsThatMayRun(t *testing.T) {
+	c := clock.NewFake()
+	s := newService(t, newFakeTable(), c)
+	key, mine := Key("alder", "k"), rowOf(1)
+	mine.Expires = c.Now().Add(time.Minute)
+	first := s.Acquire(context.Background(), key, mine)
+	if first.Grant == nil {
+		t.Fatalf("first attempt: got verdict %d, want a grant", first.Verdict)
+	}
+	c.Advance(2 * time.Minute)
+	s.SweepOnce()
+	second := s.Acquire(context.Background(), key, rowOf(2))
+	if second.Grant != nil || second.Verdict != core.VerdictUnknown {
+		t.Errorf("second attempt while the first one runs: got verdict %d, granted %t, want unknown", second.Verdict, second.Grant != nil)
+	}
+	if s.SweepOnce() != 0 {
+		t.Error("a claim whose outcome is unknown was deleted before its time")
+	}
+	c.Advance(testRetention)
+	if n := s.SweepOnce(); n != 1 {
+		t.Errorf("deleted %d rows after the retention, want 1", n)
+	}
+}
--- a/services/claim/sweep.go
+++ b/services/claim/sweep.go
@@ -35,7 +35,9 @@
 }
 
 // SweepOnce deletes expired rows that have not changed since they were read and returns their
-// number. Each call continues where the last one ended. It is not safe for concurrent use.
+// number. An expired claim without an outcome is kept as one whose outcome is unknown for another
+// retention: its router may still run the call. Each call continues where the last one ended. It is
+// not safe for concurrent use.
 func (s *Service) SweepOnce() int {
 	ctx, cancel := context.WithTimeout(s.t.Context(context.Background()), s.opts.Timeout)
 	defer cancel()
@@ -49,18 +51,28 @@
 	}
 	now := s.opts.Clock.Now()
 	var tx platform.Tx
-	deleted := 0
+	unknown := 0
 	for _, row := range rows {
 		var r core.Row
 		if json.Unmarshal(row.Value, &r) != nil || r.Expires.After(now) {
 			continue
 		}
+		if r.State == core.StateClaimed {
+			r.State, r.Expires = core.StateUnknown, now.Add(s.opts.Retention)
+			value, err := json.Marshal(r)
+			if err != nil {
+				continue
+			}
+			tx.Puts = append(tx.Puts, platform.Put{Key: row.Key, Value: value})
+			unknown++
+		} else {
+			tx.Deletes = append(tx.Deletes, row.Key)
+		}
 		tx.Conditions = append(tx.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
-		tx.Deletes = append(tx.Deletes, row.Key)
 	}
-	if len(tx.Deletes) > 0 && s.opts.Table.Commit(ctx, tx).Outcome == platform.OutcomeOK {
-		deleted = len(tx.Deletes)
-		s.log.Info("Deleted expired claims.", "rows", deleted)
+	if len(tx.Conditions) == 0 || s.opts.Table.Commit(ctx, tx).Outcome != platform.OutcomeOK {
+		return 0
 	}
-	return deleted
+	s.log.Info("Deleted expired claims.", "rows", len(tx.Deletes), "outcome_unknown", unknown)
+	return len(tx.Deletes)
 }
