follow: End holds once expired entries are renewed

Callers saw: nothing yet; found by reading. A gateway that was cut off from the store and its peers takes the silence for an outage of the store, and holds each target that goes missing in the next 2 s for 1.5 s more, as its entry may have expired. A target that was removed in the last of these 2 s was held until 3.4 s after the cut: it may get requests 2.5 s after the store took its removal, from a gateway that is in contact again for longer than the three seconds after which a removal must hold within two.

Cause: the hold ran from the moment at which the entry was missed. What it waits for, the renewal by the entry's owner, comes within 2 s of the end of the silence, whenever the entry is missed.

Evidence, before the change: expired_test.go:81: held until 3.4s after the end of the silence, want at most 2s and 500ms

Change: a hold ends at the latest 500 ms after the time in which owners renew their entries. Why it works: an entry that is still missing then was removed. Holds of entries missed within a second of the end are as long as before.

Measured: services/follow and core/watch pass with -race; the mutation is killed. The calls of hold in existing tests pass a time in place of a bool; what they check is unchanged.

--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -218,16 +218,24 @@
 
 // Unsettled reports whether a long silence of the store lasts or has just ended, so that missing
 // entries may merely have expired.
-func (w *Watch) Unsettled(now time.Time) bool {
+func (w *Watch) Unsettled(now time.Time) bool { return w.UnsettledUntil(now).After(now) }
+
+// UnsettledUntil returns the time at which the owners of entries that have expired in a long silence of
+// the store will have renewed them, at the earliest if the silence lasts. It is zero if none has expired.
+func (w *Watch) UnsettledUntil(now time.Time) time.Time {
 	switch {
 	case w.freshAt.IsZero():
-		return false
+		return time.Time{}
 	case now.Sub(w.restoredAt) < settleTime:
-		return true
+		return w.restoredAt.Add(settleTime)
 	case w.peersSettled(now):
-		return false
+		return time.Time{}
+	case now.Sub(w.freshAt) > longSilence:
+		return now.Add(settleTime)
+	case now.Sub(w.settlingSince) < settleTime:
+		return w.settlingSince.Add(settleTime)
 	default:
-		return now.Sub(w.freshAt) > longSilence || now.Sub(w.settlingSince) < settleTime
+		return time.Time{}
 	}
 }
 
--- a/services/follow/expired.go
+++ b/services/follow/expired.go
@@ -15,6 +15,9 @@
 // target still accepts work.
 const expiredHold = 1500 * time.Millisecond
 
+// renewalDelay is the time in which the renewal of an entry becomes known here.
+const renewalDelay = 500 * time.Millisecond
+
 // heldTargets tracks targets whose entries may merely have expired.
 type heldTargets struct {
 	until map[string]time.Time
@@ -23,9 +26,9 @@
 func newHeldTargets() *heldTargets { return &heldTargets{until: map[string]time.Time{}} }
 
 // hold returns the listed targets plus the held ones, and the time until the next hold ends, 0
-// if there is none. before is the previous result; unsettled is set during and shortly after an
-// outage of the store.
-func (h *heldTargets) hold(now time.Time, unsettled bool, before, listed *routing.TargetSet) (*routing.TargetSet, time.Duration) {
+// if there is none. before is the previous result; unsettledUntil is zero unless entries may have
+// expired, see watch.UnsettledUntil.
+func (h *heldTargets) hold(now, unsettledUntil time.Time, before, listed *routing.TargetSet) (*routing.TargetSet, time.Duration) {
 	wait, kept := time.Duration(0), map[string]time.Time{}
 	e := listed.Edit()
 	for _, ch := range listed.Changes(before) {
@@ -35,8 +38,11 @@
 		until, held := h.until[ch.Before.ID]
 		if !held {
 			until = now.Add(expiredHold)
+			if renewed := unsettledUntil.Add(renewalDelay); renewed.Before(until) {
+				until = renewed // an entry that is still missing by then has been removed
+			}
 		}
-		if !held && !unsettled || !now.Before(until) {
+		if !held && unsettledUntil.IsZero() || !now.Before(until) {
 			continue
 		}
 		kept[ch.Before.ID] = until
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -311,7 +311,7 @@
 	}
 	listed, leaving := s.table.targetSet()
 	now, before := s.opts.Clock.Now(), s.targets.Load()
-	set, wait := s.held.hold(now, s.watchTargets.Unsettled(now), before, listed)
+	set, wait := s.held.hold(now, s.watchTargets.UnsettledUntil(now), before, listed)
 	heldCount := set.Len() - listed.Len()
 	set, evacuated := s.markEvacuated(set, before)
 	set, announced, digest := s.markLeaving(set, before)
--- a/services/follow/incarnation_test.go
+++ b/services/follow/incarnation_test.go
@@ -114,7 +114,7 @@
 	set := func(t routing.Target) *routing.TargetSet {
 		return routing.NewTargetSet(0, t)
 	}
-	held, _ := newHeldTargets().hold(now, true, set(incarnation("w", 100, false)), set(incarnation("w", 200, false)))
+	held, _ := newHeldTargets().hold(now, now.Add(time.Hour), set(incarnation("w", 100, false)), set(incarnation("w", 200, false)))
 	if held.Len() != 1 || held.FindWorker("w").Born != 200 {
 		t.Errorf("targets %+v, want only the new incarnation", held.ByService(""))
 	}
