forward: Look for callers of requests that lay unread

Callers and targets saw: a target works for a caller who left while the gateway stood still or was late. The request is read when the process wakes, together with the end of its caller's connection, and may be sent before that end is read.

Cause: whether the caller is still there is looked at from a request's age of 200 ms on, counted from its reading; for how long it lay in the socket did not count.

Evidence, before the change: stale_test.go:69: caller left while the process stood still: got error <nil>, want context.Canceled

Change: the lateness of the process at the send is added to the age. Why it works: what was read within one probe (25 ms) of a stop may have lain there for as long as the stop; from 200 ms on one look at the socket follows, before anything is written.

TestRequestOfGoneCallerIsNotSent gets a guard that is in time, which checkAtSend asks now; what it checks is unchanged.

--- a/services/forward/quarantine.go
+++ b/services/forward/quarantine.go
@@ -97,8 +97,9 @@
 	if j.sentAt.Sub(j.placedAt) > maxPlacementAge {
 		return errStalePlacement
 	}
-	// An overloaded process learns late that a caller has disconnected.
-	if j.r.CallerDisconnected != nil && j.sentAt.Sub(j.r.Received) > callerCheckAfter && j.r.CallerDisconnected() {
+	// A process that is late, or stood still, has read the request late, and learns late that its caller
+	// has disconnected.
+	if j.r.CallerDisconnected != nil && j.sentAt.Sub(j.r.Received)+j.s.Lateness() > callerCheckAfter && j.r.CallerDisconnected() {
 		j.refusal = context.Canceled
 		return j.refusal
 	}
--- a/services/forward/stale_test.go
+++ b/services/forward/stale_test.go
@@ -41,7 +41,7 @@
 		checks++
 		return disconnected
 	}}
-	j := &job{s: &Service{opts: Options{Clock: c, Quarantine: q, Targets: targetList("t"), Notices: notice.New(log.New("notice"), notice.Options{Clock: c})}}, r: r, quarantineAttempt: q.NewAttempt(quarantine.Identity{}, nil), placedAt: c.Now(), target: &routing.Target{ID: "t"}}
+	j := &job{s: &Service{opts: Options{Clock: c, Guard: newTestGuard(c), Quarantine: q, Targets: targetList("t"), Notices: notice.New(log.New("notice"), notice.Options{Clock: c})}}, r: r, quarantineAttempt: q.NewAttempt(quarantine.Identity{}, nil), placedAt: c.Now(), target: &routing.Target{ID: "t"}}
 	if err := j.checkAtSend(); err != nil || checks > 0 {
 		t.Errorf("fresh request: got error %v, %d checks of the caller, want none", err, checks)
 	}
@@ -56,6 +56,24 @@
 }
 
 // targetList lists one target, which accepts work.
+// Guards against requests that lay in the socket of a process that stood still, and are sent to targets
+// although their callers have left meanwhile.
+func TestRequestThatLayUnreadIsNotSentForGoneCaller(t *testing.T) {
+	c := clock.NewFake()
+	overdue := 1400 * time.Millisecond // the process has just woken
+	guard := newGuardWithOverdue(c, func(time.Time) time.Duration { return overdue })
+	q := requests.New(log.New("quarantine"), requests.Options{Clock: c, Share: func(quarantine.Record) {}})
+	r := &Request{Route: &routing.Route{}, Received: c.Now(), CallerDisconnected: func() bool { return true }}
+	j := &job{s: &Service{opts: Options{Clock: c, Guard: guard, Quarantine: q, Targets: targetList("t"), Notices: notice.New(log.New("notice"), notice.Options{Clock: c})}}, r: r, quarantineAttempt: q.NewAttempt(quarantine.Identity{}, nil), placedAt: c.Now(), target: &routing.Target{ID: "t"}}
+	if err := j.checkAtSend(); !errors.Is(err, context.Canceled) {
+		t.Errorf("caller left while the process stood still: got error %v, want context.Canceled", err)
+	}
+	overdue = 0
+	if err := j.checkAtSend(); err != nil {
+		t.Errorf("the process is in time: got error %v, want no check of the caller", err)
+	}
+}
+
 type targetList string
 
 // Targets implements Targets.
