lab: Make the test of bodies being read independent of standstills

The test was wrong. It took each answer for one about bytes. A gateway whose process stood still for 1.5 s refuses with 503 until it has heard anew what holds, and cuts bodies that take longer than the 2 s of their route (408); the test's own connections ended after 30 s (0).

As before, the first body that is decided on must be refused with 429 while the others are read, another account's request must be served, and the ledger must hold.

--- a/lab/platform/site.go
+++ b/lab/platform/site.go
@@ -30,6 +30,8 @@
 	External bool   // the gateways are processes that somebody else starts; see WriteSettings
 	// HeaderTimeout is the configured limit on the time to read a request's header; 0 is defaultHeaderTimeout.
 	HeaderTimeout time.Duration
+	// RouteTimeout is the configured timeout of the routes of all kinds; 0 is the deadline of each kind.
+	RouteTimeout time.Duration
 }
 
 const defaultHeaderTimeout = 3 * time.Second
--- a/lab/platform/siteconfig.go
+++ b/lab/platform/siteconfig.go
@@ -12,8 +12,12 @@
 	s.version += 1 + s.rng.IntN(3)
 	var routes []map[string]any
 	for _, k := range Kinds() {
+		timeout := k.Deadline
+		if s.opts.RouteTimeout > 0 {
+			timeout = s.opts.RouteTimeout
+		}
 		route := map[string]any{
-			"name": k.Name, "host": host, "pathPrefix": k.Path, "timeoutMs": k.Deadline.Milliseconds(), "targetLatencyMs": k.Objective.Milliseconds(),
+			"name": k.Name, "host": host, "pathPrefix": k.Path, "timeoutMs": timeout.Milliseconds(), "targetLatencyMs": k.Objective.Milliseconds(),
 			"priority": 1, "maxAttempts": k.Attempts, "public": false, "kind": "unsafe", "service": plainService,
 		}
 		switch {
