entry: Tell a late scheduler of runs that it placed at the same target

Callers were refused for up to two seconds beside idle targets: after a scheduler had answered a gateway a little late (60 ms), it refused the requests of all gateways that ask it. Seen as TestTargetNoticesAreObeyed/leaving/long, "at a gateway that restarted: got 0 of 8 requests served by other workers", 1 of 24 runs four at a time, with logs.

Cause: the gateway turned to the next scheduler, which placed the requests. The placements of the late one came after that. One at another target was answered with "withdrawn"; one at the same target was not answered at all, and the late scheduler was not among those that learn of begin and end. It kept these runs until it got an inventory, two seconds later; until then their first events were overdue, which made both targets seem busy. In the log 4 of the 6 requests that both placed had the same target; 7 requests were refused with booked=577ms, and nothing was placed at the two targets until 2.1 s after the switch.

Test: core/entry TestLateSchedulerLearnsOfRunItPlacedToo; before: before the first event: told [g1] of the first event, want 2 schedulers told [g1] of the end, want 2 schedulers in another cell: withdrawn at [], want at the late scheduler: true

The late scheduler now counts the run until its end, as the inventories already have it: the request does run there, so that the load that it sees is right. If its cell is another one it is told to withdraw.

Measured: core/entry and services/mesh pass with -race. The whole test beside itself, four at a time, GOMAXPROCS=1: 24 of 24 runs; before 23 of 24, the other one could not bind an address, so that these runs show no difference.

--- a/core/entry/former.go
+++ b/core/entry/former.go
@@ -34,6 +34,20 @@
 	}
 }
 
+// placedLate tells a scheduler that is no longer asked for a request what became of it. If another
+// one has chosen the same target, both count the request as running.
+func (m *Machine) placedLate(e PlacementSeen) {
+	r := m.running[e.ID]
+	if r == nil || r.held.Target != e.Target || r.cell != e.Cell {
+		m.emit(ProgressOut{To: e.From, Cell: e.Cell, ID: e.ID, Step: StepWithdrawn})
+		return
+	}
+	if r.held.Begun && !slices.Contains(r.toldTo, e.From) {
+		m.emit(ProgressOut{To: e.From, Cell: e.Cell, ID: e.ID, Step: StepBegan})
+	}
+	r.addScheduler(e.From)
+}
+
 func (m *Machine) formerHeard(id string) {
 	for of, s := range m.former {
 		if of.scheduler == id {
--- a/core/entry/former_test.go
+++ b/core/entry/former_test.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -101,3 +102,46 @@
 		t.Errorf("got %d former schedulers, want none", len(f.former))
 	}
 }
+
+// Guards against a former scheduler that keeps requests as running for seconds, and refuses others for
+// them: it answered late, and placed each at the target that the next scheduler has chosen too.
+func TestLateSchedulerLearnsOfRunItPlacedToo(t *testing.T) {
+	for name, c := range map[string]struct {
+		before   []Event // between the two placements
+		late     PlacementSeen
+		began    int // schedulers told of the first event with the late placement, and after it
+		ended    int
+		withdraw bool
+	}{
+		"before the first event": {late: PlacementSeen{Cell: "s/0", ID: 1, Target: "t"}, began: 2, ended: 2},
+		"after the first event":  {before: []Event{Began{1}}, late: PlacementSeen{Cell: "s/0", ID: 1, Target: "t"}, began: 1, ended: 2},
+		"after the end":          {before: []Event{Began{1}, Ended{1, batch.OutcomeDone}}, late: PlacementSeen{Cell: "s/0", ID: 1, Target: "t"}, withdraw: true},
+		"at another target":      {late: PlacementSeen{Cell: "s/0", ID: 1, Target: "u"}, began: 1, ended: 1, withdraw: true},
+		"in another cell":        {late: PlacementSeen{Cell: "s/1", ID: 1, Target: "t"}, began: 1, ended: 1, withdraw: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := setUp(t)
+			f.after(0, submit(1))
+			if to := asked(f.after(2*answerTimeout, Tick{})); to != f.second {
+				t.Fatalf("asked %q, want the second scheduler", to)
+			}
+			f.after(time.Millisecond, PlacementSeen{From: f.second, Cell: "s/0", ID: 1, Target: "t"})
+			for _, ev := range c.before {
+				f.after(time.Millisecond, ev)
+			}
+			c.late.From = f.first
+			actions := f.after(time.Millisecond, c.late)
+			if to := told(actions, StepWithdrawn); slices.Contains(to, f.first) != c.withdraw {
+				t.Errorf("withdrawn at %v, want at the late scheduler: %t", to, c.withdraw)
+			}
+			began := append(told(actions, StepBegan), told(f.after(time.Millisecond, Began{1}), StepBegan)...)
+			if len(began) != c.began || !c.withdraw && !slices.Contains(began, f.first) {
+				t.Errorf("told %v of the first event, want %d schedulers", began, c.began)
+			}
+			ended := told(f.after(time.Millisecond, Ended{1, batch.OutcomeDone}), StepEnded)
+			if len(ended) != c.ended || slices.Contains(ended, f.first) == c.withdraw {
+				t.Errorf("told %v of the end, want %d schedulers", ended, c.ended)
+			}
+		})
+	}
+}
--- a/core/entry/machine.go
+++ b/core/entry/machine.go
@@ -244,9 +244,7 @@
 func (m *Machine) placed(now time.Time, e PlacementSeen) {
 	p := m.pending[e.ID]
 	if p == nil || p.scheduler != e.From {
-		if r := m.running[e.ID]; r == nil || r.held.Target != e.Target {
-			m.emit(ProgressOut{To: e.From, Cell: e.Cell, ID: e.ID, Step: StepWithdrawn})
-		}
+		m.placedLate(e)
 		return
 	}
 	delete(m.pending, e.ID)
