router: Wait in the test of pauses until the gateway knows of all

The test was wrong: it waited for three requests at workers. In the log of the failed run two workers had refused one each; six requests at the third were cut unanswered for their slowness, so that the gateway had heard no pause of it. It sent it one more, heard the pause, and refused the other seven with a retry delay of 59 s.

It now waits until the gateway knows of three pauses, which it must reach within the same time; what is checked then is the same. PausedTargets is for tests only.

--- a/router/export_test.go
+++ b/router/export_test.go
@@ -16,3 +16,14 @@
 
 // Streams returns the number of engine requests that the gateway serves itself.
 func (g *Gateway) Streams() int { return g.forward.InFlight() }
+
+// PausedTargets returns the targets that must not get requests now, as they asked for a pause.
+func (g *Gateway) PausedTargets() []string {
+	return g.notices.PausedAmong(func(yield func(string) bool) {
+		for t := range g.follow.Targets().All() {
+			if !yield(t.ID) {
+				return
+			}
+		}
+	}).Targets
+}
--- a/router/notice_test.go
+++ b/router/notice_test.go
@@ -333,9 +333,10 @@
 	for _, w := range workers {
 		w.AskForPause("60")
 	}
-	s.await("all workers have asked for a pause", func() bool {
+	// Arrivals are not enough: one worker may get several, and the gateway may cut an attempt before its answer.
+	s.await("the gateway knows that all pause", func() bool {
 		s.burst(0)
-		return arrivals(workers) >= len(workers)
+		return len(s.Gateway(0).PausedTargets()) == len(workers)
 	})
 	s.expectRefused("all pause", workers)
 	if a := s.ask(0); a.After < 10*time.Second {
