entry: Tell a late scheduler that is asked again of a first event

A scheduler that answered late and is asked again before its placement has come gets an inventory. It knows the run, so that it takes nothing on it from there, and counted as told; the first event had been reported to the next scheduler only. Its target would seem silent until the response ended.

--- a/core/entry/former.go
+++ b/core/entry/former.go
@@ -42,7 +42,7 @@
 		m.emit(ProgressOut{To: e.From, Cell: e.Cell, ID: e.ID, Step: StepWithdrawn})
 		return
 	}
-	if r.held.Begun && !slices.Contains(r.toldTo, e.From) {
+	if r.held.Begun { // it may not know, even if an inventory came before this
 		m.emit(ProgressOut{To: e.From, Cell: e.Cell, ID: e.ID, Step: StepBegan})
 	}
 	r.addScheduler(e.From)
--- a/core/entry/former_test.go
+++ b/core/entry/former_test.go
@@ -145,3 +145,20 @@
 		})
 	}
 }
+
+// Guards against the same where the late scheduler is asked again before its placement comes: it knows
+// the run, so that it takes nothing on it from the inventory.
+func TestLateSchedulerAskedAgainLearnsOfBegin(t *testing.T) {
+	f := setUp(t)
+	f.after(0, submit(1))
+	f.after(2*answerTimeout, Tick{})
+	f.after(time.Millisecond, PlacementSeen{From: f.second, Cell: "s/0", ID: 1, Target: "t"})
+	f.after(time.Millisecond, Began{1})
+	f.after(time.Millisecond, PeerHeard{f.first})
+	if got := inventoriesTo(f.after(time.Millisecond, submit(2)), f.first); len(got) != 1 || len(got[0].Held) != 1 {
+		t.Fatalf("got inventories %+v for the scheduler that is asked again, want one with the run", got)
+	}
+	if to := told(f.after(time.Millisecond, PlacementSeen{From: f.first, Cell: "s/0", ID: 1, Target: "t"}), StepBegan); !slices.Equal(to, []string{f.first}) {
+		t.Errorf("told %v of the first event, want the late scheduler", to)
+	}
+}
