mesh: Apply the progress in a frame to the inventory beside it

Callers were refused beside idle targets for up to two seconds: a scheduler counted a request as running that had ended, and where its first event had not been reported before it took the target for silent.

Cause: messages to a peer are collected in a frame, an inventory for up to 15 ms and for as long as a batch of inputs takes. The receiver reads the progress first and inventories after. A request that ended after the inventory was put into the frame was ended first and then brought back by the inventory, until the next one.

The receiver now leaves out of an inventory what ended in its frame, and takes as begun what began. Progress in the frame is as new as the inventory or newer, as a request is never placed again under its ID. The order of events stays: an end tells its outcome, which the absence from an inventory does not. Works with senders of older versions.

--- a/services/mesh/loop_test.go
+++ b/services/mesh/loop_test.go
@@ -83,7 +83,7 @@
 			c.Step(now, handoverFromWire(now, h))
 		}
 		for _, inv := range frame.EngineInventories {
-			c.Step(now, inventoryFromWire("g", inv))
+			c.Step(now, inventoryFromWire("g", inv, frame.EngineProgress))
 		}
 		for _, t := range frame.EngineTallies {
 			c.Step(now, roomsSeen("s/0", t.Rooms))
--- a/services/mesh/step.go
+++ b/services/mesh/step.go
@@ -45,8 +45,7 @@
 	hb.Software = softwareToWire(l.opts.Origins.Memory())
 }
 
-// handleFrame handles the messages of a frame. Inventories come before asks, so that a new
-// scheduler knows the load before it places requests.
+// handleFrame handles the messages of a frame.
 func (l *Loop) handleFrame(now time.Time, peer string, f *wire.Frame) {
 	l.traffic.countFrame(receivedFromPeers, f)
 	if link := l.links[peer]; link != nil {
@@ -63,6 +62,21 @@
 		l.records.Receive(now, peer, f)
 	}
 	l.handleOrigins(now, peer, f)
+	l.handleSchedulerMessages(now, peer, f)
+	for _, p := range f.EnginePlacements {
+		l.stepEntry(now, entry.PlacementSeen{From: peer, Cell: cell.Key(p.Cell), ID: cell.RequestID(p.Id), Target: p.Target, Source: p.Source})
+	}
+	for _, w := range f.EngineWaits {
+		l.stepEntry(now, entry.WaitSeen{From: peer, ID: cell.RequestID(w.Id)})
+	}
+	for _, r := range f.EngineRefusals {
+		l.stepEntry(now, entry.RefusalSeen{From: peer, ID: cell.RequestID(r.Id), RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond, Elsewhere: r.Elsewhere, Cell: cell.Key(r.Cell)})
+	}
+}
+
+// handleSchedulerMessages handles the messages for the schedulers of this gateway. Inventories come
+// before asks, so that a new scheduler knows the load before it places requests.
+func (l *Loop) handleSchedulerMessages(now time.Time, peer string, f *wire.Frame) {
 	for _, p := range f.EngineProgress {
 		if ev := progressEvent(peer, p); ev != nil {
 			l.routeToCell(now, cell.Key(p.Cell), ev)
@@ -75,20 +89,11 @@
 		l.receiveHandover(now, peer, h)
 	}
 	for _, inv := range f.EngineInventories {
-		l.routeToCell(now, cell.Key(inv.Cell), inventoryFromWire(peer, inv))
+		l.routeToCell(now, cell.Key(inv.Cell), inventoryFromWire(peer, inv, f.EngineProgress))
 	}
 	for _, a := range f.EngineAsks {
 		l.routeToCell(now, cell.Key(a.Cell), cell.AskSeen{Entry: peer, Ask: askFromWire(a)})
 	}
-	for _, p := range f.EnginePlacements {
-		l.stepEntry(now, entry.PlacementSeen{From: peer, Cell: cell.Key(p.Cell), ID: cell.RequestID(p.Id), Target: p.Target, Source: p.Source})
-	}
-	for _, w := range f.EngineWaits {
-		l.stepEntry(now, entry.WaitSeen{From: peer, ID: cell.RequestID(w.Id)})
-	}
-	for _, r := range f.EngineRefusals {
-		l.stepEntry(now, entry.RefusalSeen{From: peer, ID: cell.RequestID(r.Id), RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond, Elsewhere: r.Elsewhere, Cell: cell.Key(r.Cell)})
-	}
 }
 
 func (l *Loop) handleHeartbeat(now time.Time, peer string, hb *wire.Heartbeat) {
--- a/services/mesh/translate.go
+++ b/services/mesh/translate.go
@@ -52,11 +52,23 @@
 	return &wire.EngineHeld{Id: uint64(h.ID), Account: h.Account, Target: h.Target, Prompt: promptToWire(h.Prompt), Begun: h.Begun}
 }
 
-func inventoryFromWire(peer string, inv *wire.EngineInventory) cell.InventorySeen {
+// inventoryFromWire converts an inventory and applies the progress in its frame, which may be newer: a
+// frame takes messages until it is sent.
+func inventoryFromWire(peer string, inv *wire.EngineInventory, progress []*wire.EngineProgress) cell.InventorySeen {
+	began, ended := map[uint64]bool{}, map[uint64]bool{}
+	for _, p := range progress {
+		if p.Cell == inv.Cell {
+			began[p.Id] = began[p.Id] || p.Step == wire.EngineStep_ENGINE_STEP_BEGAN
+			ended[p.Id] = ended[p.Id] || p.Step == wire.EngineStep_ENGINE_STEP_ENDED
+		}
+	}
 	out := cell.InventorySeen{Entry: peer}
 	for _, h := range inv.Held {
+		if ended[h.Id] {
+			continue
+		}
 		out.Held = append(out.Held, cell.Held{
-			ID: cell.RequestID(h.Id), Account: h.Account, Target: h.Target, Prompt: promptFromWire(h.Prompt), Begun: h.Begun,
+			ID: cell.RequestID(h.Id), Account: h.Account, Target: h.Target, Prompt: promptFromWire(h.Prompt), Begun: h.Begun || began[h.Id],
 		})
 	}
 	return out
