lab: Give each process a loopback network that no other has

The network followed from the process's ID modulo 250, so that two processes may have the same one; that there was a second process is inferred, as nothing else listens there.

A process now claims its network by a listener that it holds until it ends, and takes the next network if another process has this one. Sites of the platform and fleets of routers share the claim.

Test: lab/loopback TestClaimsAtTheSameNumberDiffer. It has no failing line before, as there was nothing to claim; with the number alone all five claims would be equal. lab/platform, lab/fleet, lab/loopback pass with -race.

--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -11,13 +11,13 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"madderway/client"
 	"madderway/handlers/operator"
+	"madderway/lab/loopback"
 	"madderway/lab/standin"
 	"madderway/models/conf"
 	"madderway/models/vm"
@@ -209,14 +209,13 @@
 // ports returns the addresses of a router's listeners. Each fleet of each process uses its own
 // loopback addresses: probing for a free port would race with other processes.
 func (f *Fleet) ports(i int) []string {
-	const loopbackNets = 250
 	out := make([]string, portsPerRouter)
 	for p := range out {
 		if f.opts.FirstPort > 0 {
 			out[p] = fmt.Sprintf("127.0.0.1:%d", f.opts.FirstPort+portsPerRouter*i+p)
 			continue
 		}
-		out[p] = fmt.Sprintf("127.%d.%d.%d:%d", 1+os.Getpid()%loopbackNets, f.number%loopbackNets, 1+i, firstPort+p)
+		out[p] = loopback.Address(f.number, 1+i, firstPort+p)
 	}
 	return out
 }
--- a/lab/platform/site.go
+++ b/lab/platform/site.go
@@ -8,11 +8,11 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"madderway/lab/loopback"
 	"madderway/modules/setting"
 	"madderway/router"
 )
@@ -172,8 +172,7 @@
 const workerHost = 254
 
 func (s *Site) hostAddress(host, port int) string {
-	const loopbackNets = 250
-	return fmt.Sprintf("127.%d.%d.%d:%d", 1+os.Getpid()%loopbackNets, s.number%loopbackNets, host, port)
+	return loopback.Address(s.number, host, port)
 }
 
 func (s *Site) startGateway(g *gatewayNode) error {
