--- a/lab/platform/site.go
+++ b/lab/platform/site.go
@@ -8,11 +8,11 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"madderway/lab/loopback"
 	"madderway/modules/setting"
 	"madderway/router"
 )
@@ -30,6 +30,8 @@
 	External bool   // the gateways are processes that somebody else starts; see WriteSettings
 	// HeaderTimeout is the configured limit on the time to read a request's header; 0 is defaultHeaderTimeout.
 	HeaderTimeout time.Duration
+	// RouteTimeout is the configured timeout of the routes of all kinds; 0 is the deadline of each kind.
+	RouteTimeout time.Duration
 }
 
 const defaultHeaderTimeout = 3 * time.Second
@@ -170,8 +172,7 @@
 const workerHost = 254
 
 func (s *Site) hostAddress(host, port int) string {
-	const loopbackNets = 250
-	return fmt.Sprintf("127.%d.%d.%d:%d", 1+os.Getpid()%loopbackNets, s.number%loopbackNets, host, port)
+	return loopback.Address(s.number, host, port)
 }
 
 func (s *Site) startGateway(g *gatewayNode) error {
@@ -226,50 +227,6 @@
 	return err
 }
 
-// PutConfig writes the next version of the configuration.
-func (s *Site) PutConfig() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version += 1 + s.rng.IntN(3)
-	var routes []map[string]any
-	for _, k := range Kinds() {
-		route := map[string]any{
-			"name": k.Name, "host": host, "pathPrefix": k.Path, "timeoutMs": k.Deadline.Milliseconds(), "targetLatencyMs": k.Objective.Milliseconds(),
-			"priority": 1, "maxAttempts": k.Attempts, "public": false, "kind": "unsafe", "service": plainService,
-		}
-		switch {
-		case k.Stream:
-			route["kind"], route["service"], route["canResume"], route["gapAimMs"], route["sticky"] = "streaming", modelService, k.Resumable, 400, true
-		case k.Repeatable:
-			route["kind"] = "safe"
-		}
-		routes = append(routes, route)
-	}
-	for i := range s.extraRoutes {
-		routes = append(routes, map[string]any{
-			"name": fmt.Sprint("more-", i), "host": host, "pathPrefix": fmt.Sprintf("/more/%d/", i), "timeoutMs": 1000, "targetLatencyMs": 200,
-			"maxAttempts": 1, "kind": "unsafe", "service": plainService,
-		})
-	}
-	var tenants []map[string]any
-	for name, keys := range s.keys {
-		tenants = append(tenants, map[string]any{"name": name, "apiKeys": keys})
-	}
-	headerTimeout := s.opts.HeaderTimeout
-	if headerTimeout == 0 {
-		headerTimeout = defaultHeaderTimeout
-	}
-	s.config = map[string]any{
-		"version": s.version, "routes": routes, "tenants": tenants,
-		"services": []map[string]any{
-			{"name": modelService, "healthPath": "/health", "maxConnections": 200, "engine": map[string]any{"slots": 16, "kvTokens": 40_000, "stride": 1, "moves": true, "kvTokenBytes": tokenBytes, "bandwidthMbps": copyRate * tokenBytes * 8 / 1e6}},
-			{"name": plainService, "healthPath": "/health", "maxConnections": 100},
-		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": headerTimeout.Milliseconds(), "idleTimeoutMs": 15000, "tokensPerS": 120_000},
-	}
-	s.store.Put("op", "config", s.config)
-}
-
 // gateway picks a gateway as a load balancer would, a random ready one or any if none is ready,
 // and returns its address.
 func (s *Site) gateway(rng *rand.Rand) string {
