--- a/services/origin/recordstore.go
+++ b/services/origin/recordstore.go
@@ -35,7 +35,7 @@
 	// Keepers write a batch every minWriteInterval, and less often if together they would write more
 	// than maxWritesPerSecond. Streams that began since the last batch are refused after the loss of
 	// all gateways.
-	minWriteInterval   = 500 * time.Millisecond
+	minWriteInterval   = 200 * time.Millisecond
 	maxWritesPerSecond = 40
 	maxRecordBackoff   = 5 * time.Second
 	// maxPendingRecords bounds the records that wait to be written, maxBatchRecords those of a batch.
