follow: Tell gaps in the list of targets apart from what is none

A review of the report of unseen targets found, each by a test that failed: - a version that is listed and removed within one answer of the store is no removal of an unknown target, but nobody was told of it (got no gap): a removal is judged by what was published; - a heartbeat of a gateway whose list is as old as the one before the gap ended the gap: the gap has the revision before which targets may have passed, and a peer must have it; - the whole list of a store that was restored was a gap at all gateways at once, and nobody was left to tell, so that streams without a record were refused for the life of a stream: it is none, as the list counts as unsettled for two seconds anyway; - a whole list as of a revision up to which all is known, and an entry that names no target and goes, were gaps where nothing can have been missed.

TestUnseenTargetsAreReported has these cases; TestHeartbeatFromBeforeGapProvesNothing is new.

--- a/router/standstill.go
+++ b/router/standstill.go
@@ -65,7 +65,7 @@
 	g.standstill.last.Store(&pastStandstill{endAt: now, length: d})
 	g.standstill.count.Add(1)
 	g.log.Warn("Process was stalled or suspended.", "for", d.Round(time.Millisecond), "suspended_total", clock.Suspended().Round(time.Millisecond))
-	g.origins.NoteGap("standstill")
+	g.origins.NoteGap("standstill", 0)
 	g.pool.CloseIdle()
 }
 
--- a/services/follow/confirm.go
+++ b/services/follow/confirm.go
@@ -128,7 +128,7 @@
 // readTargetChanges reads the changes since the local copy, without waiting for one.
 func (s *Service) readTargetChanges(ctx context.Context) error {
 	s.mu.Lock()
-	since, known := max(s.table.revision, s.completeAsOf), !s.watchTargets.FreshAt().IsZero()
+	since, known := max(s.table.revision, s.table.complete), !s.watchTargets.FreshAt().IsZero()
 	s.mu.Unlock()
 	if !known {
 		return errNoCopy
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -55,9 +55,9 @@
 	// OnNewEra is called after the store was restored from an older copy and may lack what this
 	// process has written; optional.
 	OnNewEra func()
-	// OnGap is called with a reason if targets may have been listed and removed unnoticed, with the
-	// lock held; optional.
-	OnGap func(reason string)
+	// OnGap is called with a reason if targets may have been listed and removed unnoticed before a
+	// revision, with the lock held; optional.
+	OnGap func(reason string, before routing.Revision)
 	// OnChange is called after each change of the configuration or the targets, with the lock
 	// held: it must not call methods that lock, such as Versions.
 	OnChange func()
@@ -87,7 +87,6 @@
 	peerReports chan peerReport
 	packCache   packCache
 
-	completeAsOf  routing.Revision // the newest revision as of which the list is complete; guarded by mu
 	confirmations confirmations
 	lastConfirm   time.Time // used by the goroutine that confirms
 	fetches       atomic.Uint64
@@ -315,7 +314,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := apply(s.opts.Clock.Now())
-	s.completeAsOf = max(s.completeAsOf, revision)
+	s.table.complete = max(s.table.complete, revision)
 	s.reportGap()
 	if changed {
 		s.publish(fromStore)
--- a/services/follow/gap.go
+++ b/services/follow/gap.go
@@ -55,6 +55,18 @@
 	gapUnknownRemoval = "the removal of a target that was not known"
 )
 
+// missesBefore reports whether targets may have been listed and removed between the table and a whole list
+// as of a revision. A store that was restored tells nothing of its former era; its list is unsettled.
+func (t *targetTable) missesBefore(revision routing.Revision) bool {
+	return t.revision != 0 && revision.Era() == t.revision.Era() && revision > max(t.revision, t.complete)
+}
+
+// passesUnseen reports whether the removal of a target is the first that is published of it. Entries that
+// name no target begin and end without one.
+func (t *targetTable) passesUnseen(removal TargetChange) bool {
+	return !removal.Unreadable && !t.unreadable[removal.ID] && t.listed.FindWorker(removal.ID) == nil
+}
+
 // takeGap returns the reason for which targets may have passed unnoticed since the last call, empty if
 // there is none.
 func (t *targetTable) takeGap() string {
@@ -66,6 +78,6 @@
 // reportGap tells of targets that may have passed unnoticed; the caller holds mu.
 func (s *Service) reportGap() {
 	if reason := s.table.takeGap(); reason != "" && s.opts.OnGap != nil {
-		s.opts.OnGap(reason)
+		s.opts.OnGap(reason, s.table.revision)
 	}
 }
--- a/services/follow/gap_test.go
+++ b/services/follow/gap_test.go
@@ -16,7 +16,7 @@
 	var gaps []string
 	source := newFakeSource()
 	s, _ := newConfirming(t, source, 5, routing.Target{ID: "a"})
-	s.opts.OnGap = func(reason string) { gaps = append(gaps, reason) }
+	s.opts.OnGap = func(reason string, _ routing.Revision) { gaps = append(gaps, reason) }
 	changes := func(revision routing.Revision, changes ...TargetChange) {
 		s.applyTargetChanges(TargetUpdate{Changes: changes, Stamp: Stamp{Revision: revision}})
 	}
@@ -30,18 +30,30 @@
 	gone := func(revision routing.Revision, name string, unreadable bool) TargetChange {
 		return TargetChange{ID: name, Revision: revision, Gone: true, Unreadable: unreadable}
 	}
-	changes(6, TargetChange{ID: "b", Revision: 6, Target: routing.Target{ID: "b"}})
+	listed := func(revision routing.Revision, name string) TargetChange {
+		return TargetChange{ID: name, Revision: revision, Target: routing.Target{ID: name}}
+	}
+	changes(6, listed(6, "b"))
 	changes(7, gone(7, "b", false))
 	changes(7, gone(7, "b", false))
 	expect("listed and removed")
 	changes(9, gone(9, "c", false))
 	expect("removed, never listed", gapUnknownRemoval)
-	changes(11, gone(10, "odd", true), gone(11, "odd", true))
+	changes(11, listed(10, "d"), gone(11, "d", false))
+	expect("listed and removed within one answer", gapUnknownRemoval)
+	changes(13, gone(12, "odd", true), gone(13, "odd", true))
+	changes(14, gone(14, "odd", false))
 	expect("an entry that is no target")
-	s.replaceTargets(TargetUpdate{Targets: []routing.Target{{ID: "a"}}, Stamp: Stamp{Revision: 11}}, s.opts.Clock.Now())
-	expect("the list as of the same revision")
-	s.replaceTargets(TargetUpdate{Targets: []routing.Target{{ID: "a"}}, Stamp: Stamp{Revision: 15}}, s.opts.Clock.Now())
+	changes(20)
+	whole := func(revision routing.Revision) {
+		s.replaceTargets(TargetUpdate{Targets: []routing.Target{{ID: "a"}}, Stamp: Stamp{Revision: revision}}, s.opts.Clock.Now())
+	}
+	whole(20)
+	expect("the list as of a revision up to which all is known")
+	whole(25)
 	expect("the list as of a later revision", gapWholeList)
+	whole(routing.NewRevision(1, 3))
+	expect("the list of a new era of the store")
 
 	other := newTargetTable()
 	other.replace([]routing.Target{{ID: "a"}}, 5)
--- a/services/follow/peers.go
+++ b/services/follow/peers.go
@@ -68,7 +68,7 @@
 	v := Versions{
 		Targets: s.table.revision, Leaving: s.leavingDigest, Evacuations: s.halls.revision, ConfigurationAge: s.watchConfiguration.Age(now), TargetsAge: s.watchTargets.Age(now),
 		Store: s.storeClock.Reading(now), ConfigurationAsOf: s.storeClock.FromLocal(s.watchConfiguration.FreshAt()), TargetsAsOf: s.storeClock.FromLocal(s.watchTargets.FreshAt()),
-		TargetsComplete: s.completeAsOf,
+		TargetsComplete: s.table.complete,
 	}
 	if x := s.index.Load(); x != nil {
 		v.Configuration = x.Configuration.Version
@@ -119,7 +119,7 @@
 		s.watchTargets.ObservePeerCopy(now.Add(-age))
 		if v.Targets <= mine.Targets {
 			s.watchTargets.ObservePeerAge(now, age)
-			s.completeAsOf = max(s.completeAsOf, v.TargetsComplete)
+			s.table.complete = max(s.table.complete, v.TargetsComplete)
 		}
 	}
 	hasLeaving := v.Leaving == 0 || v.Leaving == mine.Leaving
--- a/services/follow/targets.go
+++ b/services/follow/targets.go
@@ -29,6 +29,7 @@
 	compacted  routing.Revision // newest removal that is no longer kept
 	listedAt   routing.Revision // of the last whole list
 	unseen     revisionGap      // before the last whole list
+	complete   routing.Revision // the newest revision as of which the table is complete
 	gap        string           // why targets may have passed unnoticed since the last takeGap
 	listings   history          // of known
 	removals   history          // of removed
@@ -128,7 +129,7 @@
 	if t.isOlder(revision) {
 		return false
 	}
-	if t.revision != 0 && revision > t.revision {
+	if t.missesBefore(revision) {
 		t.gap = gapWholeList
 	}
 	t.listedAt = revision
@@ -197,7 +198,7 @@
 		ch.Revision = max(ch.Revision, old.Revision) // a change of an older incarnation may be applied first
 		t.revision = max(t.revision, ch.Revision)
 		if ch.Gone {
-			if !found && !ch.Unreadable {
+			if t.passesUnseen(ch) {
 				t.gap = gapUnknownRemoval
 			}
 			t.remove(ch.ID, ch.Revision)
--- a/services/origin/anyorder_test.go
+++ b/services/origin/anyorder_test.go
@@ -82,7 +82,7 @@
 		f.outOf[id] = !f.outOf[id]
 		f.gateways[id].SetTargets(f.targets)
 	case 8:
-		f.gateways[id].NoteGap("standstill")
+		f.gateways[id].NoteGap("standstill", 0)
 	case 9:
 		f.archive.down = !f.archive.down
 		if f.archive.down {
--- a/services/origin/archive.go
+++ b/services/origin/archive.go
@@ -151,7 +151,7 @@
 // checkContact notes a loss of contact, and what becomes known with time.
 func (s *Service) checkContact() {
 	if s.opts.CutOff() {
-		s.NoteGap("lost contact")
+		s.NoteGap("lost contact", 0)
 		return
 	}
 	s.mu.Lock()
@@ -159,8 +159,9 @@
 	s.noteCoverage(s.opts.Clock.Now(), "the age of the process")
 }
 
-// NoteGap notes that versions may have been listed unnoticed until now, for a reason.
-func (s *Service) NoteGap(reason string) {
+// NoteGap notes that versions may have been listed unnoticed until now, for a reason. If the list of
+// targets shows that, only gateways with a list as of the given revision or a later one know more.
+func (s *Service) NoteGap(reason string, before routing.Revision) {
 	now := s.opts.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -172,6 +173,7 @@
 	s.archiving.gaps++
 	s.noteCoverage(now, reason)
 	s.requestSync(now)
+	s.archiving.changedAt = max(s.archiving.changedAt, before)
 }
 
 // archiveDue reports whether the archive is to be read now. share is a random number from 0 to 1
--- a/services/origin/archive_test.go
+++ b/services/origin/archive_test.go
@@ -244,7 +244,7 @@
 	a := target("a", "v1")
 	f := newFleet(t, fleetSize, a)
 	f.archive.down = true
-	f.gateways["g0"].NoteGap("standstill")
+	f.gateways["g0"].NoteGap("standstill", 0)
 	f.clock.Advance(joinTime)
 	f.expect("right after a standstill", "g0", "lost", "")
 	f.exchange()
@@ -264,7 +264,7 @@
 func TestStreamAfterGapWaitsForOthers(t *testing.T) {
 	f := newFleet(t, fleetSize, target("a", "v1"))
 	g := f.gateways["g0"]
-	g.NoteGap("standstill")
+	g.NoteGap("standstill", 0)
 	timers, done := f.clock.PendingTimers(), make(chan struct{})
 	var got Origin
 	var err error
@@ -289,14 +289,26 @@
 	}
 }
 
+// Guards against the heartbeat of a gateway that has not seen what was missed either.
+func TestHeartbeatFromBeforeGapProvesNothing(t *testing.T) {
+	f := newFleet(t, fleetSize, target("a", "v1"))
+	g, revision := f.gateways["g0"], f.targets.Revision
+	g.NoteGap("the removal of an unknown target", revision+2)
+	f.clock.Advance(joinTime)
+	g.Learn("g1", f.gateways["g1"].Memory(), revision)
+	f.expect("a list as old as the own one", "g0", "lost", "")
+	g.Learn("g1", f.gateways["g1"].Memory(), revision+2)
+	f.expect("a list with the removal", "g0", "lost", "v1")
+}
+
 // Guards against an answer of the archive that is older than a gap, as it lay in a buffer while the
 // process was suspended.
 func TestReadBeforeGapProvesNothing(t *testing.T) {
 	f := newFleet(t, fleetSize, target("a", "v1"))
 	f.silent = true
 	g := f.gateways["g0"]
-	g.NoteGap("standstill")
-	f.archive.onRead = func() { g.NoteGap("standstill") }
+	g.NoteGap("standstill", 0)
+	f.archive.onRead = func() { g.NoteGap("standstill", 0) }
 	if err := g.syncArchive(t.Context(), f.archive); !errors.Is(err, errGap) {
 		t.Errorf("got %v, want errGap", err)
 	}
--- a/services/origin/backup_test.go
+++ b/services/origin/backup_test.go
@@ -22,7 +22,7 @@
 // wake ends a freeze. The gateway notices it and learns the list.
 func (f *fleet) wake(id string) {
 	f.frozen[id], f.outOf[id] = false, false
-	f.gateways[id].NoteGap("standstill")
+	f.gateways[id].NoteGap("standstill", 0)
 	f.gateways[id].SetTargets(f.targets)
 }
 
--- a/services/origin/outofstep_test.go
+++ b/services/origin/outofstep_test.go
@@ -170,7 +170,7 @@
 	node.SetTargets(view)
 	for _, p := range n.passed {
 		if old > 0 && p.listed > old && p.removed <= view.Revision {
-			node.NoteGap("the removal of an unknown target")
+			node.NoteGap("the removal of an unknown target", view.Revision)
 			return
 		}
 	}
@@ -254,7 +254,7 @@
 	length := n.clock.Now().Sub(node.frozenAt)
 	node.frozenAt = time.Time{}
 	if length >= minStandstill {
-		node.NoteGap("standstill")
+		node.NoteGap("standstill", 0)
 	}
 }
 
