forward: Draw the test of retry times from a fixed seed

The guard takes its random numbers from an option now and the test gives it a seed; the flood and the bound are as they were.

--- a/services/forward/guard.go
+++ b/services/forward/guard.go
@@ -78,10 +78,15 @@
 	// OnDutiesChanged is called when the gateway stops or resumes scheduling for others.
 	// linkFull reports whether it stops for its network link.
 	OnDutiesChanged func(keepsUp, linkFull bool)
+	// Draw returns random numbers from 0 to 1; nil for those of package rand.
+	Draw func() float64
 }
 
 // NewGuard returns a guard that admits all requests.
 func NewGuard(logger log.Logger, c clock.Clock, o GuardOptions) *Guard {
+	if o.Draw == nil {
+		o.Draw = rand.Float64
+	}
 	return &Guard{log: logger, clock: c, opts: o, governor: overload.New(), link: overload.NewLink(o.LinkMbps)}
 }
 
@@ -138,7 +143,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	verdict := g.governor.Admit(now, account, rand.Float64(), movable)
+	verdict := g.governor.Admit(now, account, g.opts.Draw(), movable)
 	if g.governor.Bursting(now) {
 		g.overloaded.Store(true) // until the next report of lateness
 	}
@@ -166,7 +171,7 @@
 	if share >= shortRetryShare {
 		after = saturate.Duration(float64(baseRetryAfter) / share)
 	}
-	return saturate.Duration((0.5 + rand.Float64()) * float64(after))
+	return saturate.Duration((0.5 + g.opts.Draw()) * float64(after))
 }
 
 // resetStats returns the state of the guard as log values, and starts a new second.
--- a/services/forward/guard_test.go
+++ b/services/forward/guard_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -117,6 +118,7 @@
 func TestRetryAfterGrowsAsLessIsAdmitted(t *testing.T) {
 	c := clock.NewFake()
 	g := newTestGuard(c)
+	g.opts.Draw = rand.New(rand.NewPCG(1, 2)).Float64
 	mean := func() time.Duration {
 		sum := time.Duration(0)
 		for range 1000 {
