follow: Wait for a confirmation as long as other gateways' reads may take

Callers would have been refused in large fleets although the store answers: the reads of a gateway of 1,970 are 1.97 s apart, and a caller waited for 0.4 s (241 of 1,183 callers of a gateway confirmed, at 320 gateways and answers in 200 ms 673 of 1,025).

The wait includes that time now, and two answers of a slow store. TestConfirmationsComeWithinTheWait fails with the wait of before.

--- a/services/follow/confirm.go
+++ b/services/follow/confirm.go
@@ -18,8 +18,13 @@
 	errUnsettled = errors.New("entries may be missing after a silence of the store")
 )
 
-// maxConfirmsPerSecond bounds the reads of a whole fleet for Confirm.
-const maxConfirmsPerSecond = 1000
+const (
+	// maxConfirmsPerSecond bounds the reads of a whole fleet for Confirm.
+	maxConfirmsPerSecond = 1000
+	// confirmTimeout bounds the wait of Confirm, besides the one for the reads of other gateways. It
+	// exceeds that for two answers of a slow store.
+	confirmTimeout = 500 * time.Millisecond
+)
 
 // confirmations shares reads of the targets' changes among concurrent calls of Confirm.
 type confirmations struct {
@@ -35,8 +40,11 @@
 }
 
 // Confirm updates the list of targets by a read of the store that begins after the call, so that the
-// list includes all that the store had taken by then.
+// list includes all that the store had taken by then. It fails if the store does not answer in time.
 func (s *Service) Confirm(ctx context.Context) error {
+	_, members := s.opts.Fleet()
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout+confirmInterval(members))
+	defer cancel()
 	c := s.confirmations.join(func() error { return s.confirmTargets(s.t.Context(context.Background())) })
 	select {
 	case <-c.done:
@@ -100,8 +108,12 @@
 
 // confirmWait returns the time until the next read may begin.
 func confirmWait(now, last time.Time, members int) time.Duration {
-	interval := time.Duration(members) * time.Second / maxConfirmsPerSecond
-	return max(last.Add(interval).Sub(now), 0)
+	return max(last.Add(confirmInterval(members)).Sub(now), 0)
+}
+
+// confirmInterval returns the least time between two reads of a gateway.
+func confirmInterval(members int) time.Duration {
+	return time.Duration(members) * time.Second / maxConfirmsPerSecond
 }
 
 // confirmTargets reads the changes of targets and reports whether the list is complete as of a time
--- a/services/follow/confirm_test.go
+++ b/services/follow/confirm_test.go
@@ -151,3 +151,31 @@
 		}
 	}
 }
+
+// Guards against callers whose list is not confirmed although the store answers, slowly or to many gateways.
+func TestConfirmationsComeWithinTheWait(t *testing.T) {
+	const every, span = 10 * time.Millisecond, 10 * time.Second
+	for _, members := range []int{3, 9, 64, 320, 1970} {
+		for _, answer := range []time.Duration{5 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond} {
+			start, patience := time.Unix(1_700_000_000, 0), confirmTimeout+confirmInterval(members)
+			last, idle, calls, confirmed := time.Time{}, start, 0, 0
+			for call := start; call.Before(start.Add(span)); {
+				begin := call
+				if idle.After(begin) {
+					begin = idle
+				}
+				begin = begin.Add(confirmWait(begin, last, members))
+				for ; !call.After(begin); call = call.Add(every) {
+					calls++
+					if begin.Add(answer).Sub(call) <= patience {
+						confirmed++
+					}
+				}
+				last, idle = begin, begin.Add(answer)
+			}
+			if confirmed < calls {
+				t.Errorf("%d gateways, answers in %v: %d of %d callers are confirmed", members, answer, confirmed, calls)
+			}
+		}
+	}
+}
--- a/services/origin/origin.go
+++ b/services/origin/origin.go
@@ -51,7 +51,8 @@
 	// Ask asks the gateways that may hold the record of a stream and returns their IDs; wide includes
 	// those that serve streams or back them up while their service has one version.
 	Ask func(k coreorigin.Key, wide bool) []string
-	// Confirm updates the list of targets by a read of the store that begins after the call.
+	// Confirm updates the list of targets by a read of the store that begins after the call, or fails
+	// within a bounded time.
 	Confirm func(ctx context.Context) error
 }
 
--- a/services/origin/resolve.go
+++ b/services/origin/resolve.go
@@ -24,8 +24,6 @@
 	joinPollInterval = 20 * time.Millisecond
 	// clockSlack bounds the difference between the clocks of a gateway and a target.
 	clockSlack = time.Second
-	// confirmTimeout bounds the wait for the store's answer.
-	confirmTimeout = 400 * time.Millisecond
 )
 
 // ErrUnknown reports that it is not known at which software version a stream began.
@@ -136,8 +134,6 @@
 
 // confirm updates the list of targets from the store, by a read that begins after the call.
 func (s *Service) confirm(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
 	err := s.opts.Confirm(ctx)
 	if err != nil {
 		s.counters.unconfirmed.Inc()
@@ -297,14 +293,24 @@
 	}
 }
 
-// mayRestartMixed reports whether a listed target may run other software than the list says: workers of
-// the service restart under their names, and its versions differ.
+// mayRestart reports whether workers of a service restart under their names, perhaps with other software.
+func (s *Service) mayRestart(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	targets := s.targets.ByService(service)
+	return len(targets) > 0 && targets[0].Born != 0
+}
+
+// mayRestartMixed reports whether a listed target is likely to run other software than the list says: its
+// workers restart under their names, and the versions of the service differ.
 func (s *Service) mayRestartMixed(service string) bool {
 	now := s.opts.Clock.Now()
+	if !s.mayRestart(service) {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	targets := s.targets.ByService(service)
-	return len(targets) > 0 && targets[0].Born != 0 && s.versions.Mixed(now, service, s.life.at(now))
+	return s.versions.Mixed(now, service, s.life.at(now))
 }
 
 // holds reports whether a record's version is right: the target had not restarted with other
