origin: Ask all gateways that may have a record while versions may be missing

A stream of a gateway that is there was refused after a gap that neither the archive nor a heartbeat had filled: only the keepers were asked, which have records while versions differ. Any gateway may have it then.

--- a/services/origin/outofstep_test.go
+++ b/services/origin/outofstep_test.go
@@ -552,3 +552,17 @@
 		t.Errorf("others can be reached again: got version %q, error %v, want v1", got.Software, err)
 	}
 }
+
+// Guards against refusing a stream of a gateway that can be reached, after a gap that nobody can fill.
+func TestUncoveredStreamIsFoundAtItsGateway(t *testing.T) {
+	const streams = 20
+	for i := range streams {
+		n := newNetwork(t, 40, "v0")
+		n.begin("g1", attemptOf(i), "v0")
+		n.nodes["g0"].NoteGap("standstill", 0)
+		n.archive.down = true
+		if got, err := n.takeUp("g0", attemptOf(i)); err != nil || got.Basis != FromRecord {
+			t.Errorf("got %+v, error %v, want the record of the gateway that began it", got, err)
+		}
+	}
+}
--- a/services/origin/resolve.go
+++ b/services/origin/resolve.go
@@ -106,7 +106,7 @@
 		s.awaitRecords(ctx, service)
 		reply = s.Lookup(k)
 	}
-	reply, evidence.Asked, evidence.Replied = s.ask(ctx, k, reply, unconfirmed != nil)
+	reply, evidence.Asked, evidence.Replied = s.ask(ctx, k, reply, unconfirmed != nil || !s.coversNow(service))
 	switch {
 	case reply.Ambiguous:
 		return Origin{}, ErrUnknown{"two gateways have attempts of this ID"}
@@ -161,6 +161,13 @@
 	return Origin{r.Software, FromRecord, e}, nil
 }
 
+func (s *Service) coversNow(service string) bool {
+	now := s.opts.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.covers(now, service)
+}
+
 // listState returns the revision of the list of targets and its age.
 func (s *Service) listState() (routing.Revision, time.Duration) {
 	age := s.opts.Clock.Now().Sub(s.opts.ListFreshAt())
