origin: Use stored records only if all gateways that are asked reply

A keeper that restarted alone could take up a stream at the version of a target that was tried and sent no event: the stored record of an attempt is made when it is sent, and a later one was not stored yet.

A record from the store is tentative: a record of a first event replaces it, and without one it counts only if every gateway that was asked has replied. After the loss of all that is so at once.

TestStoredRecordOfEarlierTargetIsNotUsedAlone failed before (got error <nil>). A second try at another version right before the loss of all gateways remains, if the last batch of the store lacks it.

--- a/core/origin/record.go
+++ b/core/origin/record.go
@@ -33,12 +33,23 @@
 	// the targets that it tried.
 	Sender uint32
 	Try    uint32
-	SentAt int64     // Unix milliseconds on the sender's clock
-	At     time.Time // when the record was made, on the local clock
+	// Tentative is set for a record from the store: a later target may have begun the stream.
+	Tentative bool
+	SentAt    int64     // Unix milliseconds on the sender's clock
+	At        time.Time // when the record was made, on the local clock
 }
 
 // Follows reports whether a record replaces another one with the same key.
-func (r Record) Follows(old Record) bool { return r.Sender == old.Sender && r.Try > old.Try }
+func (r Record) Follows(old Record) bool {
+	switch {
+	case r.Sender != old.Sender:
+		return false
+	case r.Tentative != old.Tentative:
+		return old.Tentative
+	default:
+		return r.Try > old.Try
+	}
+}
 
 // Conflicts reports whether two records cannot both be right: two gateways served attempts of the
 // same ID.
--- a/services/mesh/origin.go
+++ b/services/mesh/origin.go
@@ -132,6 +132,7 @@
 		reply := &wire.StreamOriginReply{Stream: k, Ambiguous: known.Ambiguous}
 		if known.Found {
 			reply.Origin = originToWire(now, known.Record)
+			reply.Origin.Early = known.Record.Tentative
 		}
 		out := l.out.Frame(now, peer, false)
 		out.StreamOriginReplies = append(out.StreamOriginReplies, reply)
@@ -140,6 +141,7 @@
 		reply := origin.Reply{Peer: peer, Found: r.Origin != nil, Ambiguous: r.Ambiguous}
 		if reply.Found {
 			reply.Record = originFromWire(now, r.Origin)
+			reply.Record.Tentative = r.Origin.Early
 		}
 		l.opts.Origins.Replied(coreorigin.Key(r.Stream), reply)
 	}
--- a/services/origin/recordstore.go
+++ b/services/origin/recordstore.go
@@ -167,6 +167,7 @@
 		}
 		for _, r := range b.Records {
 			if r.At.After(oldest) {
+				r.Tentative = true
 				s.table.Put(r)
 				records++
 			}
--- a/services/origin/recordstore_test.go
+++ b/services/origin/recordstore_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -140,3 +141,43 @@
 	f.expectEverywhere("begun right before the loss", "begun", "v1")
 	f.expectEverywhere("begun at the second target right before the loss", "retried", "v2")
 }
+
+// Guards against a restarted keeper that goes by the stored record of a target which was tried and sent no
+// event, while others that know of a later one cannot be asked.
+func TestStoredRecordOfEarlierTargetIsNotUsedAlone(t *testing.T) {
+	f := newFleet(t, 4, target("a", "v1"))
+	f.listAndSettle(target("a", "v1"), target("b", "v2"))
+	k := coreorigin.KeyOf(account, "one")
+	keeper := coreorigin.Replicas(f.nodes("g0"), "g0", k)[0]
+	first := Attempt{Key: k, Service: service, Target: f.targets.Find("a"), Try: 1, SentAt: f.clock.Now()}
+	f.gateways["g0"].Sent(first)
+	f.settle()
+	second := first
+	second.Target, second.Try = f.targets.Find("b"), 2
+	f.gateways["g0"].Began(second, f.gateways["g0"].Sent(second))
+	f.launch(keeper, false)
+	f.useRecordStore(f.gateways[keeper])
+	f.clock.Advance(loadTime)
+	ask := f.gateways[keeper].opts.Ask
+	silent := func(k coreorigin.Key, wide bool) []string { return []string{"g0"} }
+	f.gateways[keeper].opts.Ask = silent
+	known := f.gateways[keeper].Lookup(k)
+	if !known.Found || !known.Record.Tentative {
+		t.Fatalf("got record %+v, want the one of the first target from the store", known)
+	}
+	got := make(chan error)
+	timers := f.clock.PendingTimers()
+	go func() {
+		_, err := f.gateways[keeper].Resolve(t.Context(), k, service)
+		got <- err
+	}()
+	for f.clock.PendingTimers() == timers {
+		runtime.Gosched()
+	}
+	f.clock.Advance(lookupTimeout)
+	if err := <-got; !IsErrUnknown(err) {
+		t.Errorf("others do not reply: got error %v, want ErrUnknown", err)
+	}
+	f.gateways[keeper].opts.Ask = ask
+	f.expect("others reply", keeper, "one", "v2")
+}
--- a/services/origin/resolve.go
+++ b/services/origin/resolve.go
@@ -112,6 +112,8 @@
 		return Origin{}, ErrUnknown{"two gateways have attempts of this ID"}
 	case !reply.Found:
 		return Origin{}, errNoRecord(evidence, unconfirmed)
+	case reply.Record.Tentative && evidence.Replied < evidence.Asked:
+		return Origin{}, ErrUnknown{fmt.Sprintf("the stored record may be of an earlier target, %d of %d gateways that were asked replied", evidence.Replied, evidence.Asked)}
 	}
 	if unconfirmed != nil && s.mayRestartMixed(service) {
 		return Origin{}, errUnconfirmed(unconfirmed)
@@ -224,7 +226,7 @@
 	asked = len(s.opts.Ask(k, wide))
 	s.counters.asked.Add(asked)
 	best, wait := held, lookupTimeout
-	if held.Found {
+	if held.isFinal() {
 		wait = graceTime
 	}
 	timeout := s.opts.Clock.After(wait)
@@ -240,15 +242,18 @@
 			return best, asked, replied
 		case r := <-l.replies:
 			replied++
-			if r.Found && !best.Found {
+			before := best
+			if best = best.merge(r); best.isFinal() && !before.isFinal() {
 				timeout = s.opts.Clock.After(graceTime)
 			}
-			best = best.merge(r)
 		}
 	}
 	return best, asked, replied
 }
 
+// isFinal reports whether a record was found that is made at the first event of its stream.
+func (r Reply) isFinal() bool { return r.Found && !r.Record.Tentative }
+
 // merge returns the reply that combines the records of two gateways.
 func (r Reply) merge(other Reply) Reply {
 	switch {
