origin: Check the own record of a stream by the store's list

A stream could go on within its answer at another version than it began: its worker had restarted in place with other software right before the attempt came, and the gateway's list, which named one version, did not say so.

The list is read anew for an own record, too, where workers restart under their names; if the store does not answer the stream goes on as before, unless versions are known to differ.

TestOwnRecordIsCheckedByTheStore failed before (got version v0, want ErrUnknown).

--- a/services/origin/outofstep_test.go
+++ b/services/origin/outofstep_test.go
@@ -566,3 +566,21 @@
 		}
 	}
 }
+
+// Guards against an own record of a target that had restarted with other software before the attempt was
+// sent, while the list of then names the version before.
+func TestOwnRecordIsCheckedByTheStore(t *testing.T) {
+	n := newNetwork(t, 3, "v0")
+	node, now := n.nodes["g0"], n.clock.Now()
+	worker := func(software string, born time.Time) routing.Target {
+		return routing.Target{ID: routing.TargetID("w", born.UnixMilli()), Name: "w", Born: born.UnixMilli(), Service: service, Software: software}
+	}
+	listed := routing.NewTargetSet(n.store.Revision+1, worker("v0", now.Add(-time.Hour)))
+	node.SetTargets(listed)
+	k := coreorigin.KeyOf(account, "own")
+	node.Began(Attempt{Key: k, Service: service, Target: listed.FindWorker("w"), Try: 1, SentAt: now}, false)
+	n.store = routing.NewTargetSet(n.store.Revision+2, worker("v1", now.Add(-time.Second)))
+	if got, err := n.takeUp("g0", "own"); !IsErrUnknown(err) {
+		t.Errorf("the target had restarted: got version %q, error %v, want ErrUnknown", got.Software, err)
+	}
+}
--- a/services/origin/resolve.go
+++ b/services/origin/resolve.go
@@ -126,8 +126,8 @@
 	if own.Ambiguous {
 		return Origin{}, ErrUnknown{"two gateways have attempts of this ID"}
 	}
-	if s.mayRestartMixed(service) {
-		if err := s.opts.Confirm(ctx); err != nil {
+	if s.mayRestart(service) {
+		if err := s.confirm(ctx); err != nil && s.mayRestartMixed(service) {
 			return Origin{}, errUnconfirmed(err)
 		}
 	}
