forward: Bound the answers held of all requests together

Callers of a gateway lost their requests when its process ran out of memory: each answer was held up to a bound of its own (1 MiB of an incomplete event on resumable routes, 256 KiB of a plain answer or a failure), all together up to none.

A stream whose event does not fit breaks off and is resumed elsewhere where its route permits it, after the last event that was forwarded; a failure that does not fit has an unknown outcome; a plain answer is forwarded as it comes, as one over 256 KiB is. Each of these ends in a broken connection if the answer breaks off. Up to 4 KiB of an incomplete event are not counted, so that usual streams take no lock.

--- a/router/gateway.go
+++ b/router/gateway.go
@@ -62,6 +62,8 @@
 	memoryShare = 0.6
 	// Share of the memory for the bodies of requests in flight.
 	bodyShare = 0.25
+	// Share of the memory for answers that are held before they are forwarded.
+	answerShare = 0.1
 )
 
 // Gateway is a running gateway: a router in front of the targets that the platform lists.
@@ -202,7 +204,7 @@
 	g.guard = guard
 	g.forward = forward.New(log.New("forward").With(s.ID), forward.Options{
 		DataHall: s.DataHall, Clock: g.clock, Targets: g.follow, Mesh: g.loop, Client: client,
-		Guard: guard, Retry: retryBudget(s), Quarantine: g.quarantine, Notices: g.notices, Origins: g.origins,
+		Guard: guard, Retry: retryBudget(s), Quarantine: g.quarantine, Notices: g.notices, Origins: g.origins, MaxHeldAnswerBytes: saturate.Int64(answerShare * float64(s.MemoryMB<<20)),
 		Scheduling: schedulingOf(s), PlainByRecent: s.Scheduling.PlainByRecent,
 		Connections:       func() (int, uint64) { return g.callers.Open(), g.callers.TurnedAway() },
 		TargetConnections: g.pool.LogValues,
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -39,6 +39,7 @@
 	defer cancel()
 	slowTimer := j.cutIfSlow(p, cancel)
 	defer slowTimer.Stop()
+	j.holdFor(p.target().ID)
 	j.brokeOff, j.receivedAt, j.answered, j.refusal, j.permit = false, time.Time{}, false, nil, notice.Permit{}
 	a, err := j.s.opts.Client.Send(ctx, p.target(), j.sendRequest(p.target()))
 	j.permit.End(err == nil && !a.Info.NotRun)
@@ -146,9 +147,12 @@
 }
 
 func (j *job) readFailure(p placement, a *upstream.Answer) (attempt.Outcome, *failure) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedResponse+1))
-	if err == nil && len(body) > maxBufferedResponse {
+	body, more, err := j.held.read(a.Body, maxBufferedResponse+1)
+	switch {
+	case len(body) > maxBufferedResponse:
 		err = errFailureTooLarge
+	case more:
+		err = errAnswersTooLarge
 	}
 	j.recordEnding(a, endingOf(err))
 	if err != nil {
@@ -171,27 +175,30 @@
 	return nil
 }
 
-// forwardWhole forwards an answer once it is complete, or once more of it has come than is held.
+// forwardWhole forwards an answer once it is complete, or once more of it has come than may be held.
 func (j *job) forwardWhole(p placement, a *upstream.Answer, slowTimer clock.Timer) attempt.Outcome {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedResponse+1))
+	body, more, err := j.held.read(a.Body, maxBufferedResponse+1)
 	if err != nil {
 		j.recordEnding(a, endingOf(err))
 		j.brokeOff, j.reason = true, "answer broke off: "+err.Error()
 		return j.ended(p, attempt.Unknown)
 	}
-	if len(body) <= maxBufferedResponse && j.endedWithTarget(a, p.target()) {
+	if !more && j.endedWithTarget(a, p.target()) {
 		return j.brokeOffByExit(p, a, attempt.Unknown)
 	}
-	if len(body) > maxBufferedResponse && !j.endFirstPart(slowTimer) {
+	if more && !j.endFirstPart(slowTimer) {
 		return j.ended(p, attempt.Unknown)
 	}
+	if more && len(body) <= maxBufferedResponse {
+		j.s.log.Request("Answer forwarded before it was complete.", "id", j.r.Call.ID, "target", p.target().ID, "bytes", len(body), "held", j.s.answers.held(), "reason", errAnswersTooLarge)
+	}
 	p.began()
 	j.writeHead(a)
 	if _, err := j.w.Write(body); err != nil {
 		p.canceled()
 		return attempt.Cut
 	}
-	if len(body) <= maxBufferedResponse {
+	if !more {
 		j.recordEnding(a, endedWhole)
 		j.recordAnswered(true)
 		p.done()
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -61,6 +61,8 @@
 	Client   *upstream.Client
 	Guard    *Guard
 	Retry    RetryBudget
+	// MaxHeldAnswerBytes bounds what is held of all answers before it is forwarded.
+	MaxHeldAnswerBytes int64
 	// Scheduling selects how each service is scheduled under hard load.
 	Scheduling cell.Scheduling
 	// PlainByRecent places requests at plain targets by their last responses, while a service of the
@@ -93,13 +95,15 @@
 
 	plainByRecent atomic.Bool // opts.PlainByRecent applies to the current configuration
 
+	answers *answerQuota
+
 	counters counters
 	outcomes outcomeCounts
 	inFlight atomic.Int64 // requests to engines
 }
 
 func New(logger log.Logger, o Options) *Service {
-	return &Service{log: logger, opts: o, started: o.Clock.Now(), balancer: balance.New(o.DataHall, rand.Float64), windows: map[string]*budget.Window{}, throttle: throttle.New(), counters: newCounters()}
+	return &Service{log: logger, opts: o, started: o.Clock.Now(), balancer: balance.New(o.DataHall, rand.Float64), windows: map[string]*budget.Window{}, throttle: throttle.New(), answers: newAnswerQuota(o.MaxHeldAnswerBytes), counters: newCounters()}
 }
 
 // Request is an authenticated request of a caller.
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -58,6 +58,7 @@
 	framing             string // of the last answer whose body was read
 	ending              ending // how that body ended
 	binding             binding
+	held                heldAnswer // of the current target's answer
 	headOut             bool
 	takeFromRetryBudget func() bool
 	retryReserved       atomic.Bool   // a retry was taken before the attempt was cut
@@ -84,6 +85,7 @@
 
 func (j *job) run() error {
 	defer j.quarantineAttempt.End()
+	defer j.releaseAnswer()
 	if j.r.Route.Stream && j.r.Call.Resuming {
 		if err := j.bind(); err != nil {
 			return j.placementError(err)
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -37,19 +37,24 @@
 	isEvents   bool   // the body is a stream of events
 	holdsBack  bool   // only complete events are forwarded, so that another target can continue
 	incomplete []byte // held bytes of an incomplete event
-	received   bool   // a byte has come
-	counted    int    // events that progressed has reported
+	held       *heldAnswer
+	passedOn   int64 // counted bytes of the buffer that take has returned
+	tooLarge   bool  // an event does not fit into what may be held
+	received   bool  // a byte has come
+	counted    int   // events that progressed has reported
 }
 
-func newStreamBody(r *routing.Route, h http.Header) *streamBody {
+func newStreamBody(r *routing.Route, h http.Header, held *heldAnswer) *streamBody {
 	contentType, _, _ := mime.ParseMediaType(h.Get("Content-Type"))
 	isEvents := contentType == "" || contentType == eventStreamType
-	return &streamBody{isEvents: isEvents, holdsBack: isEvents && r.Resumable}
+	return &streamBody{isEvents: isEvents, holdsBack: isEvents && r.Resumable, held: held}
 }
 
-// take takes the next bytes and returns those to forward.
+// take takes the next bytes, at most streamChunk, and returns those to forward until the next call.
 func (b *streamBody) take(p []byte) []byte {
 	b.received = true
+	b.held.giveBack(b.passedOn)
+	b.passedOn = 0
 	if !b.isEvents {
 		return p
 	}
@@ -58,18 +63,49 @@
 		return p
 	}
 	if end == 0 {
-		b.incomplete = append(b.incomplete, p...)
+		b.hold(p)
 		return nil
 	}
 	if len(b.incomplete) == 0 {
-		b.incomplete = append(b.incomplete, p[end:]...)
+		b.hold(p[end:])
 		return p[:end]
 	}
-	out := append(b.incomplete, p[:end]...)
-	b.incomplete = append([]byte(nil), p[end:]...)
+	if b.hold(p[:end]); b.tooLarge {
+		return nil
+	}
+	out := b.incomplete
+	b.incomplete, b.passedOn = nil, countedBytes(out)
+	b.hold(p[end:])
 	return out
 }
 
+// hold adds bytes to the incomplete event. It reserves a buffer of more than freeHeldBytes before it
+// is made.
+func (b *streamBody) hold(p []byte) {
+	need := len(b.incomplete) + len(p)
+	if need > cap(b.incomplete) {
+		size := need
+		if size > freeHeldBytes {
+			size = max(need, min(eventGrowth*cap(b.incomplete), maxHeldEvent))
+			if b.tooLarge = !b.held.reserve(int64(size)); b.tooLarge {
+				return
+			}
+		}
+		grown := append(make([]byte, 0, size), b.incomplete...)
+		b.held.giveBack(countedBytes(b.incomplete))
+		b.incomplete = grown
+	}
+	b.incomplete = append(b.incomplete, p...)
+}
+
+// countedBytes returns the bytes that are reserved for the buffer of an incomplete event.
+func countedBytes(buffer []byte) int64 {
+	if cap(buffer) <= freeHeldBytes {
+		return 0
+	}
+	return int64(cap(buffer))
+}
+
 // progressed reports whether more of the answer has come since the last call: a whole event, where the
 // body is a stream of events. Comments, or bytes that never end an event, are no answer.
 func (b *streamBody) progressed() bool {
@@ -108,7 +144,7 @@
 func (j *job) forwardStream(p placement, a *upstream.Answer, slowTimer clock.Timer) attempt.Outcome {
 	flusher := http.NewResponseController(j.w)
 	chunk := make([]byte, streamChunk)
-	body := newStreamBody(j.r.Route, a.Header)
+	body := newStreamBody(j.r.Route, a.Header, &j.held)
 	if body.isEvents {
 		// An announced length could not show that the last event is incomplete, nor be kept by
 		// another target that continues the stream.
@@ -118,6 +154,9 @@
 		n, err := a.Body.Read(chunk)
 		if n > 0 {
 			out := body.take(chunk[:n])
+			if body.tooLarge {
+				return j.endStream(p, a, flusher, endedOtherwise, errAnswersTooLarge)
+			}
 			if body.progressed() && !j.recordProgress(p, slowTimer) {
 				return j.ended(p, attempt.Cut)
 			}
--- a/services/forward/stream_test.go
+++ b/services/forward/stream_test.go
@@ -24,7 +24,7 @@
 		{"id: 1\r\ndata: a\r\n\r\nid: 2\r\n", "id: 1\r\ndata: a\r\n\r\n", "id: 2\r\n", "1"},
 	} {
 		for split := range len(c.bytes) + 1 {
-			body := newStreamBody(&routing.Route{Resumable: true}, http.Header{})
+			body := newStreamBody(&routing.Route{Resumable: true}, http.Header{}, &heldAnswer{})
 			whole := string(body.take([]byte(c.bytes[:split])))
 			whole += string(body.take([]byte(c.bytes[split:])))
 			last := "0"
@@ -42,8 +42,8 @@
 // not a stream of events being taken for a broken one.
 func TestOtherStreamsAreForwardedAsTheyCome(t *testing.T) {
 	for name, body := range map[string]*streamBody{
-		"not resumable": newStreamBody(&routing.Route{}, http.Header{}),
-		"not events":    newStreamBody(&routing.Route{Resumable: true}, http.Header{"Content-Type": {"application/json; charset=utf-8"}}),
+		"not resumable": newStreamBody(&routing.Route{}, http.Header{}, &heldAnswer{}),
+		"not events":    newStreamBody(&routing.Route{Resumable: true}, http.Header{"Content-Type": {"application/json; charset=utf-8"}}, &heldAnswer{}),
 	} {
 		if out := body.take([]byte("id: 1\nda")); string(out) != "id: 1\nda" {
 			t.Errorf("%s: got %q at once", name, out)
