upstream: Bound the lines of an answer's head

The bound on a head, 64 KiB, was one on its bytes. Parsed, a head of short fields takes 15 times as much: a target that sends such heads, whole or without their end, fills a gateway of 284 MB with some 300 answers, and the requests of all its callers end with the process.

Evidence, TestHeadOfManyFieldsIsCut on the code as it was (100 answers; the answers were taken, the one without its end held until the deadline):

complete: 100 heads hold 945 KB each, want 256 KB at most

A head that came whole with one read is checked by its fields, since what the buffer has read ahead may be lines of a body (TestLinesOfBodyDoNotCount).

--- a/services/upstream/pool.go
+++ b/services/upstream/pool.go
@@ -74,6 +74,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if hasTooManyFields(resp.Header) {
+			return nil, errHeadTooManyLines
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
