upstream: Do not read lists of cached parts past their bound

A list of cached parts is read up to 4 MiB, but closing its body read the rest: net/http drains a body that it has read a head of itself. A worker whose list never ends kept the gateway reading until the query's timeout of a second, as fast as the link goes; nothing was held. Callers would have seen their answers late on a full link; nobody has reported it.

The connection is closed in any case, so the body is left alone.

--- a/services/upstream/cachedparts.go
+++ b/services/upstream/cachedparts.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return nil, ErrExchange{true, err.Error()}
 	}
-	defer resp.Body.Close()
+	// The body is not closed: that would read the rest of it.
 	c.readInfo(t, resp)
 	list, err := io.ReadAll(io.LimitReader(resp.Body, maxCachedList))
 	if err != nil {
