relay: Bound the responses buffered for slow callers together

Requests that a gateway hands over are answered through it; what a caller does not read at once is buffered. Each answer was buffered up to 1 MiB, and another 1 MiB while that was being written, all together up to no bound: a worker without end behind the other gateway, and callers that do not read, fill a gateway of 284 MB with some 140 requests. An answer that was too long was then thrown away byte by byte until the worker or the deadline ended it.

All are now bounded to a twentieth of the memory, and one to 1 MiB in all. The quota is shared between responses, so that one that holds nothing yet finds room. What does not fit is canceled at the other gateway at once, logged, and ends in a closed connection inside the response's framing.

--- a/router/gateway.go
+++ b/router/gateway.go
@@ -64,6 +64,8 @@
 	bodyShare = 0.25
 	// Share of the memory for answers that are held before they are forwarded.
 	answerShare = 0.1
+	// Share of the memory for responses of other gateways that are buffered for slow callers.
+	slowCallerShare = 0.05
 )
 
 // Gateway is a running gateway: a router in front of the targets that the platform lists.
@@ -183,7 +185,7 @@
 		SharePart: func(n core.PartNews) { g.loop.SharePartNews(n) },
 	})
 	client := upstream.NewClient(g.pool, platform.Dialect{}, g.notices.Answered)
-	g.relay = relay.New(&g.t, log.New("relay").With(s.ID), relay.Options{Auth: auth, Meter: g.relayMeter, Clock: g.clock})
+	g.relay = relay.New(&g.t, log.New("relay").With(s.ID), relay.Options{Auth: auth, Meter: g.relayMeter, Clock: g.clock, MaxBuffered: saturate.Int64(slowCallerShare * float64(s.MemoryMB<<20))})
 	g.loop = mesh.NewLoop(&g.t, log.New("mesh").With(s.ID), mesh.Options{
 		Self: g.self, Seeds: s.Seeds, Clock: g.clock, Auth: auth, Meter: g.meter, Member: members, Follow: g.follow, Quarantine: g.quarantine, Notices: g.notices, Origins: g.origins,
 		FetchCachedParts: client.CachedParts, FairWindow: s.FairWindow.Duration, Scheduling: schedulingOf(s), OnMembers: g.setRelayPeers, OnIncarnationEnd: g.relay.Disconnect,
--- a/services/relay/handover.go
+++ b/services/relay/handover.go
@@ -5,6 +5,8 @@
 
 import (
 	"net"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -21,6 +23,8 @@
 	// Limits for a caller that reads slowly.
 	maxBuffered     = 1 << 20
 	bufferedTimeout = 10 * time.Second
+	// Least size of a buffer for pieces of a response.
+	minBuffer = 4 << 10
 )
 
 // pastDeadline ends reads and writes at once.
@@ -37,10 +41,11 @@
 	done   chan struct{}
 
 	mu          sync.Mutex
-	buffered    []byte // bytes that the caller has not read yet
-	buffering   bool   // writeBuffered is running
-	hasDeadline bool   // writes to the caller have a deadline
-	ended       bool   // no more bytes will arrive
+	buffered    net.Buffers // bytes that the caller has not read yet
+	reserved    int64       // bytes of them and of those that are being written
+	buffering   bool        // writeBuffered is running
+	hasDeadline bool        // writes to the caller have a deadline
+	ended       bool        // no more bytes will arrive
 	complete    bool
 	failed      bool // the caller did not take the response
 	bytes       int64
@@ -64,25 +69,35 @@
 	h.end(false)
 }
 
-// deliver writes a piece of the response to the caller, or buffers it if the caller reads slowly.
+// deliver writes a piece of the response to the caller, or buffers it if the caller reads slowly. A
+// response that can't be buffered is given up.
 func (h *Handover) deliver(piece []byte) {
+	if !h.take(piece) {
+		h.Cancel()
+	}
+}
+
+// take returns false if the response has to be given up.
+func (h *Handover) take(piece []byte) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.failed || h.ended {
-		return
+		return true
 	}
 	if h.buffering {
-		h.buffer(piece)
-		return
+		return h.buffer(piece)
 	}
 	n, err := h.write(piece)
 	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+		if !h.buffer(piece[n:]) {
+			return false
+		}
 		h.buffering = true
-		h.buffer(piece[n:])
 		go h.writeBuffered()
-		return
+		return true
 	}
 	h.failed = err != nil
+	return true
 }
 
 func (h *Handover) write(b []byte) (int, error) {
@@ -97,10 +112,35 @@
 	return n, err
 }
 
-func (h *Handover) buffer(b []byte) {
-	if h.buffered = append(h.buffered, b...); len(h.buffered) > maxBuffered {
+// buffer keeps a copy of bytes for writeBuffered. It returns false if there are too many.
+func (h *Handover) buffer(b []byte) bool {
+	if last := len(h.buffered) - 1; last >= 0 && cap(h.buffered[last])-len(h.buffered[last]) >= len(b) {
+		h.buffered[last] = append(h.buffered[last], b...)
+		return true
+	}
+	size := int64(max(len(b), minBuffer))
+	if h.reserved+size > maxBuffered || !h.s.buffers.reserve(h.owner(), size) {
+		h.s.log.Request("Response broken off, its caller reads too slowly.", "peer", h.Peer, "number", h.number, "bytes", h.bytes, "buffered", h.reserved, "buffered_for_all", h.s.buffers.held())
 		h.failed = true
+		_ = h.caller.SetWriteDeadline(pastDeadline) // on failure there is no writer
+		return false
 	}
+	h.reserved += size
+	h.buffered = append(h.buffered, append(make([]byte, 0, size), b...))
+	return true
+}
+
+// owner identifies the response in the quota of buffered bytes.
+func (h *Handover) owner() string { return h.Peer + "/" + strconv.FormatUint(uint64(h.number), 10) }
+
+// unreserve gives the reserved bytes of buffers back; h.mu is held.
+func (h *Handover) unreserve(buffers net.Buffers) {
+	size := int64(0)
+	for _, b := range buffers {
+		size += int64(cap(b))
+	}
+	h.s.buffers.release(h.owner(), size)
+	h.reserved -= size
 }
 
 // writeBuffered writes to a slow caller until its buffer is empty.
@@ -108,19 +148,22 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for len(h.buffered) > 0 && !h.failed {
-		b := h.buffered
+		batch := h.buffered
+		unwritten := slices.Clone(batch) // WriteTo changes it
 		h.buffered = nil
-		h.mu.Unlock()
 		err := h.caller.SetWriteDeadline(netopt.DeadlineIn(bufferedTimeout))
-		n := 0
+		h.mu.Unlock()
+		n := int64(0)
 		if err == nil {
-			n, err = h.caller.Write(b)
+			n, err = unwritten.WriteTo(h.caller)
 		}
 		h.mu.Lock()
-		h.bytes += int64(n)
+		h.unreserve(batch)
+		h.bytes += n
 		h.failed = h.failed || err != nil
 	}
-	h.buffering = false
+	h.unreserve(h.buffered)
+	h.buffered, h.buffering = nil, false
 	if h.ended {
 		h.finish()
 	}
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -56,6 +56,8 @@
 	Auth  *peernet.Auth
 	Meter *peernet.Meter
 	Clock clock.Clock
+	// MaxBuffered bounds the bytes of all responses that are buffered for callers that read slowly.
+	MaxBuffered int64
 }
 
 // Service hands requests over to other gateways.
@@ -64,6 +66,8 @@
 	log  log.Logger
 	opts Options
 
+	buffers *bufferQuota
+
 	mu      sync.Mutex
 	chooser *relay.Chooser
 	peers   map[string]*peer
@@ -79,7 +83,7 @@
 
 // New returns a service without peers. It closes its connections when the tomb dies.
 func New(t *tomb.Tomb, logger log.Logger, o Options) *Service {
-	s := &Service{t: t, log: logger, opts: o, chooser: relay.New(), peers: map[string]*peer{}}
+	s := &Service{t: t, log: logger, opts: o, buffers: newBufferQuota(o.MaxBuffered), chooser: relay.New(), peers: map[string]*peer{}}
 	t.Go(func() error {
 		<-t.Dying()
 		s.mu.Lock()
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -78,7 +78,7 @@
 func newService(t *testing.T, key string, c clock.Clock) *Service {
 	t.Helper()
 	var owner tomb.Tomb
-	s := New(&owner, log.New("relay"), Options{Auth: peernet.NewSharedKey("near", key), Meter: &peernet.Meter{}, Clock: c})
+	s := New(&owner, log.New("relay"), Options{Auth: peernet.NewSharedKey("near", key), Meter: &peernet.Meter{}, Clock: c, MaxBuffered: 8 * maxBuffered})
 	t.Cleanup(func() {
 		owner.Kill(nil)
 		_ = owner.Wait()
