dispatch: Do not keep answers with events missing

A caller of the routers' own interface that came back for its answer could get one with events missing, up to "[DONE]", as complete. Events were kept until one did not fit the account's limit; that one was left out and later, shorter ones were kept again. The size of what was left then passed the check before the answer was stored.

Evidence, TestAnswerWithMissingEventsIsNotKept on the code as it was (events of 60, 60, 1 and 6 bytes, a limit of 100):

events of ["aaa…" "c" "[DONE]"] are kept

The first event that does not fit ends the keeping of the answer, and what was kept is dropped. The trace of the request says that it was too long. Found by reading while looking at what is held of answers; nobody has reported it.

Measured: services/dispatch and services/answer pass with -race.

--- a/services/dispatch/chat.go
+++ b/services/dispatch/chat.go
@@ -113,8 +113,9 @@
 	caller context.Context
 
 	attempt            int
-	events             []string // data of the current attempt's events, up to the limit of kept responses
-	bytes              int64
+	events             []string // data of the current attempt's events
+	bytes              int64    // of them
+	tooLong            bool     // they are over the limit of kept responses
 	callerDisconnected bool
 	outputs            int
 	prompt             float64
@@ -180,7 +181,7 @@
 		fin.Cost = st.cost()
 		s.opts.Loop.Finish(fin)
 	}()
-	st.events, st.outputs, st.usage, st.bytes = nil, 0, nil, 0
+	st.events, st.outputs, st.usage, st.bytes, st.tooLong = nil, 0, nil, 0, false
 	streamID := fmt.Sprintf("%s.%d", j.requestID, st.attempt)
 	started := st.s.opts.Clock.Now()
 	resp, err := s.opts.Engine.StartStream(ctx, target.Address, target.Name, st.header(streamID), st.chat.Body)
@@ -255,8 +256,8 @@
 	if !st.callerDisconnected {
 		return
 	}
-	kept := st.s.opts.Answers.Enqueue(*st.j.account, st.j.requestID, "text/event-stream", st.events)
-	st.s.opts.Trace.Add(st.j.requestID, st.j.account.Name, "keep", "caller gone, answer of %d events kept: %t", len(st.events), kept)
+	kept := !st.tooLong && st.s.opts.Answers.Enqueue(*st.j.account, st.j.requestID, "text/event-stream", st.events)
+	st.s.opts.Trace.Add(st.j.requestID, st.j.account.Name, "keep", "caller gone, answer of %d events kept: %t, too long: %t", len(st.events), kept, st.tooLong)
 }
 
 func (st *stream) token(target *conf.Target, streamID string) string {
--- /dev/null
+++ b/services/dispatch/keep_test.go
@@ -0,0 +1,35 @@
+// Copyright 2026 The madderway Authors.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"strings"
+	"testing"
+
+	"madderway/models/conf"
+	"madderway/services/engine"
+)
+
+func keepingStream(limit int64) *stream {
+	return &stream{j: &job{account: &conf.ClientAccount{KeepAnswers: 1, KeepBytes: limit}}}
+}
+
+// Guards against an answer that was too long to be kept and is kept without some of its events, up to its
+// last one, so that it looks complete to the caller that fetches it.
+func TestAnswerWithMissingEventsIsNotKept(t *testing.T) {
+	st := keepingStream(100)
+	for _, data := range []string{strings.Repeat("a", 60), strings.Repeat("b", 60), "c", engine.DoneData} {
+		st.keep(engine.Event{Data: data})
+	}
+	if len(st.events) > 0 {
+		t.Errorf("events of %q are kept", st.events)
+	}
+	st = keepingStream(100)
+	for _, data := range []string{"a", "b", engine.DoneData} {
+		st.keep(engine.Event{Data: data})
+	}
+	if len(st.events) != 3 {
+		t.Errorf("%d events of a short answer are kept, want 3", len(st.events))
+	}
+}
--- a/services/dispatch/pump.go
+++ b/services/dispatch/pump.go
@@ -132,8 +132,7 @@
 	}
 }
 
-// handle accounts for an event and forwards it. It stores the data up to the limit of kept
-// responses.
+// handle accounts for an event, keeps and forwards it.
 func (p *pump) handle(ev engine.Event) {
 	st := p.st
 	st.s.counters.tokens.Inc()
@@ -142,15 +141,26 @@
 		p.answered = true
 		st.j.quarantineAttempt.Answered()
 	}
-	if limit := st.j.account.KeepBytes; st.bytes+int64(len(ev.Data)) <= limit {
-		st.events = append(st.events, ev.Data)
-		st.bytes += int64(len(ev.Data))
-	}
+	st.keep(ev)
 	if !st.callerDisconnected && st.sink.Event(ev) != nil {
 		p.setCallerDisconnected()
 	}
 }
 
+// keep records the data of an event, in case the caller comes back for the response. A response that is
+// over the account's limit is not kept at all: with events missing it would look complete.
+func (st *stream) keep(ev engine.Event) {
+	limit := st.j.account.KeepBytes
+	switch {
+	case st.tooLong || st.j.account.KeepAnswers == 0:
+	case st.bytes+int64(len(ev.Data)) > limit:
+		st.events, st.bytes, st.tooLong = nil, 0, true
+	default:
+		st.events = append(st.events, ev.Data)
+		st.bytes += int64(len(ev.Data))
+	}
+}
+
 // answerSettleTime is the time for which a target must go on after its first event until the stream
 // shows that the target survives the request.
 const answerSettleTime = 150 * time.Millisecond
