--- a/services/dispatch/keep_test.go
+++ b/services/dispatch/keep_test.go
@@ -33,3 +33,15 @@
 		t.Errorf("%d events of a short answer are kept, want 3", len(st.events))
 	}
 }
+
+// Guards against events without data, which no bound on bytes ends.
+func TestEmptyEventsAreNotKeptWithoutEnd(t *testing.T) {
+	const limit = 1 << 10
+	st := keepingStream(limit)
+	for range limit {
+		st.keep(engine.Event{})
+	}
+	if len(st.events) > limit/eventOverhead {
+		t.Errorf("%d events are kept for %d bytes", len(st.events), limit)
+	}
+}
