--- a/services/forward/counters.go
+++ b/services/forward/counters.go
@@ -94,5 +94,5 @@
 func (s *Service) WriteMetrics(w io.Writer) {
 	s.counters.set.WritePrometheus(w)
 	s.opts.Guard.writeMetrics(w)
-	fmt.Fprintf(w, "madderway_gateway_held_answer_bytes %d\n", s.answers.held())
+	fmt.Fprintf(w, "madderway_gateway_held_answer_bytes %d\n", s.answers.Held())
 }
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -190,7 +190,7 @@
 		return j.ended(p, attempt.Unknown)
 	}
 	if more && len(body) <= maxBufferedResponse {
-		j.s.log.Request("Answer forwarded before it was complete.", "id", j.r.Call.ID, "target", p.target().ID, "bytes", len(body), "held", j.s.answers.held(), "reason", errAnswersTooLarge)
+		j.s.log.Request("Answer forwarded before it was complete.", "id", j.r.Call.ID, "target", p.target().ID, "bytes", len(body), "held", j.s.answers.Held(), "reason", errAnswersTooLarge)
 	}
 	p.began()
 	j.writeHead(a)
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -27,6 +27,7 @@
 	"madderway/models/routing"
 	"madderway/modules/clock"
 	"madderway/modules/log"
+	"madderway/services/heldbytes"
 	"madderway/services/mesh"
 	"madderway/services/notice"
 	"madderway/services/origin"
@@ -95,7 +96,7 @@
 
 	plainByRecent atomic.Bool // opts.PlainByRecent applies to the current configuration
 
-	answers *answerQuota
+	answers *heldbytes.Quota // held before they are forwarded
 
 	counters counters
 	outcomes outcomeCounts
@@ -103,7 +104,7 @@
 }
 
 func New(logger log.Logger, o Options) *Service {
-	return &Service{log: logger, opts: o, started: o.Clock.Now(), balancer: balance.New(o.DataHall, rand.Float64), windows: map[string]*budget.Window{}, throttle: throttle.New(), answers: newAnswerQuota(o.MaxHeldAnswerBytes), counters: newCounters()}
+	return &Service{log: logger, opts: o, started: o.Clock.Now(), balancer: balance.New(o.DataHall, rand.Float64), windows: map[string]*budget.Window{}, throttle: throttle.New(), answers: heldbytes.New(o.MaxHeldAnswerBytes), counters: newCounters()}
 }
 
 // Request is an authenticated request of a caller.
--- a/services/forward/heldanswer.go
+++ b/services/forward/heldanswer.go
@@ -6,9 +6,8 @@
 import (
 	"errors"
 	"io"
-	"sync"
 
-	"madderway/core/bytequota"
+	"madderway/services/heldbytes"
 )
 
 const (
@@ -24,25 +23,9 @@
 // errAnswersTooLarge reports that an answer does not fit into what its target may hold.
 var errAnswersTooLarge = errors.New("too many bytes of answers are held")
 
-// answerQuota bounds the bytes of all answers that are held before they are forwarded, and shares them
-// between targets.
-type answerQuota struct {
-	mu    sync.Mutex
-	quota *bytequota.Quota
-}
-
-func newAnswerQuota(limit int64) *answerQuota { return &answerQuota{quota: bytequota.New(limit)} }
-
-// held returns the bytes held.
-func (q *answerQuota) held() int64 {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.quota.Held()
-}
-
 // heldAnswer counts the bytes that are held of one answer. The zero value has no bound.
 type heldAnswer struct {
-	answers *answerQuota
+	answers *heldbytes.Quota // shared between targets
 	target  string
 	bytes   int64
 }
@@ -52,9 +35,7 @@
 	if h.answers == nil {
 		return true
 	}
-	h.answers.mu.Lock()
-	defer h.answers.mu.Unlock()
-	if !h.answers.quota.Reserve(h.target, n) {
+	if !h.answers.Reserve(h.target, n) {
 		return false
 	}
 	h.bytes += n
@@ -66,9 +47,7 @@
 	if h.answers == nil || n == 0 {
 		return
 	}
-	h.answers.mu.Lock()
-	defer h.answers.mu.Unlock()
-	h.answers.quota.Release(h.target, n)
+	h.answers.Release(h.target, n)
 	h.bytes -= n
 }
 
--- a/services/forward/heldanswer_test.go
+++ b/services/forward/heldanswer_test.go
@@ -143,7 +143,7 @@
 			j.releaseAnswer()
 			close(release)
 			done.Wait()
-			if held := s.answers.held(); held != 0 {
+			if held := s.answers.Held(); held != 0 {
 				t.Errorf("%d bytes are counted after the last answer", held)
 			}
 		})
--- a/services/relay/handover.go
+++ b/services/relay/handover.go
@@ -119,8 +119,8 @@
 		return true
 	}
 	size := int64(max(len(b), minBuffer))
-	if h.reserved+size > maxBuffered || !h.s.buffers.reserve(h.owner(), size) {
-		h.s.log.Request("Response broken off, its caller reads too slowly.", "peer", h.Peer, "number", h.number, "bytes", h.bytes, "buffered", h.reserved, "buffered_for_all", h.s.buffers.held())
+	if h.reserved+size > maxBuffered || !h.s.buffers.Reserve(h.owner(), size) {
+		h.s.log.Request("Response broken off, its caller reads too slowly.", "peer", h.Peer, "number", h.number, "bytes", h.bytes, "buffered", h.reserved, "buffered_for_all", h.s.buffers.Held())
 		h.failed = true
 		_ = h.caller.SetWriteDeadline(pastDeadline) // on failure there is no writer
 		return false
@@ -139,7 +139,7 @@
 	for _, b := range buffers {
 		size += int64(cap(b))
 	}
-	h.s.buffers.release(h.owner(), size)
+	h.s.buffers.Release(h.owner(), size)
 	h.reserved -= size
 }
 
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -23,6 +23,7 @@
 	"madderway/modules/clock"
 	"madderway/modules/log"
 	"madderway/modules/peernet"
+	"madderway/services/heldbytes"
 )
 
 const (
@@ -66,7 +67,7 @@
 	log  log.Logger
 	opts Options
 
-	buffers *bufferQuota
+	buffers *heldbytes.Quota // for callers that read slowly
 
 	mu      sync.Mutex
 	chooser *relay.Chooser
@@ -83,7 +84,7 @@
 
 // New returns a service without peers. It closes its connections when the tomb dies.
 func New(t *tomb.Tomb, logger log.Logger, o Options) *Service {
-	s := &Service{t: t, log: logger, opts: o, buffers: newBufferQuota(o.MaxBuffered), chooser: relay.New(), peers: map[string]*peer{}}
+	s := &Service{t: t, log: logger, opts: o, buffers: heldbytes.New(o.MaxBuffered), chooser: relay.New(), peers: map[string]*peer{}}
 	t.Go(func() error {
 		<-t.Dying()
 		s.mu.Lock()
--- a/services/relay/slowcaller_test.go
+++ b/services/relay/slowcaller_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"madderway/modules/clock"
+	"madderway/services/heldbytes"
 )
 
 // stalledCaller is a connection whose other end reads nothing.
@@ -69,7 +70,7 @@
 		pieces  = maxBuffered / 2 / piece // of each answer, before any is too long
 	)
 	s := newService(t, key, clock.System{})
-	s.buffers = newBufferQuota(limit)
+	s.buffers = heldbytes.New(limit)
 	near, far := net.Pipe()
 	defer far.Close()
 	tun := newTunnel(near, clock.System{})
@@ -106,7 +107,7 @@
 			t.Error("a broken answer looks complete")
 		}
 	}
-	if held := s.buffers.held(); held != 0 {
+	if held := s.buffers.Held(); held != 0 {
 		t.Errorf("%d bytes are counted after the last answer", held)
 	}
 }
