--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -147,7 +147,7 @@
 }
 
 func (j *job) readFailure(p placement, a *upstream.Answer) (attempt.Outcome, *failure) {
-	body, more, err := j.held.read(a.Body, maxBufferedResponse+1)
+	body, more, err := j.held.Read(a.Body, maxBufferedResponse+1)
 	switch {
 	case len(body) > maxBufferedResponse:
 		err = errFailureTooLarge
@@ -177,7 +177,7 @@
 
 // forwardWhole forwards an answer once it is complete, or once more of it has come than may be held.
 func (j *job) forwardWhole(p placement, a *upstream.Answer, slowTimer clock.Timer) attempt.Outcome {
-	body, more, err := j.held.read(a.Body, maxBufferedResponse+1)
+	body, more, err := j.held.Read(a.Body, maxBufferedResponse+1)
 	if err != nil {
 		j.recordEnding(a, endingOf(err))
 		j.brokeOff, j.reason = true, "answer broke off: "+err.Error()
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -13,6 +13,7 @@
 	"madderway/core/attempt"
 	"madderway/models/result"
 	"madderway/models/routing"
+	"madderway/services/heldbytes"
 	"madderway/services/mesh"
 	"madderway/services/notice"
 	"madderway/services/quarantine"
@@ -58,7 +59,7 @@
 	framing             string // of the last answer whose body was read
 	ending              ending // how that body ended
 	binding             binding
-	held                heldAnswer // of the current target's answer
+	held                heldbytes.Holder // of the current target's answer
 	headOut             bool
 	takeFromRetryBudget func() bool
 	retryReserved       atomic.Bool   // a retry was taken before the attempt was cut
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -14,6 +14,7 @@
 	"madderway/models/routing"
 	"madderway/modules/clock"
 	"madderway/modules/eventstream"
+	"madderway/services/heldbytes"
 	"madderway/services/upstream"
 )
 
@@ -37,14 +38,14 @@
 	isEvents   bool   // the body is a stream of events
 	holdsBack  bool   // only complete events are forwarded, so that another target can continue
 	incomplete []byte // held bytes of an incomplete event
-	held       *heldAnswer
+	held       *heldbytes.Holder
 	passedOn   int64 // counted bytes of the buffer that take has returned
 	tooLarge   bool  // an event does not fit into what may be held
 	received   bool  // a byte has come
 	counted    int   // events that progressed has reported
 }
 
-func newStreamBody(r *routing.Route, h http.Header, held *heldAnswer) *streamBody {
+func newStreamBody(r *routing.Route, h http.Header, held *heldbytes.Holder) *streamBody {
 	contentType, _, _ := mime.ParseMediaType(h.Get("Content-Type"))
 	isEvents := contentType == "" || contentType == eventStreamType
 	return &streamBody{isEvents: isEvents, holdsBack: isEvents && r.Resumable, held: held}
@@ -53,7 +54,7 @@
 // take takes the next bytes, at most streamChunk, and returns those to forward until the next call.
 func (b *streamBody) take(p []byte) []byte {
 	b.received = true
-	b.held.giveBack(b.passedOn)
+	b.held.GiveBack(b.passedOn)
 	b.passedOn = 0
 	if !b.isEvents {
 		return p
@@ -87,12 +88,12 @@
 		size := need
 		if size > freeHeldBytes {
 			size = max(need, min(eventGrowth*cap(b.incomplete), maxHeldEvent))
-			if b.tooLarge = !b.held.reserve(int64(size)); b.tooLarge {
+			if b.tooLarge = !b.held.Reserve(int64(size)); b.tooLarge {
 				return
 			}
 		}
 		grown := append(make([]byte, 0, size), b.incomplete...)
-		b.held.giveBack(countedBytes(b.incomplete))
+		b.held.GiveBack(countedBytes(b.incomplete))
 		b.incomplete = grown
 	}
 	b.incomplete = append(b.incomplete, p...)
--- a/services/forward/stream_test.go
+++ b/services/forward/stream_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"madderway/models/routing"
+	"madderway/services/heldbytes"
 )
 
 // Guards against forwarding part of an event, which would be joined with an event of another
@@ -24,7 +25,7 @@
 		{"id: 1\r\ndata: a\r\n\r\nid: 2\r\n", "id: 1\r\ndata: a\r\n\r\n", "id: 2\r\n", "1"},
 	} {
 		for split := range len(c.bytes) + 1 {
-			body := newStreamBody(&routing.Route{Resumable: true}, http.Header{}, &heldAnswer{})
+			body := newStreamBody(&routing.Route{Resumable: true}, http.Header{}, &heldbytes.Holder{})
 			whole := string(body.take([]byte(c.bytes[:split])))
 			whole += string(body.take([]byte(c.bytes[split:])))
 			last := "0"
@@ -42,8 +43,8 @@
 // not a stream of events being taken for a broken one.
 func TestOtherStreamsAreForwardedAsTheyCome(t *testing.T) {
 	for name, body := range map[string]*streamBody{
-		"not resumable": newStreamBody(&routing.Route{}, http.Header{}, &heldAnswer{}),
-		"not events":    newStreamBody(&routing.Route{Resumable: true}, http.Header{"Content-Type": {"application/json; charset=utf-8"}}, &heldAnswer{}),
+		"not resumable": newStreamBody(&routing.Route{}, http.Header{}, &heldbytes.Holder{}),
+		"not events":    newStreamBody(&routing.Route{Resumable: true}, http.Header{"Content-Type": {"application/json; charset=utf-8"}}, &heldbytes.Holder{}),
 	} {
 		if out := body.take([]byte("id: 1\nda")); string(out) != "id: 1\nda" {
 			t.Errorf("%s: got %q at once", name, out)
