dispatch: Bound the plain answers held of all requests together

The routers' own interface reads a plain service's answer whole, up to 16 MB, before it sends it on. Nothing bounded all of them: a service that never ends its answers ends a router's process by some twenty requests, and with it the requests of all others. Keyed calls keep such an answer for another 30 s, while it is written to the object store.

A quota of answer.max_held bytes (64 MiB) now reserves each buffer before it is made. It is shared between requests, so that one that holds nothing finds room. It is released once the caller has its answer and, for keyed calls, the store too. An answer that does not fit has an unknown outcome (502), as one over 16 MB has; a keyed call is recorded so and is not run again.

--- a/handlers/caller/plain.go
+++ b/handlers/caller/plain.go
@@ -30,11 +30,13 @@
 			header.Set(name, v)
 		}
 	}
+	held := h.dispatch.Hold(c.id)
+	defer held.Release()
 	a, err := h.dispatch.Plain(c.req.Context(), dispatch.Plain{
 		RequestID: c.id, Account: c.account, Pool: pool, Method: c.req.Method,
 		Path:  strings.TrimPrefix(c.req.URL.EscapedPath(), "/services/"+pool),
 		Query: c.req.URL.RawQuery, Header: header, Body: body,
-		Class: c.req.Header.Get(HeaderClass), IdempotencyKey: key,
+		Class: c.req.Header.Get(HeaderClass), IdempotencyKey: key, Held: held,
 	})
 	if err != nil {
 		return err
--- a/modules/setting/answer.go
+++ b/modules/setting/answer.go
@@ -13,10 +13,11 @@
 	ResumeKey string   `toml:"resume_key"` // signs resume tokens; must be the same on all routers
 	Kept      Duration `toml:"kept"`       // retention of responses in the object store
 	MaxBytes  int64    `toml:"max_bytes"`  // larger responses are not recorded
+	MaxHeld   int64    `toml:"max_held"`   // bytes of all responses that are held before they are sent on
 }
 
 func defaultAnswer() Answer {
-	return Answer{Kept: Duration{24 * time.Hour}, MaxBytes: 4 << 20}
+	return Answer{Kept: Duration{24 * time.Hour}, MaxBytes: 4 << 20, MaxHeld: 64 << 20}
 }
 
 func (a Answer) check() error {
@@ -26,5 +27,6 @@
 	return checkAll(
 		checkDuration("answer.kept", a.Kept, time.Minute, 90*24*time.Hour),
 		checkRange("answer.max_bytes", a.MaxBytes, 1<<10, 1<<30),
+		checkRange("answer.max_held", a.MaxHeld, 1<<20, 1<<40),
 	)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -169,7 +169,7 @@
 		RouterID: id, Incarnation: r.self.Incarnation, DataHall: s.Router.DataHall, Clock: r.clock, Loop: r.loop,
 		Config: r.config, Engine: r.engine, Claims: r.claims, Answers: r.answers, Signer: answer.NewSigner(s.Answer.ResumeKey),
 		Trace: r.traces, RetryRatio: s.Control.RetryRatio, RetryBurst: s.Control.RetryBurst, ClaimRetention: s.Platform.ClaimKept.Duration, Quarantine: r.quarantine,
-		Notices: r.notices,
+		Notices: r.notices, MaxHeld: s.Answer.MaxHeld,
 	})
 	r.orders = order.New(log.New("order").With(id), order.Options{
 		RouterID: id, Incarnation: r.self.Incarnation, Clock: r.clock, Table: table, Sender: r.engine,
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -28,6 +28,7 @@
 	"madderway/services/config"
 	"madderway/services/control"
 	"madderway/services/engine"
+	"madderway/services/heldbytes"
 	"madderway/services/notice"
 	"madderway/services/quarantine"
 	"madderway/services/trace"
@@ -64,6 +65,8 @@
 	Quarantine *quarantine.Service
 	// Notices holds what targets announced in their responses: that they leave, or a pause.
 	Notices *notice.Service
+	// MaxHeld bounds the bytes of all answers that are held before they are sent on.
+	MaxHeld int64
 }
 
 // Service serves requests.
@@ -73,6 +76,7 @@
 	opts         Options
 	counters     *counters
 	exitDetector *netopt.ExitDetector
+	held         *heldbytes.Quota // of answers, shared between requests
 
 	mu             sync.Mutex // guards the fields below
 	budgets        *budget.Set
@@ -84,7 +88,7 @@
 // New returns a service whose background work ends with the tomb.
 func New(t *tomb.Tomb, logger log.Logger, o Options) *Service {
 	return &Service{
-		t: t, log: logger, opts: o, counters: newCounters(), exitDetector: netopt.NewExitDetector(),
+		t: t, log: logger, opts: o, counters: newCounters(), exitDetector: netopt.NewExitDetector(), held: heldbytes.New(o.MaxHeld),
 		budgets:   budget.NewSet(o.RetryRatio, o.RetryBurst),
 		estimates: estimates{},
 		prefixes:  map[string]*place.PrefixMap{},
--- a/services/dispatch/once.go
+++ b/services/dispatch/once.go
@@ -42,7 +42,7 @@
 		outcome.Grant.Release()
 		return a, err
 	}
-	s.record(row, a, err, outcome.Grant)
+	s.record(row, c, a, err, outcome.Grant)
 	return a, err
 }
 
@@ -55,7 +55,7 @@
 
 // record writes the outcome into the row of the claim. A large response is written to the object
 // store first.
-func (s *Service) record(row core.Row, a PlainAnswer, err error, held *claim.Grant) {
+func (s *Service) record(row core.Row, c Plain, a PlainAnswer, err error, held *claim.Grant) {
 	if err != nil {
 		row.State = core.StateUnknown
 		held.Record(row)
@@ -67,7 +67,9 @@
 		held.Record(row)
 		return
 	}
+	c.Held.retain()
 	s.t.Go(func() error {
+		defer c.Held.Release()
 		ctx, cancel := context.WithTimeout(s.t.Context(context.Background()), 30*time.Second)
 		defer cancel()
 		name, err := s.opts.Answers.PutBody(ctx, row.Attempt, a.Body)
--- a/services/dispatch/plain.go
+++ b/services/dispatch/plain.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -32,6 +31,7 @@
 	Body           []byte
 	Class          string
 	IdempotencyKey string
+	Held           *Held // of the answer
 }
 
 // PlainAnswer is the response of a plain service.
@@ -179,9 +179,12 @@
 		return PlainAnswer{}, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainResponse+1))
-	if err == nil && len(body) > maxPlainResponse {
+	body, more, err := c.Held.read(resp.Body, maxPlainResponse+1)
+	switch {
+	case len(body) > maxPlainResponse:
 		err = errors.New("the answer is too large")
+	case more:
+		err = errAnswersTooLarge
 	}
 	if err != nil {
 		return PlainAnswer{}, engine.ErrAttempt{Target: target.Name, MayHaveRun: true, Cause: err}
