caller: Bound completions that are gathered

A completion without streaming is gathered from the events of its target. The text had no bound but the request's deadline: a target that never sends the last event ends a router's process, and with it the requests of all others. A usage report of up to 1 MB was kept to the end as well.

The buffer of the text is reserved from the quota of all answers before it is made, three times, as it is copied to be encoded. What does not fit ends the request: the caller gets "target failed", and the attempt ends after the grace of a caller that has left. A usage report is 4 KiB at most.

--- a/handlers/caller/chat.go
+++ b/handlers/caller/chat.go
@@ -4,6 +4,7 @@
 package caller
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -62,8 +63,8 @@
 			return h.dispatch.Chat(c.req.Context(), chat, sink)
 		})
 	}
-	return h.collect(c, body.Model, func(sink dispatch.Sink) error {
-		return h.dispatch.Chat(c.req.Context(), chat, sink)
+	return h.collect(c, body.Model, func(ctx context.Context, sink dispatch.Sink) error {
+		return h.dispatch.Chat(ctx, chat, sink)
 	})
 }
 
--- a/handlers/caller/collect.go
+++ b/handlers/caller/collect.go
@@ -4,9 +4,11 @@
 package caller
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"net/http"
-	"strings"
 
 	"madderway/handlers/api"
 	"madderway/models/result"
@@ -43,24 +45,55 @@
 	Usage json.RawMessage `json:"usage"`
 }
 
+const (
+	// The buffer of a completion's text starts with firstText bytes and grows by textGrowth.
+	firstText  = 4 << 10
+	textGrowth = 2
+	// textCopies is the number of copies of the text while it is encoded.
+	textCopies = 3
+	maxUsage   = 4 << 10 // bytes
+)
+
+var (
+	errTextTooLarge  = errors.New("too many bytes of answers are held")
+	errUsageTooLarge = fmt.Errorf("a usage report is over %d bytes", maxUsage)
+)
+
+// heldBytes counts what is held of an answer; dispatch.Held implements it.
+type heldBytes interface {
+	Reserve(n int64) bool
+	GiveBack(n int64)
+}
+
 // collectSink collects the events of a streamed answer into one completion.
 type collectSink struct {
 	w            http.ResponseWriter
-	text         strings.Builder
+	held         heldBytes
+	giveUp       func() // ends the request
+	text         []byte
 	finishReason string
 	usage        json.RawMessage
 	decodeErr    error
+	heldErr      error // the answer is too large
+}
+
+// err returns why the events are no completion.
+func (s *collectSink) err() error {
+	if s.heldErr != nil {
+		return s.heldErr
+	}
+	return s.decodeErr
 }
 
 // Begin implements dispatch.Sink. It discards the events of an earlier attempt.
 func (s *collectSink) Begin(token string, _ int) error {
-	s.text.Reset()
-	s.finishReason, s.usage, s.decodeErr = "", nil, nil
+	s.held.GiveBack(textCopies * int64(cap(s.text)))
+	s.text, s.finishReason, s.usage, s.decodeErr, s.heldErr = nil, "", nil, nil, nil
 	s.w.Header().Set(HeaderResume, token)
 	return nil
 }
 
-// Event implements dispatch.Sink.
+// Event implements dispatch.Sink. An answer that is too large is given up.
 func (s *collectSink) Event(ev engine.Event) error {
 	if ev.Done() || s.decodeErr != nil {
 		return nil
@@ -70,11 +103,19 @@
 		s.decodeErr = err
 		return nil
 	}
+	if len(d.Usage) > maxUsage {
+		s.decodeErr = errUsageTooLarge
+		return nil
+	}
 	if len(d.Usage) > 0 && string(d.Usage) != "null" {
 		s.usage = d.Usage
 	}
 	for _, c := range d.Choices {
-		s.text.WriteString(c.Delta.Content)
+		if !s.add(c.Delta.Content) {
+			s.heldErr = errTextTooLarge
+			s.giveUp()
+			return s.heldErr
+		}
 		if c.FinishReason != "" {
 			s.finishReason = c.FinishReason
 		}
@@ -82,17 +123,36 @@
 	return nil
 }
 
-func (h *Handler) collect(c *call, model string, run func(dispatch.Sink) error) error {
-	s := &collectSink{w: c.ResponseWriter}
-	if err := run(s); err != nil {
+// add appends to the text, unless that is more than may be held.
+func (s *collectSink) add(text string) bool {
+	if need := len(s.text) + len(text); need > cap(s.text) {
+		size := max(need, firstText, textGrowth*cap(s.text))
+		if !s.held.Reserve(textCopies * int64(size)) {
+			return false
+		}
+		grown := append(make([]byte, 0, size), s.text...)
+		s.held.GiveBack(textCopies * int64(cap(s.text)))
+		s.text = grown
+	}
+	s.text = append(s.text, text...)
+	return true
+}
+
+func (h *Handler) collect(c *call, model string, run func(context.Context, dispatch.Sink) error) error {
+	ctx, cancel := context.WithCancel(c.req.Context())
+	defer cancel()
+	held := h.dispatch.Hold(c.id)
+	defer held.Release()
+	s := &collectSink{w: c.ResponseWriter, held: held, giveUp: cancel}
+	if err := run(ctx, s); err != nil && s.heldErr == nil {
 		return err
 	}
-	if s.decodeErr != nil {
-		return result.New(result.TargetFailed, "the target sent an event that is not JSON: %v", s.decodeErr)
+	if err := s.err(); err != nil {
+		return result.New(result.TargetFailed, "the events of the target are no completion: %v", err)
 	}
 	api.WriteJSON(c, http.StatusOK, completion{
 		ID: c.id, Object: "chat.completion", Model: model, Usage: s.usage,
-		Choices: []choice{{Message: message{"assistant", s.text.String()}, FinishReason: s.finishReason}},
+		Choices: []choice{{Message: message{"assistant", string(s.text)}, FinishReason: s.finishReason}},
 	})
 	return nil
 }
