eventstream: Reserve what is held of unfinished events

The routers' own interface holds an unfinished event of up to 1 MB of each stream, in up to three copies, without a bound on all: a target whose events never end takes a router's memory by some hundred requests.

A reader now asks before it holds more than 8 KB of an event; streams of the own interface reserve from the quota of all answers. An event that does not fit breaks the stream as one over 1 MB does: it is resumed, or its caller sees an error event.

--- a/modules/eventstream/reader.go
+++ b/modules/eventstream/reader.go
@@ -8,24 +8,35 @@
 	"io"
 )
 
-const readSize = 4 << 10
+const (
+	readSize = 4 << 10
+	// freeHeld bytes of an unfinished event are not reserved: most events are shorter.
+	freeHeld = 2 * readSize
+	// heldCopies is the number of copies of an event's data: its line, its data and the event.
+	heldCopies = 3
+)
 
 // ErrTooLarge reports an event that exceeds the limit of its Reader.
 var ErrTooLarge = errors.New("an event is too large")
 
 // Reader returns the events of a stream that have data.
 type Reader struct {
-	r       io.Reader
-	maxHeld int
-	scanner Scanner
-	events  []Event // scanned and not returned yet
-	buffer  []byte
-	err     error
+	// Reserve, if set, is called before more bytes are held of an unfinished event. They count until the
+	// Reader is no longer used. If it returns false, the event is too large.
+	Reserve func(n int) bool
+
+	r        io.Reader
+	maxHeld  int
+	reserved int
+	scanner  Scanner
+	events   []Event // scanned and not returned yet
+	buffer   []byte
+	err      error
 }
 
 // NewReader returns a reader of events of at most about maxEvent bytes of data.
 func NewReader(r io.Reader, maxEvent int) *Reader {
-	reader := &Reader{r: r, maxHeld: maxEvent, buffer: make([]byte, readSize)}
+	reader := &Reader{r: r, maxHeld: maxEvent, reserved: freeHeld, buffer: make([]byte, readSize)}
 	reader.scanner.OnEvent = func(e Event) { reader.events = append(reader.events, e) }
 	return reader
 }
@@ -44,7 +55,7 @@
 			r.err = io.ErrUnexpectedEOF
 		case err != nil:
 			r.err = err
-		case r.scanner.HeldData() > r.maxHeld:
+		case !r.reserve(r.scanner.HeldData()):
 			r.err = ErrTooLarge
 		}
 	}
@@ -52,3 +63,19 @@
 	r.events = r.events[1:]
 	return e, nil
 }
+
+// reserve reports whether so many bytes of an event may be held.
+func (r *Reader) reserve(held int) bool {
+	if held > r.maxHeld {
+		return false
+	}
+	if held <= r.reserved || r.Reserve == nil {
+		return true
+	}
+	size := min(max(held, 2*r.reserved), r.maxHeld)
+	if !r.Reserve(heldCopies * (size - r.reserved)) {
+		return false
+	}
+	r.reserved = size
+	return true
+}
--- a/services/dispatch/held.go
+++ b/services/dispatch/held.go
@@ -33,6 +33,8 @@
 	return h.holder.Reserve(n)
 }
 
+func (h *Held) reserveEvent(n int) bool { return h.Reserve(int64(n)) }
+
 // read reads an answer, in place of an earlier one of which nothing is used any more.
 func (h *Held) read(r io.Reader, limit int) (body []byte, more bool, err error) {
 	h.mu.Lock()
--- a/services/dispatch/pump.go
+++ b/services/dispatch/pump.go
@@ -118,7 +118,9 @@
 }
 
 func (p *pump) read(resp *http.Response) error {
-	reader := engine.NewEventReader(resp.Body, p.last)
+	held := p.st.s.Hold(p.st.j.requestID)
+	defer held.Release()
+	reader := engine.NewEventReader(resp.Body, p.last, held.reserveEvent)
 	for {
 		ev, err := reader.Next()
 		if err != nil {
--- a/services/dispatch/resume.go
+++ b/services/dispatch/resume.go
@@ -63,8 +63,10 @@
 				return true, nil
 			}
 		}
-		reader := engine.NewEventReader(resp.Body, last)
+		held := s.Hold(r.RequestID)
+		reader := engine.NewEventReader(resp.Body, last, held.reserveEvent)
 		last, err = copyEvents(reader, last, sink)
+		held.Release()
 		_ = resp.Body.Close()
 		if err == nil || !isEngineError(err) {
 			return true, nil
--- a/services/engine/sse.go
+++ b/services/engine/sse.go
@@ -50,9 +50,12 @@
 	last   int
 }
 
-// NewEventReader returns a reader that starts after the event at offset last.
-func NewEventReader(r io.Reader, last int) *EventReader {
-	return &EventReader{events: eventstream.NewReader(r, MaxEvent), last: last}
+// NewEventReader returns a reader that starts after the event at offset last. reserve is called before
+// more bytes of an unfinished event are held, and refuses the event if it returns false; it may be nil.
+func NewEventReader(r io.Reader, last int, reserve func(n int) bool) *EventReader {
+	events := eventstream.NewReader(r, MaxEvent)
+	events.Reserve = reserve
+	return &EventReader{events: events, last: last}
 }
 
 // Next returns the next event and skips repeated ones. If an event is missing or the stream ends
--- a/services/engine/sse_test.go
+++ b/services/engine/sse_test.go
@@ -10,7 +10,7 @@
 )
 
 func readAll(text string, last int) (ids []int, err error) {
-	r := NewEventReader(strings.NewReader(text), last)
+	r := NewEventReader(strings.NewReader(text), last, nil)
 	for {
 		ev, err := r.Next()
 		if err != nil {
