router: End connections of callers that read nothing

A caller of the routers' own interface that reads nothing and keeps its connection open blocks the write of its answer without end, beyond the request's deadline: the kernel probes a closed window for ever. What is held of the answer stays held, and a target that answers such callers takes what other requests need.

All listeners of a router are opened as the gateway's are now, for IPv6 too. A caller that takes a little now and then is not ended by this.

--- a/modules/netopt/netopt.go
+++ b/modules/netopt/netopt.go
@@ -49,8 +49,15 @@
 
 // Listen returns a TCP listener for connections that detect a dead peer.
 func Listen(address string) (net.Listener, error) {
+	return listen("tcp4", address)
+}
+
+// ListenAny is Listen for addresses of IPv4 or IPv6.
+func ListenAny(address string) (net.Listener, error) { return listen("tcp", address) }
+
+func listen(network, address string) (net.Listener, error) {
 	lc := net.ListenConfig{KeepAliveConfig: keepAliveConfig(), Control: setUserTimeout}
-	return lc.Listen(context.Background(), "tcp4", address)
+	return lc.Listen(context.Background(), network, address)
 }
 
 // DeadlineIn returns the deadline for a net.Conn that is d from now. Connection deadlines use
--- a/router/router.go
+++ b/router/router.go
@@ -31,6 +31,7 @@
 	"madderway/modules/clock"
 	"madderway/modules/ident"
 	"madderway/modules/log"
+	"madderway/modules/netopt"
 	"madderway/modules/peernet"
 	"madderway/modules/retryafter"
 	"madderway/modules/setting"
@@ -122,7 +123,7 @@
 func listen(addresses ...string) ([]net.Listener, error) {
 	var out []net.Listener
 	for _, a := range addresses {
-		l, err := net.Listen("tcp", a)
+		l, err := netopt.ListenAny(a)
 		if err != nil {
 			for _, open := range out {
 				_ = open.Close()
