relay: Do not serve the rest of a refused request

A gateway that takes requests over refuses one of more than 512 KiB, or one too many on a connection, and forgot it at once. The pieces that were still to come began a request of their own: what stood in the middle of a body was served as a request, for whomever it named, and unbounded numbers of such beginnings were taken. Gateways send no such requests, so that this needs a faulty one; nobody has reported it.

The number of a refused request is remembered until its last frame, and what comes for it is ignored. Over 4,096 of them close the connection.

--- a/services/relay/serve.go
+++ b/services/relay/serve.go
@@ -53,7 +53,7 @@
 func (s *Server) HandleRelay(peer string, conn net.Conn) {
 	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), peerKey{}, peer))
 	defer cancel()
-	c := &serverConn{s: s, ctx: ctx, conn: conn, requests: map[uint32]*incomingRequest{}}
+	c := &serverConn{s: s, ctx: ctx, conn: conn, requests: map[uint32]*incomingRequest{}, refused: map[uint32]bool{}}
 	defer conn.Close()
 	defer c.dropIncomplete()
 	buffer := make([]byte, readBufferSize)
@@ -82,6 +82,7 @@
 
 	mu       sync.Mutex
 	requests map[uint32]*incomingRequest
+	refused  map[uint32]bool // requests whose rest is ignored
 }
 
 // incomingRequest is a request that is being received or served.
@@ -106,6 +107,12 @@
 func (c *serverConn) request(number uint32, piece []byte, complete bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.refused[number] {
+		if complete {
+			delete(c.refused, number)
+		}
+		return
+	}
 	r := c.requests[number]
 	if r == nil {
 		r = &incomingRequest{}
@@ -114,9 +121,7 @@
 	}
 	r.raw = append(r.raw, piece...)
 	if r.cancel != nil || len(r.raw) > maxRequestSize || len(c.requests) > maxRequests {
-		delete(c.requests, number)
-		c.s.inFlight.Add(-1)
-		go c.sendControl(kindAborted, number)
+		c.refuse(number, complete)
 		return
 	}
 	if !complete {
@@ -127,6 +132,21 @@
 	go c.serve(ctx, number, r.raw)
 }
 
+// refuse drops a request; c.mu is held. A gateway that begins more requests than it may and ends none of
+// them loses its connection.
+func (c *serverConn) refuse(number uint32, complete bool) {
+	delete(c.requests, number)
+	c.s.inFlight.Add(-1)
+	go c.sendControl(kindAborted, number)
+	if complete {
+		return
+	}
+	if c.refused[number] = true; len(c.refused) > maxRequests {
+		c.s.log.Warn("Closed a connection with too many refused requests.", "peer", HandedOverBy(c.ctx), "refused", len(c.refused))
+		_ = c.conn.Close()
+	}
+}
+
 func (c *serverConn) cancelRequest(number uint32) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
