relay: Bound the requests being received together

A gateway takes requests over from others and collects the bytes of each, up to 512 KiB, until its last frame. 4,096 may be open on a connection: a faulty gateway that begins requests and ends none fills the memory of each it hands over to.

What is held of incomplete requests is reserved from a twentieth of the memory, shared between gateways; a request that does not fit is refused as one that is too long. A request that has come whole is no longer counted: its handler reserves its body or refuses it.

--- a/handlers/gateway/relay_test.go
+++ b/handlers/gateway/relay_test.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	peernet.NewRelayServer(&owner, log.New("far"), peernet.NewSharedKey("far", key), &peernet.Meter{}, l, nopHandler{}, relay.NewServer(log.New("far"), h))
+	peernet.NewRelayServer(&owner, log.New("far"), peernet.NewSharedKey("far", key), &peernet.Meter{}, l, nopHandler{}, relay.NewServer(log.New("far"), h, 4<<20))
 	s := relay.New(&owner, log.New("relay"), relay.Options{Auth: peernet.NewSharedKey("near", key), Meter: &peernet.Meter{}, Clock: clock.System{}, MaxBuffered: 8 << 20})
 	s.SetPeers([]relay.Peer{{ID: "far", Address: l.Addr().String(), Strength: 1}})
 	return s
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -66,6 +66,8 @@
 	answerShare = 0.1
 	// Share of the memory for responses of other gateways that are buffered for slow callers.
 	slowCallerShare = 0.05
+	// Share of the memory for requests of other gateways that are being received.
+	receivingShare = 0.05
 )
 
 // Gateway is a running gateway: a router in front of the targets that the platform lists.
@@ -124,7 +126,7 @@
 		return nil, err
 	}
 	g.assemble()
-	g.relayed = relay.NewServer(log.New("relay").With(s.ID), g.handler)
+	g.relayed = relay.NewServer(log.New("relay").With(s.ID), g.handler, saturate.Int64(receivingShare*float64(s.MemoryMB<<20)))
 	g.peers = peernet.NewRelayServer(&g.t, log.New("peer").With(s.ID), peernet.NewSharedKey(s.ID, s.PeerKey), g.meter, listeners[0], g.loop, g.relayed)
 	g.serve(listeners[1:])
 	probe, err := lateness.Start(&g.t, probeInterval, g.noteLateness)
--- a/services/relay/refused_test.go
+++ b/services/relay/refused_test.go
@@ -16,7 +16,7 @@
 // Guards against the rest of a request that is too long being served as a request of its own.
 func TestRestOfRefusedRequestIsNotServed(t *testing.T) {
 	served := make(chan string, 2)
-	s := NewServer(log.New("relay"), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { served <- r.URL.Path }))
+	s := NewServer(log.New("relay"), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { served <- r.URL.Path }), 8*maxRequestSize)
 	near, far := net.Pipe()
 	ended := make(chan struct{})
 	go func() {
@@ -38,7 +38,7 @@
 
 // Guards against a gateway that begins requests without end, each of which is refused and remembered.
 func TestConnectionOfEndlessRefusedRequestsIsClosed(t *testing.T) {
-	s := NewServer(log.New("relay"), http.NotFoundHandler())
+	s := NewServer(log.New("relay"), http.NotFoundHandler(), 8*maxRequestSize)
 	near, far := net.Pipe()
 	ended := make(chan struct{})
 	go func() {
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -65,7 +65,7 @@
 		Peer: Peer{ID: id, Incarnation: 1, Address: l.Addr().String(), Strength: 0.2}, t: &tomb.Tomb{},
 		blocked: make(chan struct{}, 8), release: make(chan struct{}),
 	}
-	peernet.NewRelayServer(f.t, log.New("far"), peernet.NewSharedKey(id, key), &peernet.Meter{}, l, f, NewServer(log.New("far"), f))
+	peernet.NewRelayServer(f.t, log.New("far"), peernet.NewSharedKey(id, key), &peernet.Meter{}, l, f, NewServer(log.New("far"), f, 8*maxRequestSize))
 	t.Cleanup(f.stop)
 	return f
 }
--- a/services/relay/serve.go
+++ b/services/relay/serve.go
@@ -17,6 +17,7 @@
 
 	"madderway/modules/log"
 	"madderway/modules/netopt"
+	"madderway/services/heldbytes"
 )
 
 const (
@@ -32,11 +33,15 @@
 type Server struct {
 	log      log.Logger
 	handler  http.Handler
-	inFlight atomic.Int64 // requests being received, served or answered
+	held     *heldbytes.Quota // of requests being received, shared between gateways
+	inFlight atomic.Int64     // requests being received, served or answered
 }
 
-// NewServer returns a server that passes requests to the handler.
-func NewServer(logger log.Logger, h http.Handler) *Server { return &Server{log: logger, handler: h} }
+// NewServer returns a server that passes requests to the handler. maxReceiving bounds the bytes of all
+// requests of which only a part has come.
+func NewServer(logger log.Logger, h http.Handler, maxReceiving int64) *Server {
+	return &Server{log: logger, handler: h, held: heldbytes.New(maxReceiving)}
+}
 
 // InFlight returns the number of requests of which a part has come and whose answers are not sent.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
@@ -88,6 +93,7 @@
 // incomingRequest is a request that is being received or served.
 type incomingRequest struct {
 	raw    []byte
+	held   heldbytes.Holder   // of raw, until the request is complete
 	cancel context.CancelFunc // nil until the request is complete
 }
 
@@ -115,23 +121,45 @@
 	}
 	r := c.requests[number]
 	if r == nil {
-		r = &incomingRequest{}
+		r = &incomingRequest{held: c.s.held.Holder(HandedOverBy(c.ctx))}
 		c.requests[number] = r
 		c.s.inFlight.Add(1)
 	}
-	r.raw = append(r.raw, piece...)
-	if r.cancel != nil || len(r.raw) > maxRequestSize || len(c.requests) > maxRequests {
+	if r.cancel != nil || len(c.requests) > maxRequests || !r.add(piece, complete) {
+		r.held.Release()
 		c.refuse(number, complete)
 		return
 	}
 	if !complete {
 		return
 	}
+	r.held.Release() // its handler bounds the bodies in flight
 	var ctx context.Context
 	ctx, r.cancel = context.WithCancel(c.ctx)
 	go c.serve(ctx, number, r.raw)
 }
 
+// add appends a piece of the request. It returns false if the request is too long, or if too many bytes of
+// requests are being received.
+func (r *incomingRequest) add(piece []byte, complete bool) bool {
+	need := len(r.raw) + len(piece)
+	if need > maxRequestSize {
+		return false
+	}
+	if need > cap(r.raw) {
+		size, before := max(need, min(2*cap(r.raw), maxRequestSize)), cap(r.raw)
+		if complete {
+			size = need
+		} else if !r.held.Reserve(int64(size)) {
+			return false
+		}
+		r.raw = append(make([]byte, 0, size), r.raw...)
+		r.held.GiveBack(int64(before))
+	}
+	r.raw = append(r.raw, piece...)
+	return true
+}
+
 // refuse drops a request; c.mu is held. A gateway that begins more requests than it may and ends none of
 // them loses its connection.
 func (c *serverConn) refuse(number uint32, complete bool) {
@@ -171,6 +199,7 @@
 	defer c.mu.Unlock()
 	for number, r := range c.requests {
 		if r.cancel == nil {
+			r.held.Release()
 			delete(c.requests, number)
 			c.s.inFlight.Add(-1)
 		}
--- a/services/relay/serve_test.go
+++ b/services/relay/serve_test.go
@@ -29,7 +29,7 @@
 	s := NewServer(log.New("relay"), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "answer")
 		close(served)
-	}))
+	}), maxRequestSize)
 	near, far := net.Pipe()
 	ended := make(chan struct{})
 	go func() {
