relay: Send long writes of answers in pieces

An answer to a request that another gateway handed over was copied whole, twice, before it was sent: the 256 KiB that are held of a plain answer took another 512 KiB while the frames of all others on the connection were sent first. These copies are outside the bound on held answers.

Evidence, TestLongWriteIsSentInPieces on the code as it was:

262223 bytes in frames of up to 262209, want 32768 and some more

A write is cut into frames of 32 KiB, as it would be if the handler had written less at a time.

Measured: services/relay and handlers/gateway pass with -race.

--- a/services/relay/serve.go
+++ b/services/relay/serve.go
@@ -280,13 +280,16 @@
 // Write implements http.ResponseWriter.
 func (w *responseWriter) Write(b []byte) (int, error) {
 	w.WriteHeader(http.StatusOK)
-	if w.err != nil {
-		return 0, w.err
-	}
-	if w.body = append(w.body, b...); len(w.body) >= flushSize {
-		w.Flush()
+	written := 0
+	for written < len(b) && w.err == nil {
+		n := min(len(b)-written, flushSize-len(w.body))
+		w.body = append(w.body, b[written:written+n]...)
+		written += n
+		if len(w.body) >= flushSize {
+			w.Flush()
+		}
 	}
-	return len(b), w.err
+	return written, w.err
 }
 
 // Flush implements http.Flusher.
--- a/services/relay/serve_test.go
+++ b/services/relay/serve_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
+	"time"
 
 	"madderway/modules/log"
 )
@@ -56,3 +58,36 @@
 		t.Errorf("the connection has ended: got %d in flight, want 0", got)
 	}
 }
+
+// frameSizes is a connection that records the sizes of the frames written to it.
+type frameSizes struct {
+	net.Conn
+	largest int
+	total   int
+}
+
+func (c *frameSizes) Write(b []byte) (int, error) {
+	c.largest, c.total = max(c.largest, len(b)), c.total+len(b)
+	return len(b), nil
+}
+
+func (c *frameSizes) SetWriteDeadline(time.Time) error { return nil }
+
+// Guards against copies of whole answers, of which many wait for one connection.
+func TestLongWriteIsSentInPieces(t *testing.T) {
+	const (
+		size     = 256 << 10
+		overhead = 64 // bytes of the frame's and the chunk's framing
+	)
+	for name, header := range map[string]http.Header{"chunks": {}, "length": {"Content-Length": {strconv.Itoa(size)}}} {
+		conn := &frameSizes{}
+		w := &responseWriter{conn: &serverConn{conn: conn}, header: header}
+		if n, err := w.Write(make([]byte, size)); n != size || err != nil {
+			t.Errorf("%s: %d bytes were written, error %v", name, n, err)
+		}
+		w.finish()
+		if conn.total < size || conn.largest > flushSize+overhead+len("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") {
+			t.Errorf("%s: %d bytes in frames of up to %d, want %d and some more", name, conn.total, conn.largest, flushSize)
+		}
+	}
+}
