--- a/services/upstream/endlessbody_test.go
+++ b/services/upstream/endlessbody_test.go
@@ -4,8 +4,10 @@
 package upstream
 
 import (
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -141,3 +143,26 @@
 		})
 	}
 }
+
+// Guards against an answer without end that is read beyond the deadline of its request.
+func TestEndlessAnswerEndsAtDeadline(t *testing.T) {
+	for _, c := range []struct{ place, begin, piece string }{
+		{"length", longHead, "x"},
+		{"chunks", chunkedHead, "4\r\nabcd\r\n"},
+		{"close", unframedHead, "x"},
+	} {
+		t.Run(c.place, func(t *testing.T) {
+			target := endlessTarget(t, c.begin, c.piece)
+			request := plainRequest()
+			request.Deadline = time.Now().Add(100 * time.Millisecond)
+			a, err := NewClient(NewPool(time.Minute, 2, &netopt.Traffic{}), plainDialect{}, nil).Send(t.Context(), target, request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer a.Close()
+			if _, err := io.Copy(io.Discard, a.Body); !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("got error %v, want that of the deadline", err)
+			}
+		})
+	}
+}
