--- a/services/relay/heldrequests_test.go
+++ b/services/relay/heldrequests_test.go
@@ -8,26 +8,11 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 
 	"madderway/modules/log"
 )
 
-// countingWriter is a connection that counts frames by kind.
-type countingWriter struct {
-	net.Conn
-	mu     sync.Mutex
-	frames map[kind]int
-}
-
-func (c *countingWriter) Write(b []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.frames[kind(b[0])]++
-	return len(b), nil
-}
-
 // Guards against a gateway that begins requests without end: each was held up to a bound of its own, all
 // together up to 2 GB for each gateway.
 func TestRequestsBeingReceivedAreBoundedTogether(t *testing.T) {
