router: Test that endless answers end and others are served

The laboratory's workers ended answers early or paused; none went on for ever. They do now, in a head or in a body of each framing.

--- a/lab/platform/framing.go
+++ b/lab/platform/framing.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 )
 
 // Framing is the way in which a worker's answers mark the end of their body.
@@ -33,6 +34,16 @@
 	BreakByCrash              // the worker crashes; its connections are closed in order
 	BreakByHalfClose          // the worker writes no more and goes on reading
 	BreakByFinish             // the framing says that the answer is complete
+	EndlessHead               // header lines come until the connection is closed
+	EndlessBody               // bytes that end no line come until the connection is closed
+)
+
+// A worker whose answers are endless sends endlessPiece bytes at a time, with pauses.
+const (
+	endlessPiece    = 1 << 10
+	endlessInterval = time.Millisecond
+	// endlessLength is announced for an endless body.
+	endlessLength = 1 << 40
 )
 
 // Answers describes how a worker frames its answers and ends them.
@@ -84,8 +95,15 @@
 	if a.HeadBytes > 0 {
 		text = text[:min(a.HeadBytes, len(text))]
 	}
+	if a.BreakOff == EndlessHead {
+		text = head
+	}
 	_, _ = io.WriteString(conn, text)
 	switch a.BreakOff {
+	case EndlessHead:
+		writeEndless(conn, "A: b\r\n")
+	case EndlessBody:
+		writeEndless(conn, "x")
 	case BreakByHalfClose:
 		_ = conn.(*net.TCPConn).CloseWrite()
 		_, _ = io.Copy(io.Discard, conn)
@@ -99,18 +117,35 @@
 	}
 }
 
+// writeEndless repeats a text until the connection is closed.
+func writeEndless(conn net.Conn, text string) {
+	piece := []byte(strings.Repeat(text, endlessPiece/len(text)))
+	for {
+		if _, err := conn.Write(piece); err != nil {
+			return
+		}
+		time.Sleep(endlessInterval)
+	}
+}
+
 // frame returns the header's last fields and the framed body.
 func (a Answers) frame(body string, whole bool) string {
 	const missing = 10 // bytes that a body that is not whole lacks of its length
 	switch a.Framing {
 	case LengthFraming:
 		length := len(body)
-		if !whole {
+		switch {
+		case a.BreakOff == EndlessBody:
+			length = endlessLength
+		case !whole:
 			length += missing
 		}
 		return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", length, body)
 	case ChunkFraming:
 		text := "Transfer-Encoding: chunked\r\n\r\n"
+		if a.BreakOff == EndlessBody {
+			return text + fmt.Sprintf("%x\r\n%s", endlessLength, body)
+		}
 		if body != "" {
 			text += fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
 		}
