peernet: Bound the messages being received together

A message of a peer may have 8 MB, and was given that much memory as soon as it announced it; a connection may have 1,000 streams. A faulty router or gateway that sends messages without their ends fills the memory of each of its peers.

Evidence, TestUnfinishedMessagesAreBoundedTogether on the code as it was:

24 messages of a peer hold 195 MB, want 32 MB at most

Messages over 64 KB are counted before they are given memory: 8 MB of a peer, 32 MB of all. One that does not fit resets its stream, so that its sender does not wait for it to be read, and is logged. Frames hold state that is sent again. A first form closed the stream instead, and the test's writers waited for good.

Measured: a large message of another peer arrives meanwhile; modules/peernet passes with -race, the new test three times.

--- a/modules/peernet/server.go
+++ b/modules/peernet/server.go
@@ -42,14 +42,15 @@
 
 // Server accepts and serves connections of peers.
 type Server struct {
-	t        *tomb.Tomb
-	log      log.Logger
-	auth     *Auth
-	meter    *Meter
-	handler  Handler
-	relay    RelayHandler // nil to close such connections
-	listener net.Listener
-	slots    chan struct{}
+	t         *tomb.Tomb
+	log       log.Logger
+	auth      *Auth
+	meter     *Meter
+	handler   Handler
+	relay     RelayHandler // nil to close such connections
+	listener  net.Listener
+	slots     chan struct{}
+	receiving receiving
 
 	mu           sync.Mutex
 	conns        map[net.Conn]string // value: peer ID, "" before the handshake
@@ -69,7 +70,7 @@
 func NewRelayServer(t *tomb.Tomb, logger log.Logger, auth *Auth, meter *Meter, l net.Listener, h Handler, relay RelayHandler) *Server {
 	s := &Server{
 		t: t, log: logger, auth: auth, meter: meter, handler: h, relay: relay, listener: l,
-		slots: make(chan struct{}, maxConnections), conns: map[net.Conn]string{}, blocked: map[string]bool{},
+		slots: make(chan struct{}, maxConnections), receiving: receiving{peers: map[string]int{}}, conns: map[net.Conn]string{}, blocked: map[string]bool{},
 		turnedAwayLog: log.NewRateLimiter(turnedAwayLogInterval, 1),
 	}
 	t.Go(s.accept)
@@ -229,23 +230,28 @@
 	}
 	switch kind {
 	case streamFrames:
-		s.readFrames(peer, r)
+		if err := s.readFrames(peer, r); errors.Is(err, errTooManyReceiving) {
+			resetStream(stream)
+		}
 	case streamCall:
 		_ = stream.SetDeadline(netopt.DeadlineIn(callTimeout))
 		call := &wire.Call{}
-		if readMessage(r, call) == nil {
+		switch err := s.readMessage(peer, r, call); {
+		case err == nil:
 			_ = writeMessage(stream, s.handler.HandleCall(peer, call))
+		case errors.Is(err, errTooManyReceiving):
+			resetStream(stream)
 		}
 	default:
 		s.log.Warn("Dropped stream of unknown kind.", "peer", peer, "kind", kind)
 	}
 }
 
-func (s *Server) readFrames(peer string, r *bufio.Reader) {
+func (s *Server) readFrames(peer string, r *bufio.Reader) error {
 	for {
 		f := &wire.Frame{}
-		if err := readMessage(r, f); err != nil {
-			return
+		if err := s.readMessage(peer, r, f); err != nil {
+			return err
 		}
 		s.handler.HandleFrame(peer, f)
 	}
