--- a/router/gateway.go
+++ b/router/gateway.go
@@ -58,16 +58,6 @@
 	// Limit on the records of full syncs, 1.6 MB a second: hundreds of gateways join within a few
 	// seconds, and each passes on what it has learned.
 	maxSyncRecordsPerSecond = 20_000
-	// Share of the memory that the runtime aims to stay under.
-	memoryShare = 0.6
-	// Share of the memory for the bodies of requests in flight.
-	bodyShare = 0.25
-	// Share of the memory for answers that are held before they are forwarded.
-	answerShare = 0.1
-	// Share of the memory for responses of other gateways that are buffered for slow callers.
-	slowCallerShare = 0.05
-	// Share of the memory for requests of other gateways that are being received.
-	receivingShare = 0.05
 )
 
 // Gateway is a running gateway: a router in front of the targets that the platform lists.
@@ -106,7 +96,7 @@
 
 // StartGateway builds a gateway and starts it.
 func StartGateway(s *setting.Gateway) (*Gateway, error) {
-	debug.SetMemoryLimit(saturate.Int64(memoryShare * float64(s.MemoryMB<<20)))
+	debug.SetMemoryLimit(memoryPart(s, memoryShare))
 	g := &Gateway{
 		collector: collector.Start(int64(s.MemoryMB) << 20),
 		clock:     clock.System{}, log: log.New("gateway").With(s.ID), meter: &peernet.Meter{}, relayMeter: &peernet.Meter{}, traffic: &netopt.Traffic{},
@@ -126,7 +116,7 @@
 		return nil, err
 	}
 	g.assemble()
-	g.relayed = relay.NewServer(log.New("relay").With(s.ID), g.handler, saturate.Int64(receivingShare*float64(s.MemoryMB<<20)))
+	g.relayed = relay.NewServer(log.New("relay").With(s.ID), g.handler, memoryPart(s, receivingShare))
 	g.peers = peernet.NewRelayServer(&g.t, log.New("peer").With(s.ID), peernet.NewSharedKey(s.ID, s.PeerKey), g.meter, listeners[0], g.loop, g.relayed)
 	g.serve(listeners[1:])
 	probe, err := lateness.Start(&g.t, probeInterval, g.noteLateness)
@@ -187,7 +177,7 @@
 		SharePart: func(n core.PartNews) { g.loop.SharePartNews(n) },
 	})
 	client := upstream.NewClient(g.pool, platform.Dialect{}, g.notices.Answered)
-	g.relay = relay.New(&g.t, log.New("relay").With(s.ID), relay.Options{Auth: auth, Meter: g.relayMeter, Clock: g.clock, MaxBuffered: saturate.Int64(slowCallerShare * float64(s.MemoryMB<<20))})
+	g.relay = relay.New(&g.t, log.New("relay").With(s.ID), relay.Options{Auth: auth, Meter: g.relayMeter, Clock: g.clock, MaxBuffered: memoryPart(s, slowCallerShare)})
 	g.loop = mesh.NewLoop(&g.t, log.New("mesh").With(s.ID), mesh.Options{
 		Self: g.self, Seeds: s.Seeds, Clock: g.clock, Auth: auth, Meter: g.meter, Member: members, Follow: g.follow, Quarantine: g.quarantine, Notices: g.notices, Origins: g.origins,
 		FetchCachedParts: client.CachedParts, FairWindow: s.FairWindow.Duration, Scheduling: schedulingOf(s), OnMembers: g.setRelayPeers, OnIncarnationEnd: g.relay.Disconnect,
@@ -208,14 +198,14 @@
 	g.guard = guard
 	g.forward = forward.New(log.New("forward").With(s.ID), forward.Options{
 		DataHall: s.DataHall, Clock: g.clock, Targets: g.follow, Mesh: g.loop, Client: client,
-		Guard: guard, Retry: retryBudget(s), Quarantine: g.quarantine, Notices: g.notices, Origins: g.origins, MaxHeldAnswerBytes: saturate.Int64(answerShare * float64(s.MemoryMB<<20)),
+		Guard: guard, Retry: retryBudget(s), Quarantine: g.quarantine, Notices: g.notices, Origins: g.origins, MaxHeldAnswerBytes: memoryPart(s, answerShare),
 		Scheduling: schedulingOf(s), PlainByRecent: s.Scheduling.PlainByRecent,
 		Connections:       func() (int, uint64) { return g.callers.Open(), g.callers.TurnedAway() },
 		TargetConnections: g.pool.LogValues,
 	})
 	g.handler = gateway.New(gateway.Options{
 		Clock: g.clock, Dialect: platform.Dialect{}, Follow: g.follow, Forward: g.forward,
-		MaxTotalBodyBytes: saturate.Int64(bodyShare * float64(s.MemoryMB<<20)), Resyncing: g.resyncing,
+		MaxTotalBodyBytes: memoryPart(s, bodyShare), Resyncing: g.resyncing,
 	})
 }
 
--- a/services/forward/stream.go
+++ b/services/forward/stream.go
@@ -85,9 +85,8 @@
 func (b *streamBody) hold(p []byte) {
 	need := len(b.incomplete) + len(p)
 	if need > cap(b.incomplete) {
-		size := need
+		size := max(need, min(eventGrowth*cap(b.incomplete), maxHeldEvent))
 		if size > freeHeldBytes {
-			size = max(need, min(eventGrowth*cap(b.incomplete), maxHeldEvent))
 			if b.tooLarge = !b.held.Reserve(int64(size)); b.tooLarge {
 				return
 			}
