dispatch: Bound the events kept of all requests together

The events of each streamed answer are kept, in case its caller comes back, up to its account's limit; nothing bounded those of all requests. Answers that waited for the object store, up to 256 and those being written for two minutes, were not counted either. Targets whose events never end fill a router's memory so.

Kept events are reserved from the quota of all answers until the answer is stored. What does not fit is not kept at all; the stream itself goes on.

Measured: services/dispatch and services/answer pass twice with -race, lab/fleet once without.

--- a/services/answer/keep.go
+++ b/services/answer/keep.go
@@ -42,6 +42,7 @@
 type writeJob struct {
 	account conf.ClientAccount
 	answer  StoredAnswer
+	done    func()
 }
 
 // Options are the dependencies and settings of a Store.
@@ -77,9 +78,9 @@
 	return objectPrefix + hex.EncodeToString(sum[:8]) + "/"
 }
 
-// Enqueue queues an answer to be written. It returns false if the answer is too large or the
-// queue is full.
-func (s *Store) Enqueue(account conf.ClientAccount, requestID, contentType string, events []string) bool {
+// Enqueue queues an answer to be written, and calls done once it is written or given up. It returns false
+// if the answer is too large or the queue is full; done is not called then.
+func (s *Store) Enqueue(account conf.ClientAccount, requestID, contentType string, events []string, done func()) bool {
 	size := int64(0)
 	for _, e := range events {
 		size += int64(len(e))
@@ -91,7 +92,7 @@
 	return s.jobs.TryPut(writeJob{account, StoredAnswer{
 		RequestID: requestID, Account: account.Name, ContentType: contentType,
 		Events: events, At: now, Expires: now.Add(s.opts.Retention),
-	}})
+	}, done})
 }
 
 func (s *Store) run() error {
@@ -110,6 +111,7 @@
 
 // write writes an answer, with a bounded number of retries.
 func (s *Store) write(job writeJob) {
+	defer job.done()
 	content, err := json.Marshal(job.answer)
 	if err != nil {
 		s.log.Error(err, "Failed to encode an answer.", "request", job.answer.RequestID)
--- a/services/dispatch/chat.go
+++ b/services/dispatch/chat.go
@@ -50,7 +50,8 @@
 	s.countFirstAttempt(j)
 	s.startQuarantineAttempt(j, c.Body)
 	defer j.quarantineAttempt.End()
-	st := &stream{s: s, j: j, chat: c, sink: sink, caller: ctx}
+	st := &stream{s: s, j: j, chat: c, sink: sink, caller: ctx, kept: s.Hold(c.RequestID + "/kept")}
+	defer st.kept.Release()
 	err = st.run()
 	s.counters.done(outcomeLabel(err))
 	s.opts.Trace.Add(c.RequestID, c.Account.Name, "outcome", "%s", outcomeText(err))
@@ -116,6 +117,8 @@
 	events             []string // data of the current attempt's events
 	bytes              int64    // of them
 	tooLong            bool     // they are over the limit of kept responses
+	kept               *Held    // of the events, until they are stored
+	reserved           int64    // bytes of kept
 	callerDisconnected bool
 	outputs            int
 	prompt             float64
@@ -181,7 +184,8 @@
 		fin.Cost = st.cost()
 		s.opts.Loop.Finish(fin)
 	}()
-	st.events, st.outputs, st.usage, st.bytes, st.tooLong = nil, 0, nil, 0, false
+	st.outputs, st.usage = 0, nil
+	st.dropKept(false)
 	streamID := fmt.Sprintf("%s.%d", j.requestID, st.attempt)
 	started := st.s.opts.Clock.Now()
 	resp, err := s.opts.Engine.StartStream(ctx, target.Address, target.Name, st.header(streamID), st.chat.Body)
@@ -256,7 +260,11 @@
 	if !st.callerDisconnected {
 		return
 	}
-	kept := !st.tooLong && st.s.opts.Answers.Enqueue(*st.j.account, st.j.requestID, "text/event-stream", st.events)
+	st.kept.retain()
+	kept := !st.tooLong && st.s.opts.Answers.Enqueue(*st.j.account, st.j.requestID, "text/event-stream", st.events, st.kept.Release)
+	if !kept {
+		st.kept.Release()
+	}
 	st.s.opts.Trace.Add(st.j.requestID, st.j.account.Name, "keep", "caller gone, answer of %d events kept: %t, too long: %t", len(st.events), kept, st.tooLong)
 }
 
--- a/services/dispatch/pump.go
+++ b/services/dispatch/pump.go
@@ -149,23 +149,6 @@
 	}
 }
 
-// eventOverhead is the number of bytes that a kept event takes besides its data.
-const eventOverhead = 16
-
-// keep records the data of an event, in case the caller comes back for the response. A response that is
-// over the account's limit is not kept at all: with events missing it would look complete.
-func (st *stream) keep(ev engine.Event) {
-	limit := st.j.account.KeepBytes
-	switch {
-	case st.tooLong || st.j.account.KeepAnswers == 0:
-	case st.bytes+int64(len(ev.Data)) > limit, int64(len(st.events)+1)*eventOverhead > limit:
-		st.events, st.bytes, st.tooLong = nil, 0, true
-	default:
-		st.events = append(st.events, ev.Data)
-		st.bytes += int64(len(ev.Data))
-	}
-}
-
 // answerSettleTime is the time for which a target must go on after its first event until the stream
 // shows that the target survives the request.
 const answerSettleTime = 150 * time.Millisecond
