--- a/handlers/gateway/relay_test.go
+++ b/handlers/gateway/relay_test.go
@@ -45,8 +45,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	peernet.NewRelayServer(&owner, log.New("far"), peernet.NewSharedKey("far", key), &peernet.Meter{}, l, nopHandler{}, relay.NewServer(log.New("far"), h, version))
-	s := relay.New(&owner, log.New("relay"), relay.Options{Auth: peernet.NewSharedKey("near", key), Meter: &peernet.Meter{}, Clock: clock.System{}, Version: version})
+	peernet.NewRelayServer(&owner, log.New("far"), peernet.NewSharedKey("far", key), &peernet.Meter{}, l, nopHandler{}, relay.NewServer(log.New("far"), h, 4<<20, version))
+	s := relay.New(&owner, log.New("relay"), relay.Options{Auth: peernet.NewSharedKey("near", key), Meter: &peernet.Meter{}, Clock: clock.System{}, Version: version, MaxBuffered: 8 << 20})
 	s.SetPeers([]relay.Peer{{ID: "far", Address: l.Addr().String(), Strength: 1}})
 	return s
 }
--- a/services/dispatch/pump.go
+++ b/services/dispatch/pump.go
@@ -118,7 +118,9 @@
 }
 
 func (p *pump) read(resp *http.Response) error {
-	reader := engine.NewEventReader(resp.Body, p.last)
+	held := p.st.s.Hold(p.st.j.requestID)
+	defer held.Release()
+	reader := engine.NewEventReader(resp.Body, p.last, held.reserveEvent)
 	for {
 		ev, err := reader.Next()
 		if err != nil {
@@ -132,8 +134,7 @@
 	}
 }
 
-// handle accounts for an event and forwards it. It stores the data up to the limit of kept
-// responses.
+// handle accounts for an event, keeps and forwards it.
 func (p *pump) handle(ev engine.Event) {
 	st := p.st
 	st.s.counters.tokens.Inc()
@@ -142,10 +143,7 @@
 		p.answered = true
 		st.j.quarantineAttempt.Answered()
 	}
-	if limit := st.j.account.KeepBytes; st.bytes+int64(len(ev.Data)) <= limit {
-		st.events = append(st.events, ev.Data)
-		st.bytes += int64(len(ev.Data))
-	}
+	st.keep(ev)
 	if !st.callerDisconnected && st.sink.Event(ev) != nil {
 		p.setCallerDisconnected()
 	}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -27,6 +27,7 @@
 	"madderway/models/routing"
 	"madderway/modules/clock"
 	"madderway/modules/log"
+	"madderway/services/heldbytes"
 	"madderway/services/mesh"
 	"madderway/services/notice"
 	"madderway/services/origin"
@@ -61,6 +62,8 @@
 	Client   *upstream.Client
 	Guard    *Guard
 	Retry    RetryBudget
+	// MaxHeldAnswerBytes bounds what is held of all answers before it is forwarded.
+	MaxHeldAnswerBytes int64
 	// Scheduling selects how each service is scheduled under hard load.
 	Scheduling cell.Scheduling
 	// PlainByRecent places requests at plain targets by their last responses, while a service of the
@@ -93,13 +96,15 @@
 
 	plainByRecent atomic.Bool // opts.PlainByRecent applies to the current configuration
 
+	answers *heldbytes.Quota // held before they are forwarded
+
 	counters counters
 	outcomes outcomeCounts
 	inFlight atomic.Int64 // requests to engines
 }
 
 func New(logger log.Logger, o Options) *Service {
-	return &Service{log: logger, opts: o, started: o.Clock.Now(), balancer: balance.New(o.DataHall, rand.Float64), windows: map[string]*budget.Window{}, throttle: throttle.New(), counters: newCounters()}
+	return &Service{log: logger, opts: o, started: o.Clock.Now(), balancer: balance.New(o.DataHall, rand.Float64), windows: map[string]*budget.Window{}, throttle: throttle.New(), answers: heldbytes.New(o.MaxHeldAnswerBytes), counters: newCounters()}
 }
 
 // Request is an authenticated request of a caller.
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -13,6 +13,7 @@
 	"madderway/core/attempt"
 	"madderway/models/result"
 	"madderway/models/routing"
+	"madderway/services/heldbytes"
 	"madderway/services/mesh"
 	"madderway/services/notice"
 	"madderway/services/origin"
@@ -59,8 +60,9 @@
 	framing             string // of the last answer whose body was read
 	ending              ending // how that body ended
 	binding             binding
-	sent                origin.Attempt // the last attempt, which may begin the stream
-	sentStored          bool           // its record goes to the store
+	sent                origin.Attempt   // the last attempt, which may begin the stream
+	sentStored          bool             // its record goes to the store
+	held                heldbytes.Holder // of the current target's answer
 	headOut             bool
 	takeFromRetryBudget func() bool
 	retryReserved       atomic.Bool   // a retry was taken before the attempt was cut
@@ -87,6 +89,7 @@
 
 func (j *job) run() error {
 	defer j.quarantineAttempt.End()
+	defer j.releaseAnswer()
 	if j.r.Route.Stream && j.r.Call.Resuming {
 		if err := j.bind(); err != nil {
 			return j.placementError(err)
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -23,6 +23,7 @@
 	"madderway/modules/clock"
 	"madderway/modules/log"
 	"madderway/modules/peernet"
+	"madderway/services/heldbytes"
 )
 
 const (
@@ -61,6 +62,8 @@
 	Version func() uint64
 	// OnNewerVersion is called when a gateway announces a newer configuration than before; optional.
 	OnNewerVersion func(peer string, version uint64)
+	// MaxBuffered bounds the bytes of all responses that are buffered for callers that read slowly.
+	MaxBuffered int64
 }
 
 // Service hands requests over to other gateways.
@@ -69,6 +72,8 @@
 	log  log.Logger
 	opts Options
 
+	buffers *heldbytes.Quota // for callers that read slowly
+
 	mu      sync.Mutex
 	chooser *relay.Chooser
 	peers   map[string]*peer
@@ -84,7 +89,7 @@
 
 // New returns a service without peers. It closes its connections when the tomb dies.
 func New(t *tomb.Tomb, logger log.Logger, o Options) *Service {
-	s := &Service{t: t, log: logger, opts: o, chooser: relay.New(), peers: map[string]*peer{}}
+	s := &Service{t: t, log: logger, opts: o, buffers: heldbytes.New(o.MaxBuffered), chooser: relay.New(), peers: map[string]*peer{}}
 	t.Go(func() error {
 		<-t.Dying()
 		s.mu.Lock()
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -68,7 +68,7 @@
 		Peer: Peer{ID: id, Incarnation: 1, Address: l.Addr().String(), Strength: 0.2}, t: &tomb.Tomb{},
 		blocked: make(chan struct{}, 8), release: make(chan struct{}),
 	}
-	f.server = NewServer(log.New("far"), f, f.version.Load)
+	f.server = NewServer(log.New("far"), f, 8*maxRequestSize, f.version.Load)
 	peernet.NewRelayServer(f.t, log.New("far"), peernet.NewSharedKey(id, key), &peernet.Meter{}, l, f, f.server)
 	t.Cleanup(f.stop)
 	return f
@@ -79,10 +79,13 @@
 	_ = f.t.Wait()
 }
 
+// noVersion is the version of a gateway without a configuration.
+func noVersion() uint64 { return 0 }
+
 func newService(t *testing.T, key string, c clock.Clock) *Service {
 	t.Helper()
 	var owner tomb.Tomb
-	s := New(&owner, log.New("relay"), Options{Auth: peernet.NewSharedKey("near", key), Meter: &peernet.Meter{}, Clock: c, Version: func() uint64 { return 0 }})
+	s := New(&owner, log.New("relay"), Options{Auth: peernet.NewSharedKey("near", key), Meter: &peernet.Meter{}, Clock: c, Version: noVersion, MaxBuffered: 8 * maxBuffered})
 	t.Cleanup(func() {
 		owner.Kill(nil)
 		_ = owner.Wait()
--- a/services/relay/serve.go
+++ b/services/relay/serve.go
@@ -17,6 +17,7 @@
 
 	"madderway/modules/log"
 	"madderway/modules/netopt"
+	"madderway/services/heldbytes"
 )
 
 const (
@@ -32,6 +33,7 @@
 type Server struct {
 	log      log.Logger
 	handler  http.Handler
+	held     *heldbytes.Quota // of requests being received, shared between gateways
 	version  func() uint64
 	inFlight atomic.Int64 // requests being received, served or answered
 
@@ -40,10 +42,11 @@
 	announced uint64 // version of the last announcement
 }
 
-// NewServer returns a server that passes requests to the handler. version returns the version of the
-// configuration by which the handler serves, 0 if there is none.
-func NewServer(logger log.Logger, h http.Handler, version func() uint64) *Server {
-	return &Server{log: logger, handler: h, version: version, conns: map[*serverConn]bool{}}
+// NewServer returns a server that passes requests to the handler. maxReceiving bounds the bytes of all
+// requests of which only a part has come. version returns the version of the configuration by which the
+// handler serves, 0 if there is none.
+func NewServer(logger log.Logger, h http.Handler, maxReceiving int64, version func() uint64) *Server {
+	return &Server{log: logger, handler: h, held: heldbytes.New(maxReceiving), version: version, conns: map[*serverConn]bool{}}
 }
 
 // InFlight returns the number of requests of which a part has come and whose answers are not sent.
@@ -61,7 +64,7 @@
 func (s *Server) HandleRelay(peer string, conn net.Conn) {
 	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), peerKey{}, peer))
 	defer cancel()
-	c := &serverConn{s: s, ctx: ctx, conn: conn, requests: map[uint32]*incomingRequest{}}
+	c := &serverConn{s: s, ctx: ctx, conn: conn, requests: map[uint32]*incomingRequest{}, refused: map[uint32]bool{}}
 	defer conn.Close()
 	defer c.dropIncomplete()
 	s.addConn(c)
@@ -93,11 +96,13 @@
 
 	mu       sync.Mutex
 	requests map[uint32]*incomingRequest
+	refused  map[uint32]bool // requests whose rest is ignored
 }
 
 // incomingRequest is a request that is being received or served.
 type incomingRequest struct {
 	raw    []byte
+	held   heldbytes.Holder   // of raw, until the request is complete
 	cancel context.CancelFunc // nil until the request is complete
 }
 
@@ -117,27 +122,68 @@
 func (c *serverConn) request(number uint32, piece []byte, complete bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.refused[number] {
+		if complete {
+			delete(c.refused, number)
+		}
+		return
+	}
 	r := c.requests[number]
 	if r == nil {
-		r = &incomingRequest{}
+		r = &incomingRequest{held: c.s.held.Holder(HandedOverBy(c.ctx))}
 		c.requests[number] = r
 		c.s.inFlight.Add(1)
 	}
-	r.raw = append(r.raw, piece...)
-	if r.cancel != nil || len(r.raw) > maxRequestSize || len(c.requests) > maxRequests {
-		delete(c.requests, number)
-		c.s.inFlight.Add(-1)
-		go c.sendControl(kindAborted, number)
+	if r.cancel != nil || len(c.requests) > maxRequests || !r.add(piece, complete) {
+		r.held.Release()
+		c.refuse(number, complete)
 		return
 	}
 	if !complete {
 		return
 	}
+	r.held.Release() // its handler bounds the bodies in flight
 	var ctx context.Context
 	ctx, r.cancel = context.WithCancel(c.ctx)
 	go c.serve(ctx, number, r.raw)
 }
 
+// add appends a piece of the request. It returns false if the request is too long, or if too many bytes of
+// requests are being received.
+func (r *incomingRequest) add(piece []byte, complete bool) bool {
+	need := len(r.raw) + len(piece)
+	if need > maxRequestSize {
+		return false
+	}
+	if need > cap(r.raw) {
+		size, before := max(need, min(2*cap(r.raw), maxRequestSize)), cap(r.raw)
+		if complete {
+			size = need
+		} else if !r.held.Reserve(int64(size)) {
+			return false
+		}
+		r.raw = append(make([]byte, 0, size), r.raw...)
+		r.held.GiveBack(int64(before))
+	}
+	r.raw = append(r.raw, piece...)
+	return true
+}
+
+// refuse drops a request; c.mu is held. A gateway that begins more requests than it may and ends none of
+// them loses its connection.
+func (c *serverConn) refuse(number uint32, complete bool) {
+	delete(c.requests, number)
+	c.s.inFlight.Add(-1)
+	go c.sendControl(kindAborted, number)
+	if complete {
+		return
+	}
+	if c.refused[number] = true; len(c.refused) > maxRequests {
+		c.s.log.Warn("Closed a connection with too many refused requests.", "peer", HandedOverBy(c.ctx), "refused", len(c.refused))
+		_ = c.conn.Close()
+	}
+}
+
 func (c *serverConn) cancelRequest(number uint32) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -162,6 +208,7 @@
 	defer c.mu.Unlock()
 	for number, r := range c.requests {
 		if r.cancel == nil {
+			r.held.Release()
 			delete(c.requests, number)
 			c.s.inFlight.Add(-1)
 		}
@@ -242,13 +289,16 @@
 // Write implements http.ResponseWriter.
 func (w *responseWriter) Write(b []byte) (int, error) {
 	w.WriteHeader(http.StatusOK)
-	if w.err != nil {
-		return 0, w.err
-	}
-	if w.body = append(w.body, b...); len(w.body) >= flushSize {
-		w.Flush()
+	written := 0
+	for written < len(b) && w.err == nil {
+		n := min(len(b)-written, flushSize-len(w.body))
+		w.body = append(w.body, b[written:written+n]...)
+		written += n
+		if len(w.body) >= flushSize {
+			w.Flush()
+		}
 	}
-	return len(b), w.err
+	return written, w.err
 }
 
 // Flush implements http.Flusher.
--- a/services/relay/version_test.go
+++ b/services/relay/version_test.go
@@ -24,7 +24,7 @@
 	own.Store(version)
 	var owner tomb.Tomb
 	s = New(&owner, log.New("relay"), Options{
-		Auth: peernet.NewSharedKey("near", key), Meter: &peernet.Meter{}, Clock: clock.System{}, Version: own.Load,
+		Auth: peernet.NewSharedKey("near", key), Meter: &peernet.Meter{}, Clock: clock.System{}, Version: own.Load, MaxBuffered: 8 * maxBuffered,
 		OnNewerVersion: func(_ string, v uint64) { announced <- v },
 	})
 	t.Cleanup(func() {
@@ -97,7 +97,7 @@
 // unknown kind.
 func TestAnnouncementsAreProbesToOlderReleases(t *testing.T) {
 	near, far := net.Pipe()
-	s := NewServer(log.New("relay"), nil, func() uint64 { return 1<<40 + 3 })
+	s := NewServer(log.New("relay"), nil, maxRequestSize, func() uint64 { return 1<<40 + 3 })
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
