origin: Bound the pause of an own stream, store the first event of a later try

From the review: the resumption of an own stream waited for the store without a bound of its own (0.3 s now), and the record of a first event was not stored if one was said to be stored for it, though the frame with that may be lost and an earlier target's record be there (it is stored for later tries now).

--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -266,3 +266,18 @@
 		})
 	}
 }
+
+// Guards against asking a few gateways only where any may have a record, and all of a large fleet.
+func TestWideHoldersAreAllOfSmallFleet(t *testing.T) {
+	for _, n := range []int{1, 3, 40, MaxAsked, MaxAsked + 1, 1970} {
+		nodes := fleet(n, 3)
+		self, got := nodes[0].ID, WideHolders(nodes, Keepers(nodes), nodes[0].ID, 5)
+		want := n - 1
+		if n > MaxAsked {
+			want = len(Holders(Keepers(nodes), self, 5))
+		}
+		if len(got) != want || slices.Contains(got, self) {
+			t.Errorf("%d gateways: got %d without %s, want %d", n, len(got), self, want)
+		}
+	}
+}
--- a/services/follow/confirm_test.go
+++ b/services/follow/confirm_test.go
@@ -179,3 +179,15 @@
 		}
 	}
 }
+
+// Guards against a list that is confirmed by an answer of a store which was restored meanwhile, or of the time
+// before that.
+func TestAnswerOfOtherEraConfirmsNothing(t *testing.T) {
+	for what, revision := range map[string]routing.Revision{"a later era": routing.NewRevision(3, 4), "an earlier era": routing.NewRevision(1, 90)} {
+		source := newFakeSource()
+		s, _ := newConfirming(t, source, routing.NewRevision(2, 50), routing.Target{ID: "a"})
+		if _, err := confirmBy(t, s, source, watchAnswer{revision: revision}); err == nil {
+			t.Errorf("%s: got no error", what)
+		}
+	}
+}
--- a/services/mesh/loop_test.go
+++ b/services/mesh/loop_test.go
@@ -39,7 +39,7 @@
 }
 
 func TestMessagesRoundTrip(t *testing.T) {
-	v := follow.Versions{Configuration: 3, Targets: 9, ConfigurationAge: 1_000_000, TargetsAge: 5_000_000_000}
+	v := follow.Versions{Configuration: 3, Targets: 9, TargetsComplete: 12, ConfigurationAge: 1_000_000, TargetsAge: 5_000_000_000}
 	if got := versionsFromWire(versionsToWire(v)); got != v {
 		t.Errorf("versions = %+v after a round trip, want %+v", got, v)
 	}
--- a/services/origin/origin.go
+++ b/services/origin/origin.go
@@ -181,7 +181,8 @@
 }
 
 // Began records that an attempt begins its stream. It is called before the caller gets the first event.
-// stored is set if Sent has had the record of the target written to the store.
+// stored is set if Sent has had the record of the target written to the store; those of several tries may
+// have been lost on their way to it.
 func (s *Service) Began(a Attempt, stored bool) {
 	now := s.opts.Clock.Now()
 	r := s.recordOf(a, now)
@@ -194,7 +195,7 @@
 	s.mu.Unlock()
 	if shared {
 		s.counters.shared.Inc()
-		s.opts.Share([]coreorigin.Record{r}, !stored)
+		s.opts.Share([]coreorigin.Record{r}, !stored || a.Try > 1)
 	}
 }
 
--- a/services/origin/origin_test.go
+++ b/services/origin/origin_test.go
@@ -386,3 +386,26 @@
 		}
 	}
 }
+
+// Guards against a record of another gateway that is taken for superseded, or for right, while the list names
+// one other version.
+func TestHeldRecordOfOtherVersionDecides(t *testing.T) {
+	f := newFleet(t, 3, target("a", "v1"))
+	f.gateways["g1"].Receive([]coreorigin.Record{{Key: coreorigin.KeyOf(account, "one"), Target: "b", Software: "v2", Sender: 7, Try: 1, At: f.clock.Now()}})
+	f.expect("the list names v1 only", "g1", "one", "v2")
+}
+
+// Guards against the record of a second target that is not stored, as the one of the first was.
+func TestFirstEventOfLaterTryIsStored(t *testing.T) {
+	f := newFleet(t, 3, target("a", "v1"))
+	f.listAndSettle(target("a", "v1"), target("b", "v2"))
+	stored := map[int]bool{}
+	g := f.gateways["g0"]
+	g.opts.Share = func(r []coreorigin.Record, store bool) { stored[int(r[0].Try)] = store }
+	for try, sent := range map[int]bool{1: true, 2: true, 3: false} {
+		g.Began(Attempt{Key: coreorigin.Key(try), Service: service, Target: f.targets.Find("b"), Try: try, SentAt: f.clock.Now()}, sent)
+	}
+	if stored[1] || !stored[2] || !stored[3] {
+		t.Errorf("got stored %v, want all but the first", stored)
+	}
+}
--- a/services/origin/resolve.go
+++ b/services/origin/resolve.go
@@ -18,6 +18,8 @@
 	// a record was found: a later one may replace it.
 	lookupTimeout = 300 * time.Millisecond
 	graceTime     = 30 * time.Millisecond
+	// ownConfirmTimeout bounds the pause of a stream that this gateway has begun itself.
+	ownConfirmTimeout = 300 * time.Millisecond
 	// joinTime is the time after the start, or after a gap, in which a gateway may not have heard of
 	// others, nor read the archive.
 	joinTime         = 800 * time.Millisecond
@@ -95,8 +97,8 @@
 	}
 	evidence := Evidence{Held: reply.Found}
 	// What was known before the caller came back says nothing of targets that were listed since.
-	unconfirmed := s.confirm(ctx)
-	if unconfirmed == nil {
+	confirmErr := s.confirm(ctx)
+	if confirmErr == nil {
 		s.awaitCoverage(ctx, service)
 		if software, ok := s.onlyVersion(service); ok && (!reply.Found || reply.Record.Software == software) {
 			return Origin{software, FromSingleVersion, evidence}, nil
@@ -106,17 +108,17 @@
 		s.awaitRecords(ctx, service)
 		reply = s.Lookup(k)
 	}
-	reply, evidence.Asked, evidence.Replied = s.ask(ctx, k, reply, unconfirmed != nil || !s.coversNow(service))
+	reply, evidence.Asked, evidence.Replied = s.ask(ctx, k, reply, confirmErr != nil || !s.coversNow(service))
 	switch {
 	case reply.Ambiguous:
 		return Origin{}, ErrUnknown{"two gateways have attempts of this ID"}
 	case !reply.Found:
-		return Origin{}, errNoRecord(evidence, unconfirmed)
+		return Origin{}, errNoRecord(evidence, confirmErr)
 	case reply.Record.Tentative && evidence.Replied < evidence.Asked:
 		return Origin{}, ErrUnknown{fmt.Sprintf("the stored record may be of an earlier target, %d of %d gateways that were asked replied", evidence.Replied, evidence.Asked)}
 	}
-	if unconfirmed != nil && s.mayRestartMixed(service) {
-		return Origin{}, errUnconfirmed(unconfirmed)
+	if confirmErr != nil && s.mayRestartMixed(service) {
+		return Origin{}, errUnconfirmed(confirmErr)
 	}
 	return s.checkRecord(reply.Record, evidence)
 }
@@ -127,6 +129,8 @@
 		return Origin{}, ErrUnknown{"two gateways have attempts of this ID"}
 	}
 	if s.mayRestart(service) {
+		ctx, cancel := context.WithTimeout(ctx, ownConfirmTimeout)
+		defer cancel()
 		if err := s.confirm(ctx); err != nil && s.mayRestartMixed(service) {
 			return Origin{}, errUnconfirmed(err)
 		}
@@ -143,10 +147,10 @@
 	return err
 }
 
-func errNoRecord(e Evidence, unconfirmed error) error {
+func errNoRecord(e Evidence, confirmErr error) error {
 	reason := fmt.Sprintf("no gateway has a record, %d of %d that were asked replied", e.Replied, e.Asked)
-	if unconfirmed != nil {
-		reason += ", and the list of targets is not confirmed: " + unconfirmed.Error()
+	if confirmErr != nil {
+		reason += ", and the list of targets is not confirmed: " + confirmErr.Error()
 	}
 	return ErrUnknown{reason}
 }
