--- a/lab/platform/client.go
+++ b/lab/platform/client.go
@@ -23,6 +23,8 @@
 	Stream       bool
 	Repeatable   bool
 	Resumable    bool
+	Keyed        bool
+	Work         time.Duration // time that workers take; 0 for their own
 	Prefixes     int           // different shared prompt prefixes
 	SharedTokens int           // tokens of a shared prompt prefix
 	OwnTokens    int           // mean tokens of the rest of a prompt
--- a/lab/platform/ledger.go
+++ b/lab/platform/ledger.go
@@ -127,3 +127,10 @@
 	}
 	return l.counts, out
 }
+
+// Ran reports whether a worker has run a request.
+func (l *Ledger) Ran(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.requests[id].runs > 0
+}
--- a/lab/platform/site.go
+++ b/lab/platform/site.go
@@ -30,6 +30,9 @@
 	External bool   // the gateways are processes that somebody else starts; see WriteSettings
 	// HeaderTimeout is the configured limit on the time to read a request's header; 0 is defaultHeaderTimeout.
 	HeaderTimeout time.Duration
+	Kinds         []Kind        // of requests; Kinds() if empty
+	Grace         time.Duration // of the gateways, 0 for the default
+	Slots         int           // of each worker, 0 for those of a small site
 }
 
 const defaultHeaderTimeout = 3 * time.Second
@@ -76,16 +79,6 @@
 	plainService = "plain"
 )
 
-// Kinds returns the kinds of requests that clients send. The first two are streams.
-func Kinds() []Kind {
-	return []Kind{
-		{Name: "long", Path: "/long/", Method: "POST", Stream: true, Prefixes: 8, SharedTokens: 2000, OwnTokens: 400, Objective: 800 * time.Millisecond, Deadline: 5 * time.Second, PerSecond: 8, Attempts: 1},
-		{Name: "resume", Path: "/resume/", Method: "POST", Stream: true, Resumable: true, Prefixes: 8, SharedTokens: 800, OwnTokens: 300, Objective: 800 * time.Millisecond, Deadline: 5 * time.Second, PerSecond: 6, Attempts: 2},
-		{Name: "submit", Path: "/submit/", Method: "POST", Objective: 200 * time.Millisecond, Deadline: 2 * time.Second, PerSecond: 6, Attempts: 1},
-		{Name: "look", Path: "/look/", Method: "GET", Repeatable: true, Objective: 200 * time.Millisecond, Deadline: 2 * time.Second, PerSecond: 6, Attempts: 2},
-	}
-}
-
 // Start starts a store with a configuration, the workers and the gateways. Run starts the
 // clients.
 func Start(o Options) (*Site, error) {
@@ -148,10 +141,16 @@
 		return nil, err
 	}
 	set.Store, set.RetryExtra = store, 20
+	if s.opts.Grace > 0 {
+		set.Grace.Duration, set.Linger.Duration = s.opts.Grace, s.opts.Grace/lingerShare
+	}
 	set.Callers, set.Readiness, set.Peers = s.address(i, portCallers), s.address(i, portReadiness), s.address(i, portPeers)
 	return &gatewayNode{name: name, setting: &set}, nil
 }
 
+// lingerShare is the ratio of the grace to the linger in the settings of a gateway.
+const lingerShare = 4
+
 // Ports of a gateway, below the ephemeral ports.
 const (
 	portCallers = 8001 + iota
@@ -189,6 +188,7 @@
 const (
 	copyRate   = 400_000.0 // tokens a second
 	tokenBytes = 100_000.0 // cache bytes of a token
+	modelSlots = 16
 )
 
 // workerAt returns the worker that listens at an address, or nil.
@@ -213,9 +213,12 @@
 	s.nextID++
 	cfg := WorkerConfig{Service: plainService, Slots: 4, Queue: 8, Step: 10 * time.Millisecond}
 	if model {
-		cfg = WorkerConfig{Service: modelService, Slots: 16, Queue: 16, Model: true, PrefillRate: 40_000, Step: 8 * time.Millisecond, CacheTokens: 40_000, CopyRate: copyRate, PeerAt: s.workerAt}
+		cfg = WorkerConfig{Service: modelService, Slots: modelSlots, Queue: 16, Model: true, PrefillRate: 40_000, Step: 8 * time.Millisecond, CacheTokens: 40_000, CopyRate: copyRate, PeerAt: s.workerAt}
+	}
+	if s.opts.Slots > 0 {
+		cfg.Slots = s.opts.Slots
 	}
-	cfg.Software = software
+	cfg.Software, cfg.WorkOf = software, s.workOf
 	// Outgoing connections take ports of 127.0.0.1 only, so that a worker can restart at its address.
 	cfg.Listen = s.hostAddress(workerHost, 0)
 	cfg.Hall, cfg.OnCrash = fmt.Sprint("hall-", s.nextID%3), s.recordCrash
@@ -232,7 +235,7 @@
 	defer s.mu.Unlock()
 	s.version += 1 + s.rng.IntN(3)
 	var routes []map[string]any
-	for _, k := range Kinds() {
+	for _, k := range s.kinds() {
 		route := map[string]any{
 			"name": k.Name, "host": host, "pathPrefix": k.Path, "timeoutMs": k.Deadline.Milliseconds(), "targetLatencyMs": k.Objective.Milliseconds(),
 			"priority": 1, "maxAttempts": k.Attempts, "public": false, "kind": "unsafe", "service": plainService,
@@ -242,6 +245,8 @@
 			route["kind"], route["service"], route["canResume"], route["gapAimMs"], route["sticky"] = "streaming", modelService, k.Resumable, 400, true
 		case k.Repeatable:
 			route["kind"] = "safe"
+		case k.Keyed:
+			route["kind"] = "keyed"
 		}
 		routes = append(routes, route)
 	}
@@ -262,7 +267,7 @@
 	s.config = map[string]any{
 		"version": s.version, "routes": routes, "tenants": tenants,
 		"services": []map[string]any{
-			{"name": modelService, "healthPath": "/health", "maxConnections": 200, "engine": map[string]any{"slots": 16, "kvTokens": 40_000, "stride": 1, "moves": true, "kvTokenBytes": tokenBytes, "bandwidthMbps": copyRate * tokenBytes * 8 / 1e6}},
+			{"name": modelService, "healthPath": "/health", "maxConnections": 200, "engine": map[string]any{"slots": max(modelSlots, s.opts.Slots), "kvTokens": 40_000, "stride": 1, "moves": true, "kvTokenBytes": tokenBytes, "bandwidthMbps": copyRate * tokenBytes * 8 / 1e6}},
 			{"name": plainService, "healthPath": "/health", "maxConnections": 100},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": headerTimeout.Milliseconds(), "idleTimeoutMs": 15000, "tokensPerS": 120_000},
@@ -321,7 +326,7 @@
 	defer stop()
 	seed := s.opts.Seed * 1000
 	for account, keys := range s.keys {
-		for _, k := range Kinds() {
+		for _, k := range s.kinds() {
 			seed++
 			k.PerSecond *= s.opts.Load / float64(s.opts.Accounts)
 			c := newClient(s, k, account, keys[0], seed+hash(account))
--- a/lab/platform/worker.go
+++ b/lab/platform/worker.go
@@ -44,8 +44,10 @@
 	Model       bool
 	PrefillRate float64       // prefill, in prompt tokens a second
 	Step        time.Duration // duration of an event, or of a plain request
-	CacheTokens int           // cache size in tokens
-	CopyRate    float64       // transfer from another worker's cache, in tokens a second
+	// WorkOf returns the time for all of a request by its path, or 0 for Step. May be nil.
+	WorkOf      func(path string) time.Duration
+	CacheTokens int     // cache size in tokens
+	CopyRate    float64 // transfer from another worker's cache, in tokens a second
 	// PeerAt returns the worker at an address to copy cached parts from, or nil.
 	PeerAt func(address string) *Worker
 	// OnCrash, if set, is called after a request has crashed the worker.
@@ -317,7 +319,7 @@
 		w.stream(rw, r, id, fault)
 		return
 	}
-	if !pause(r, w.cfg.Step) {
+	if !pause(r, w.step(r, 1)) {
 		panic(http.ErrAbortHandler)
 	}
 	w.plain(rw, id, body, fault, everySecond)
@@ -396,6 +398,7 @@
 	}
 	rw.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(rw)
+	step := w.step(r, events)
 	for n := from + 1; n <= events; n++ {
 		if fault == FaultCut && n > events/2 {
 			_, _ = fmt.Fprintf(rw, "id: %d\ndata: half", n)
@@ -407,7 +410,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", n, EventData(content, w.cfg.Software, n, events))
-		if fault == FaultLost && n == 1 || flusher.Flush() != nil || !pause(r, w.cfg.Step) {
+		if fault == FaultLost && n == 1 || flusher.Flush() != nil || !pause(r, step) {
 			panic(http.ErrAbortHandler)
 		}
 	}
