gateway: Refuse in a stop what cannot end before it

What callers saw: in a planned stop, a request that must not be repeated and whose body ended late in the grace was sent to a worker and cut at the end of the grace, with no byte of an answer.

Cause: whether a stop still serves a request was decided once, when the handler began. A body that came slowly, the wait in a scheduler's queue and another attempt all put the send later, and nothing there knew of the stop. The class: a decision made before a wait is not made again after it.

Change: core/drain tells the time by which work must have ended; forward.Service asks how many of the latest 32 requests of the route ended within the time left (core/worktime), before it looks for a target and again right before the first byte is written. It sends if nine of ten did, or half where the request may be repeated, or if the deadline comes first; else the request is refused as not run (2004) with a Retry-After; if an earlier attempt may have run, the outcome is unknown. The objective stands for routes without requests so far. An attempt is not cut for its slowness when there is no time for another one.

Why it works: the check stands where the first byte is written, after all waits. The refusals of a request that comes after the phase of serving stay as they are.

--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -32,10 +32,11 @@
 
 const (
 	// serveShare is the part of the grace period in which new requests are served. A long
-	// request that starts later might not finish before the process is killed. After
-	// exitShare the requests still in flight are cut off.
-	serveShare = 0.35
-	exitShare  = 0.95
+	// request that starts later might not finish before the process is killed. Work has to end
+	// within answerShare.
+	serveShare  = 0.35
+	answerShare = 0.94
+	exitShare   = 0.95
 	// maxStep bounds the time between two steps that counts towards the exit. A longer one is a
 	// stall, in which no request in flight could end.
 	maxStep = 200 * time.Millisecond
@@ -51,6 +52,9 @@
 // ServeUntil returns the time from which new requests are refused.
 func (p Plan) ServeUntil() time.Time { return p.Started.Add(fraction(p.Grace, serveShare)) }
 
+// AnswerBy returns the time by which the work for requests must have ended to be answered.
+func (p Plan) AnswerBy() time.Time { return p.Started.Add(fraction(p.Grace, answerShare)) }
+
 // Machine runs through the phases of a shutdown. No phase comes back: a request that is read after
 // the last one has ended is refused.
 type Machine struct {
--- a/core/drain/drain_test.go
+++ b/core/drain/drain_test.go
@@ -115,3 +115,18 @@
 		t.Errorf("got phase %v without, want close", got)
 	}
 }
+
+// Guards against work that is expected to go on until its process is killed.
+func TestAnswersPrecedeExit(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	for _, grace := range []time.Duration{time.Second, 8 * time.Second, time.Minute} {
+		plan := Plan{Started: start, Linger: 2200 * time.Millisecond, Grace: grace}
+		m := NewMachine(plan, start)
+		if got := runUntil(m, start, plan.AnswerBy().Sub(start), 1, 1); got == Exit {
+			t.Errorf("grace %v: got phase %v when work must have ended", grace, got)
+		}
+		if !plan.ServeUntil().Before(plan.AnswerBy()) {
+			t.Errorf("grace %v: no time to work after the last request is taken", grace)
+		}
+	}
+}
--- a/router/gatewaydrain.go
+++ b/router/gatewaydrain.go
@@ -29,6 +29,7 @@
 		g.log.Info("Drain started.", "in_flight", g.inFlight(), "connections", g.callers.Open(), "stalled_before", standstill)
 		close(g.draining)
 		g.handler.StartClosing(plan.ServeUntil())
+		g.forward.StopBy(plan.AnswerBy())
 		g.loop.Leave()
 		phase := drain.Serve
 		for phase != drain.Exit {
--- a/services/forward/exchange.go
+++ b/services/forward/exchange.go
@@ -82,7 +82,7 @@
 }
 
 // cutIfSlow cancels the attempt if its first part takes too long, the route permits another
-// attempt and the retry budget has a retry left. The retry is reserved before the attempt is
+// attempt, a stop leaves time for it and the retry budget has a retry left. The retry is reserved before the attempt is
 // cut, so that no attempt is cut without a replacement.
 func (j *job) cutIfSlow(p placement, cancel func()) clock.Timer {
 	timeout := p.firstPartTimeout()
@@ -90,7 +90,7 @@
 		return j.s.opts.Clock.AfterFunc(j.r.Deadline.Sub(j.s.opts.Clock.Now())+time.Second, cancel)
 	}
 	return j.s.opts.Clock.AfterFunc(timeout, func() {
-		if j.takeFromRetryBudget() {
+		if j.checkTimeLeft() == nil && j.takeFromRetryBudget() {
 			j.retryReserved.Store(true)
 			cancel()
 		}
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -23,6 +23,7 @@
 	"madderway/core/overload"
 	"madderway/core/promise"
 	"madderway/core/throttle"
+	"madderway/core/worktime"
 	"madderway/models/result"
 	"madderway/models/routing"
 	"madderway/modules/clock"
@@ -85,21 +86,23 @@
 	opts    Options
 	started time.Time
 
-	mu         sync.Mutex // guards balancer, windows, throttle, retryTimes and opts.Retry
+	mu         sync.Mutex // guards balancer, windows, throttle, retryTimes, workTimes and opts.Retry
 	balancer   *balance.Balancer
 	windows    map[string]*budget.Window
 	throttle   *throttle.Throttle
 	retryTimes promise.RetryTimes
+	workTimes  map[string]*worktime.Recent // by route
 
 	plainByRecent atomic.Bool // opts.PlainByRecent applies to the current configuration
 
 	counters counters
 	outcomes outcomeCounts
-	inFlight atomic.Int64 // requests to engines
+	inFlight atomic.Int64              // requests to engines
+	answerBy atomic.Pointer[time.Time] // nil unless the gateway stops
 }
 
 func New(logger log.Logger, o Options) *Service {
-	return &Service{log: logger, opts: o, started: o.Clock.Now(), balancer: balance.New(o.DataHall, rand.Float64), windows: map[string]*budget.Window{}, throttle: throttle.New(), counters: newCounters()}
+	return &Service{log: logger, opts: o, started: o.Clock.Now(), balancer: balance.New(o.DataHall, rand.Float64), windows: map[string]*budget.Window{}, throttle: throttle.New(), workTimes: map[string]*worktime.Recent{}, counters: newCounters()}
 }
 
 // Request is an authenticated request of a caller.
@@ -301,4 +304,5 @@
 	defer s.mu.Unlock()
 	s.balancer.ChooseByRecent(limited)
 	s.balancer.Keep(targets)
+	s.keepWorkTimes(index)
 }
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -84,6 +84,10 @@
 
 func (j *job) run() error {
 	defer j.quarantineAttempt.End()
+	if err := j.checkTimeLeft(); err != nil {
+		j.disregardUnasked()
+		return err
+	}
 	if j.r.Route.Stream && j.r.Call.Resuming {
 		if err := j.bind(); err != nil {
 			return j.placementError(err)
@@ -99,6 +103,7 @@
 		}
 		j.target, j.targetID, j.placedAt = p.target(), p.target().ID, j.s.opts.Clock.Now()
 		outcome, failure := j.exchange(p)
+		j.recordWorkTime(outcome)
 		if outcome == 0 {
 			j.quarantineAttempt.Succeeded()
 			return nil
--- a/services/forward/quarantine.go
+++ b/services/forward/quarantine.go
@@ -91,7 +91,7 @@
 var errStalePlacement = errors.New("the place was too old to send to")
 
 // checkAtSend repeats the checks once a connection is there: while the request waited, another
-// gateway may have seen a target die under it, or this process may have stood still.
+// gateway may have seen a target die under it, or this process may have stood still or begun to stop.
 func (j *job) checkAtSend() error {
 	j.sentAt = j.s.opts.Clock.Now()
 	if j.sentAt.Sub(j.placedAt) > maxPlacementAge {
@@ -102,6 +102,9 @@
 		j.refusal = context.Canceled
 		return j.refusal
 	}
+	if j.refusal = j.checkTimeLeft(); j.refusal != nil {
+		return j.refusal
+	}
 	if j.refusal = j.checkQuarantine(); j.refusal != nil {
 		return j.refusal
 	}
