gateway: Answer the requests in flight at the end of a stop

What callers saw: requests whose work went on at the end of the grace, among them those that must not be repeated, ended with their connections, without a byte. A request that waited for a scheduler ended likewise, though it was never sent.

Cause: after 0.95 of the grace the process ended with whatever was in flight. No step told the handlers, which know what became of each request, to answer first. The class: an end that is a close and not an answer.

Evidence: lab/platform TestStopAnswersRequestsInFlightAtItsEnd (3 s of grace, work of 40 s) failed on:

133 of 133 bytes sent before: got unexpected EOF, want an answer

Change: core/drain has a phase before the exit, from 0.94 of the grace, which no stall skips. In it the contexts of all requests end as if their time had come: what was sent gets 502 outcome_unknown, what was not gets 503 draining as not run, a begun stream is cut as before. The process exits as soon as all connections are closed, at the latest after 0.95 as before.

--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -6,7 +6,8 @@
 // The load balancer takes seconds to notice that a process stops, and keeps sending if many
 // stop together. The process therefore serves new requests while there is time to finish
 // them, then refuses them. Once nothing is in flight it closes the connections on which no
-// request has begun, and exits when none is left.
+// request has begun, and exits when none is left. What is in flight near the end of the grace
+// period is answered with what is known of it.
 package drain
 
 import (
@@ -22,18 +23,19 @@
 	Serve  Phase = iota + 1 // new requests are served
 	Refuse                  // new requests are refused, those in flight continue
 	Close                   // as Refuse, and idle connections are closed
+	Answer                  // as Close, and requests in flight are answered without waiting for targets
 	Exit                    // the process ends
 )
 
 // String implements fmt.Stringer.
 func (p Phase) String() string {
-	return [...]string{Serve: "serve", Refuse: "refuse", Close: "close", Exit: "exit"}[p]
+	return [...]string{Serve: "serve", Refuse: "refuse", Close: "close", Answer: "answer", Exit: "exit"}[p]
 }
 
 const (
 	// serveShare is the part of the grace period in which new requests are served. A long
-	// request that starts later might not finish before the process is killed. Work has to end
-	// within answerShare.
+	// request that starts later might not finish before the process is killed. Work that has not
+	// ended after answerShare is given up, so that its callers are told before exitShare.
 	serveShare  = 0.35
 	answerShare = 0.94
 	exitShare   = 0.95
@@ -78,10 +80,10 @@
 	m.stepAt = now
 	next := m.phase
 	switch {
-	case m.ran >= fraction(m.plan.Grace, exitShare):
-		next = Exit
-	case m.phase == Close && inFlight == 0 && open == 0:
+	case m.phase >= Close && inFlight == 0 && open == 0, m.phase == Answer && m.ran >= fraction(m.plan.Grace, exitShare):
 		next = Exit
+	case m.ran >= fraction(m.plan.Grace, answerShare):
+		next = Answer
 	case inFlight == 0 && since >= min(m.plan.Linger, fraction(m.plan.Grace, exitShare)):
 		next = Close
 	case !now.Before(m.plan.ServeUntil()):
--- a/core/drain/drain_test.go
+++ b/core/drain/drain_test.go
@@ -4,6 +4,7 @@
 package drain
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -130,3 +131,26 @@
 		}
 	}
 }
+
+// Guards against an exit that leaves no time to answer the requests in flight, however long a step took.
+func TestRequestsInFlightAreAnsweredBeforeExit(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	plan := Plan{Started: start, Linger: 2200 * time.Millisecond, Grace: 2 * time.Second}
+	for _, step := range []time.Duration{interval, 70 * time.Millisecond, maxStep, time.Minute} {
+		m := NewMachine(plan, start)
+		var phases []Phase
+		for now := start; len(phases) == 0 || phases[len(phases)-1] != Exit; now = now.Add(step) {
+			if p := m.Step(now, 2, 2); len(phases) == 0 || p != phases[len(phases)-1] {
+				phases = append(phases, p)
+			}
+		}
+		if want := []Phase{Serve, Refuse, Answer, Exit}; !slices.Equal(phases, want) {
+			t.Errorf("steps of %v: got phases %v, want %v", step, phases, want)
+		}
+	}
+	m := NewMachine(plan, start)
+	runUntil(m, start, 1880*time.Millisecond, 2, 2)
+	if got := m.Step(start.Add(1890*time.Millisecond), 0, 0); got != Exit {
+		t.Errorf("got phase %v once all requests are answered, want exit", got)
+	}
+}
--- a/lab/platform/stoplate_test.go
+++ b/lab/platform/stoplate_test.go
@@ -133,3 +133,17 @@
 	}
 	l.expectNotRun(inBody)
 }
+
+// Guards against requests that must not be repeated and end without an answer when the grace is over
+// before their work.
+func TestStopAnswersRequestsInFlightAtItsEnd(t *testing.T) {
+	t.Parallel()
+	l := startLateStop(t)
+	sent := []begunRequest{l.begin(0), l.begin(0)}
+	for !l.site.ledger.Ran(idOf(sent[0].text)) || !l.site.ledger.Ran(idOf(sent[1].text)) { // until workers have them
+	}
+	l.stop(len(sent))
+	expectAnswers(t, sent, http.StatusBadGateway, `"ran":"unknown"`)
+	<-l.site.Gateway(0).Dead()
+	l.expectNoViolations()
+}
--- a/modules/clock/system.go
+++ b/modules/clock/system.go
@@ -233,12 +233,25 @@
 // WithDeadline is context.WithDeadline with a Clock: the context ends with
 // context.DeadlineExceeded at the given time of c. Its Deadline method is the parent's.
 func WithDeadline(parent context.Context, c Clock, at time.Time) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(parent)
-	d := &deadlineContext{Context: ctx, at: at}
-	t := c.AfterFunc(at.Sub(c.Now()), func() {
-		d.passed.Store(true)
+	d, cancel := withDeadline(parent, c, at)
+	return d, cancel
+}
+
+// WithDeadlineOrEnd is WithDeadline for a context that also ends with context.DeadlineExceeded when another
+// one ends.
+func WithDeadlineOrEnd(parent context.Context, c Clock, at time.Time, end context.Context) (context.Context, context.CancelFunc) {
+	d, cancel := withDeadline(parent, c, at)
+	stop := context.AfterFunc(end, d.pass)
+	return d, func() {
+		stop()
 		cancel()
-	})
+	}
+}
+
+func withDeadline(parent context.Context, c Clock, at time.Time) (*deadlineContext, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	d := &deadlineContext{Context: ctx, at: at, cancel: cancel}
+	t := c.AfterFunc(at.Sub(c.Now()), d.pass)
 	return d, func() {
 		t.Stop()
 		cancel()
@@ -249,6 +262,13 @@
 	context.Context
 	at     time.Time
 	passed atomic.Bool
+	cancel context.CancelFunc
+}
+
+// pass ends the context as if its time had come.
+func (d *deadlineContext) pass() {
+	d.passed.Store(true)
+	d.cancel()
 }
 
 // Err implements context.Context.
--- a/modules/clock/system_test.go
+++ b/modules/clock/system_test.go
@@ -180,3 +180,29 @@
 		}
 	})
 }
+
+func TestWithDeadlineOrEndEndsWithEither(t *testing.T) {
+	c := NewFake()
+	end, stop := context.WithCancel(context.Background())
+	ctx, cancel := WithDeadlineOrEnd(context.Background(), c, c.Now().Add(time.Second), end)
+	defer cancel()
+	canceled, cancelOther := WithDeadlineOrEnd(context.Background(), c, c.Now().Add(time.Second), end)
+	cancelOther()
+	late, cancelLate := WithDeadlineOrEnd(context.Background(), c, c.Now().Add(time.Second), context.Background())
+	defer cancelLate()
+	if ctx.Err() != nil {
+		t.Errorf("got %v before the end", ctx.Err())
+	}
+	stop()
+	<-ctx.Done()
+	if ctx.Err() != context.DeadlineExceeded {
+		t.Errorf("got %v, want %v", ctx.Err(), context.DeadlineExceeded)
+	}
+	if canceled.Err() != context.Canceled {
+		t.Errorf("got %v for a context that was canceled before, want %v", canceled.Err(), context.Canceled)
+	}
+	c.Advance(time.Second)
+	if late.Err() != context.DeadlineExceeded {
+		t.Errorf("got %v after the deadline, want %v", late.Err(), context.DeadlineExceeded)
+	}
+}
--- a/router/gatewaydrain.go
+++ b/router/gatewaydrain.go
@@ -70,10 +70,13 @@
 	if phase != drain.Serve {
 		g.handler.SetMode(gateway.RefuseAll)
 	}
-	if phase == drain.Close {
+	if phase >= drain.Close {
 		g.callers.StopAccepting()
 		g.callers.CloseIdle()
 	}
+	if phase >= drain.Answer {
+		g.forward.GiveUp()
+	}
 	return phase
 }
 
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -99,10 +99,13 @@
 	outcomes outcomeCounts
 	inFlight atomic.Int64              // requests to engines
 	answerBy atomic.Pointer[time.Time] // nil unless the gateway stops
+	working  context.Context           // ends when no request waits for a target any more
+	giveUp   context.CancelFunc        // ends working
 }
 
 func New(logger log.Logger, o Options) *Service {
-	return &Service{log: logger, opts: o, started: o.Clock.Now(), balancer: balance.New(o.DataHall, rand.Float64), windows: map[string]*budget.Window{}, throttle: throttle.New(), workTimes: map[string]*worktime.Recent{}, counters: newCounters()}
+	working, giveUp := context.WithCancel(context.Background())
+	return &Service{log: logger, working: working, giveUp: giveUp, opts: o, started: o.Clock.Now(), balancer: balance.New(o.DataHall, rand.Float64), windows: map[string]*budget.Window{}, throttle: throttle.New(), workTimes: map[string]*worktime.Recent{}, counters: newCounters()}
 }
 
 // Request is an authenticated request of a caller.
@@ -130,7 +133,7 @@
 // Serve answers a request. It returns ErrAborted if the connection must be closed, and an
 // ErrResult if nothing was written yet.
 func (s *Service) Serve(ctx context.Context, w http.ResponseWriter, r *Request) error {
-	ctx, cancel := clock.WithDeadline(ctx, s.opts.Clock, r.Deadline)
+	ctx, cancel := clock.WithDeadlineOrEnd(ctx, s.opts.Clock, r.Deadline, s.working)
 	defer cancel()
 	j := &job{s: s, ctx: ctx, w: w, r: r, lastEvent: r.Call.LastEvent, history: attempt.History{Route: r.Route}, quarantineAttempt: s.opts.Quarantine.NewAttempt(r.identity(), r)}
 	j.takeFromRetryBudget = func() bool { return s.takeFromRetryBudget(r.Service.Name) }
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -133,10 +133,16 @@
 		case attempt.Deliver:
 			return j.deliver(failure)
 		case attempt.Refuse:
+			if j.s.GaveUp() {
+				return stoppedError()
+			}
 			return result.New(result.TargetRefused, "%s", j.reason).WithRetryAfter(shortRetryAfter)
 		case attempt.Unclear:
 			return result.New(result.OutcomeUnknown, "%s", j.reason)
 		case attempt.TimedOut:
+			if j.s.GaveUp() {
+				return result.New(result.OutcomeUnknown, "the gateway stopped before the target answered")
+			}
 			return result.New(result.TimedOut, "%s", j.reason)
 		default:
 			return ErrAborted
@@ -182,6 +188,9 @@
 	if j.history.MayHaveRun {
 		return result.New(result.OutcomeUnknown, "%s; then %v", j.reason, err)
 	}
+	if j.s.GaveUp() {
+		return stoppedError()
+	}
 	if j.ctx.Err() != nil {
 		return result.New(result.QueueTimeout, "the time is over").WithRetryAfter(shortRetryAfter)
 	}
--- a/services/forward/stop.go
+++ b/services/forward/stop.go
@@ -25,6 +25,17 @@
 // sent to a target.
 func (s *Service) StopBy(t time.Time) { s.answerBy.Store(&t) }
 
+// GiveUp ends all requests. Their callers are told that they did not run, or that this is unknown.
+func (s *Service) GiveUp() { s.giveUp() }
+
+// GaveUp reports whether all requests were ended.
+func (s *Service) GaveUp() bool { return s.working.Err() != nil }
+
+// stoppedError returns the error for a request that was not sent to a target before all were ended.
+func stoppedError() error {
+	return result.New(result.Draining, "the gateway stops").WithRetryAfter(stoppingRetryAfter)
+}
+
 func (j *job) checkTimeLeft() error { return j.s.CheckTimeLeft(j.r.Route, j.r.Deadline) }
 
 // CheckTimeLeft returns an error if the gateway stops before a request of a route would be answered. The request
--- a/services/forward/stop_test.go
+++ b/services/forward/stop_test.go
@@ -143,3 +143,30 @@
 type latePlacement struct{ placement }
 
 func (latePlacement) firstPartTimeout() time.Duration { return 100 * time.Millisecond }
+
+// Guards against requests that are closed without an answer, or refused as not run though they may have run, when
+// the gateway ends while they wait for a scheduler.
+func TestWaitingRequestIsAnsweredWhenStopEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		mayHaveRun, headOut bool
+		want                result.Code // 0 if the connection must be closed
+	}{
+		"never sent":            {want: result.Draining},
+		"may have run":          {mayHaveRun: true, want: result.OutcomeUnknown},
+		"answer partly written": {mayHaveRun: true, headOut: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			j, fake := newStoppingJob(&routing.Route{Name: "stream", Stream: true, MaxAttempts: 2})
+			ctx, cancel := clock.WithDeadlineOrEnd(t.Context(), fake, fake.Now().Add(time.Minute), j.s.working)
+			defer cancel()
+			j.ctx, j.history.MayHaveRun, j.headOut = ctx, c.mayHaveRun, c.headOut
+			j.s.GiveUp()
+			<-ctx.Done()
+			err := j.placementError(ctx.Err())
+			e, ok := result.FromError(err)
+			if c.want == 0 && err != ErrAborted || c.want != 0 && (!ok || e.Code != c.want) {
+				t.Errorf("got %v, want code %d", err, c.want)
+			}
+		})
+	}
+}
