gateway: Answer requests that are not whole at the end of a stop

What callers saw: a connection on which a request had begun to arrive, but of which a part of the head or of the body did not come before the end of the grace, ended without an answer. So did one whose request another gateway served.

Cause: at its end a stop closes all connections. Who waits there (the HTTP server for a head, the handler for a body, the hand-over for its answer) is not told before.

Evidence: lab/platform TestStopAnswersIncompleteRequestsAtItsEnd (one byte or the whole body missing, a part of the head missing, one byte of a second request on a kept connection; 3 s of grace) failed on, four times:

133 of 133 bytes sent before: got unexpected EOF, want an answer

Change: in the answering phase gateway.Server ends the reads of such connections, again at each step. A part of a head or of a body is answered with 503 as not run, a hand-over with 502 as of unknown outcome. Refusals in a stop close their connections, also of requests that came before it.

--- a/handlers/gateway/body.go
+++ b/handlers/gateway/body.go
@@ -127,7 +127,10 @@
 	if limits.MaxBodyBytes > 0 {
 		reader = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
 	}
+	exchange := exchangeOf(r.Context())
+	exchange.startBody()
 	body, err := held.read(reader, r.ContentLength)
+	exchange.endBody()
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	var timeout net.Error
@@ -139,6 +142,8 @@
 		return nil, result.New(result.QueueFull, "too many bytes are held").WithRetryAfter(notReadyRetryAfter)
 	case errors.As(err, &tooLarge):
 		return nil, result.New(result.BodyTooLarge, "over %d bytes", limits.MaxBodyBytes)
+	case errors.As(err, &timeout) && timeout.Timeout() && h.opts.Forward.GaveUp():
+		return nil, drainingError()
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return nil, result.New(result.BodyTooSlow, "the body did not arrive in time")
 	default:
--- a/handlers/gateway/callerconn.go
+++ b/handlers/gateway/callerconn.go
@@ -45,8 +45,8 @@
 // onIdle is called when the HTTP server has ended a request and waits for the next one.
 func (c *callerConn) onIdle() {
 	c.inServer, c.admitted = c.unread != 0, false
-	c.exchange.reset()
 	c.idle.answered()
+	c.exchange.reset() // after answered: only a connection whose request has begun counts as incomplete
 }
 
 // SetReadDeadline implements net.Conn.
@@ -160,6 +160,7 @@
 			return c.watchForClose(p)
 		}
 		n, err := c.readUnlessIdle(p, len(c.buffered) == 0 && !watches)
+		c.refuseIncomplete(err)
 		if c.inServer {
 			c.unread -= int64(n)
 			return n, err
@@ -246,6 +247,7 @@
 func (c *callerConn) refuse(answer []byte, rest int64) error {
 	c.answeredEarly = true
 	if err := c.discard(rest); err != nil {
+		c.refuseIncomplete(err)
 		return err
 	}
 	if _, err := c.countedConn.Write(answer); err != nil {
--- a/handlers/gateway/gateway.go
+++ b/handlers/gateway/gateway.go
@@ -127,7 +127,7 @@
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, call upstream.Call, mode Mode) {
 	if mode == RefuseAll {
-		h.refuse(w, call.ID, result.New(result.Draining, "the gateway is stopping").WithRetryAfter(drainingRetryAfter))
+		h.refuse(w, call.ID, drainingError())
 		return
 	}
 	request, held, err := h.readRequest(w, r, call)
@@ -144,14 +144,19 @@
 	}
 }
 
+func drainingError() *result.ErrResult {
+	return result.New(result.Draining, "the gateway is stopping").WithRetryAfter(drainingRetryAfter)
+}
+
 func (h *Handler) refuse(w http.ResponseWriter, id string, err error) {
 	e := result.Convert(err)
 	if e.RetryAfter > 0 {
 		name, value := h.opts.Dialect.RefusalHeader(e.RetryAfter)
 		w.Header().Set(name, value)
 	}
-	if e.Code == result.Overloaded {
-		w.Header().Set("Connection", "close") // a refusal on a new connection is cheaper
+	if e.Code == result.Overloaded || Mode(h.mode.Load()) != ServeAll {
+		// A refusal on a new connection is cheaper, and another gateway may take that.
+		w.Header().Set("Connection", "close")
 	}
 	body, _ := api.NewError(err, id)
 	api.WriteJSON(w, result.Lookup(e.Code).Status, body)
--- a/handlers/gateway/relay.go
+++ b/handlers/gateway/relay.go
@@ -129,6 +129,7 @@
 	held := relay.HeaderSize + copy(buffer[relay.HeaderSize:], begun)
 	if rest > 0 {
 		if err := c.readBody(buffer[held:size], netopt.DeadlineIn(headerTimeout(c.limits))); err != nil {
+			c.refuseIncomplete(err)
 			c.callerDisconnected = true
 			return nil, err
 		}
--- a/handlers/gateway/server.go
+++ b/handlers/gateway/server.go
@@ -49,14 +49,16 @@
 	traffic    *netopt.Traffic
 	maxOpen    int64 // limit on open connections
 	open       atomic.Int64
-	turnedAway atomic.Uint64  // connections refused unread
-	handedOver atomic.Int64   // requests in flight at other gateways
-	closing    atomic.Bool    // Close was called
-	early      EarlyAdmission // nil if no request is decided early
-	relay      Relay          // nil if no request is handed over
-	gate       entryGate      // of requests that are decided early
-	unanswered *unanswered
-	errorLog   *stdlog.Logger // of the HTTP servers
+	turnedAway atomic.Uint64 // connections refused unread
+	handedOver atomic.Int64  // requests in flight at other gateways
+	closing    atomic.Bool   // Close was called
+	// Reads of requests that are not whole are interrupted and answered.
+	endsIncomplete atomic.Bool
+	early          EarlyAdmission // nil if no request is decided early
+	relay          Relay          // nil if no request is handed over
+	gate           entryGate      // of requests that are decided early
+	unanswered     *unanswered
+	errorLog       *stdlog.Logger // of the HTTP servers
 
 	connsMu sync.Mutex
 	conns   map[*callerConn]bool // open connections
--- a/handlers/gateway/unanswered.go
+++ b/handlers/gateway/unanswered.go
@@ -45,6 +45,7 @@
 type exchangeState struct {
 	mu       sync.Mutex
 	stage    handlerStage
+	bodyRead bool // the handler reads the body
 	settled  bool // answered before the HTTP server saw it, or reported already
 	id       string
 	mode     Mode
@@ -79,6 +80,37 @@
 	e.stage = handled
 }
 
+// startBody notes that the handler reads the body of the request, which may be interrupted until endBody.
+func (e *exchangeState) startBody() { e.setBodyRead(true) }
+
+// endBody notes that the body has been read.
+func (e *exchangeState) endBody() { e.setBodyRead(false) }
+
+func (e *exchangeState) setBodyRead(on bool) {
+	if e == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.bodyRead = on
+}
+
+// ifIncomplete calls f while the request is not read whole.
+func (e *exchangeState) ifIncomplete(f func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stage == notHandled || e.bodyRead {
+		f()
+	}
+}
+
+// isHandled reports whether the handler has the request.
+func (e *exchangeState) isHandled() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stage != notHandled
+}
+
 // reset forgets a request that is answered.
 func (e *exchangeState) reset() {
 	e.mu.Lock()
--- a/lab/platform/stoplate_test.go
+++ b/lab/platform/stoplate_test.go
@@ -147,3 +147,21 @@
 	<-l.site.Gateway(0).Dead()
 	l.expectNoViolations()
 }
+
+// Guards against connections that end without an answer because the rest of their requests does not come
+// before the end of the grace.
+func TestStopAnswersIncompleteRequestsAtItsEnd(t *testing.T) {
+	t.Parallel()
+	l := startLateStop(t)
+	kept := begunRequest{conn: l.dial(), text: l.text(shortPath+"x", "")}
+	expectAnswers(t, []begunRequest{kept}, http.StatusOK, "")
+	_, _ = io.WriteString(kept.conn, kept.text[:1])
+	waiting := []begunRequest{l.begin(1), l.begin(4), l.begin(10), kept}
+	l.stop(2)
+	for i := range waiting {
+		waiting[i].sent = len(waiting[i].text) // no more comes
+	}
+	expectAnswers(t, waiting, http.StatusServiceUnavailable, "")
+	<-l.site.Gateway(0).Dead()
+	l.expectNoViolations()
+}
--- a/router/gatewaydrain.go
+++ b/router/gatewaydrain.go
@@ -76,6 +76,7 @@
 	}
 	if phase >= drain.Answer {
 		g.forward.GiveUp()
+		g.callers.EndIncomplete()
 	}
 	return phase
 }
