gateway: Hand no request over that cannot end before a stop

What callers saw: none was seen; read from the code. A request that is being handed over when a stop begins may wait for the rest of its body (up to the limit for heads) and for its turn on the connection (up to 1.5 s). It was then handed over whatever was left of the grace, though the answer goes through the gateway that ends.

Evidence: TestHandOverTooLateInStopIsRefused; with the check taken out:

the request was handed over status 200, "", want 503

Change: the check right before the write asks for the time left, too, and the request is refused as not run (draining).

--- a/handlers/gateway/early.go
+++ b/handlers/gateway/early.go
@@ -13,6 +13,7 @@
 
 	"madderway/handlers/api"
 	"madderway/models/result"
+	"madderway/models/routing"
 	"madderway/modules/httphead"
 	"madderway/services/forward"
 )
@@ -42,10 +43,11 @@
 // EarlyDecision is a decision on a request whose header only was read.
 type EarlyDecision struct {
 	Verdict Verdict
-	Answer  []byte        // response to a refused request
-	ID      string        // set if the request is handed over
-	Account string        // set if the request is handed over
-	Timeout time.Duration // set if the request is handed over; 0 for none
+	Answer  []byte         // response to a refused request
+	ID      string         // set if the request is handed over
+	Account string         // set if the request is handed over
+	Timeout time.Duration  // set if the request is handed over; 0 for none
+	Route   *routing.Route // set if the request is handed over
 	// CallerLeavesAt is set if the request is handed over and its caller says how long it waits.
 	CallerLeavesAt time.Time
 }
@@ -69,6 +71,9 @@
 	BusyAnswer(id string) []byte
 	// SetRemaining writes the time that the caller still waits into a request, in place.
 	SetRemaining(request []byte, remaining time.Duration)
+	// CheckTimeLeft returns an error if this gateway stops before a request would be answered that is handed
+	// over now.
+	CheckTimeLeft(decision EarlyDecision) error
 	// RecordHandOver records the outcome of a hand-over.
 	RecordHandOver(decision EarlyDecision, res HandOverResult)
 }
@@ -103,7 +108,7 @@
 	case err != nil:
 		return EarlyDecision{Verdict: Refused, Answer: h.earlyAnswer(err, call.ID, o.ClosesConn)}
 	case admission == forward.HandOver:
-		return EarlyDecision{Verdict: HandedOver, ID: call.ID, Account: account.GetName(), Timeout: route.Timeout, CallerLeavesAt: h.callerLeavesAt(call.Timeout, o.Waited)}
+		return EarlyDecision{Verdict: HandedOver, ID: call.ID, Account: account.GetName(), Timeout: route.Timeout, Route: route, CallerLeavesAt: h.callerLeavesAt(call.Timeout, o.Waited)}
 	default:
 		return EarlyDecision{Verdict: Admitted}
 	}
@@ -130,8 +135,16 @@
 	return h.earlyAnswer(result.New(result.OutcomeUnknown, "the gateway that took the request over is gone"), id, true)
 }
 
+// CheckTimeLeft implements EarlyAdmission.
+func (h *Handler) CheckTimeLeft(d EarlyDecision) error {
+	return h.opts.Forward.CheckTimeLeft(d.Route, d.CallerLeavesAt)
+}
+
 // BusyAnswer implements EarlyAdmission.
 func (h *Handler) BusyAnswer(id string) []byte {
+	if Mode(h.mode.Load()) != ServeAll {
+		return h.earlyAnswer(drainingError(), id, true)
+	}
 	return h.earlyAnswer(h.opts.Forward.OverloadError(), id, false)
 }
 
--- a/handlers/gateway/early_test.go
+++ b/handlers/gateway/early_test.go
@@ -29,6 +29,7 @@
 type keyAdmission struct {
 	handler   *Handler
 	leavesIn  time.Duration // how long after a decision the callers of requests that are handed over leave; 0 if unknown
+	timeLeft  error         // returned by CheckTimeLeft
 	decisions atomic.Int64
 	results   chan HandOverResult
 }
@@ -47,6 +48,8 @@
 	r.handler.SetRemaining(request, remaining)
 }
 
+func (r *keyAdmission) CheckTimeLeft(EarlyDecision) error { return r.timeLeft }
+
 func (r *keyAdmission) RecordHandOver(_ EarlyDecision, h HandOverResult) { r.results <- h }
 
 func (r *keyAdmission) AdmitEarly(h *httphead.Head, o EarlyOptions) EarlyDecision {
--- a/handlers/gateway/relay.go
+++ b/handlers/gateway/relay.go
@@ -76,7 +76,7 @@
 		res.Elapsed = now().Sub(start)
 		c.server.early.RecordHandOver(decision, res)
 	}()
-	handed, err := c.send(begun, rest, decision.CallerLeavesAt)
+	handed, err := c.send(begun, rest, decision)
 	if err != nil {
 		res.CallerDisconnected = c.callerDisconnected
 		res.Lost = !c.callerDisconnected && relay.IsErrMaybeSent(err)
@@ -121,7 +121,7 @@
 
 // send reads the rest of a request and hands it over, with the time until its caller leaves. If no
 // gateway takes the request, its bytes are buffered for the next reads.
-func (c *callerConn) send(begun []byte, rest int64, callerLeavesAt time.Time) (*relay.Handover, error) {
+func (c *callerConn) send(begun []byte, rest int64, decision EarlyDecision) (*relay.Handover, error) {
 	size := relay.HeaderSize + len(begun) + int(rest)
 	pooled := requestBuffers.get(size)
 	defer requestBuffers.put(pooled)
@@ -139,7 +139,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
 	handed, err := c.server.relay.Send(ctx, buffer[:size], c.countedConn, func() error {
-		return c.checkHandOver(buffer[relay.HeaderSize:size], callerLeavesAt)
+		return c.checkHandOver(buffer[relay.HeaderSize:size], decision)
 	})
 	if errors.Is(err, relay.ErrCallerDisconnected) {
 		c.callerDisconnected = true
@@ -153,14 +153,17 @@
 
 // checkHandOver returns an error if a request must not be handed over any more. Otherwise it writes the
 // time that is left into the request: the gateway that takes it cannot know for how long it has waited.
-func (c *callerConn) checkHandOver(request []byte, callerLeavesAt time.Time) error {
+func (c *callerConn) checkHandOver(request []byte, decision EarlyDecision) error {
 	if c.isDisconnected() {
 		return relay.ErrCallerDisconnected
 	}
-	if callerLeavesAt.IsZero() {
+	if c.server.early.CheckTimeLeft(decision) != nil {
+		return relay.ErrNoTime
+	}
+	if decision.CallerLeavesAt.IsZero() {
 		return nil
 	}
-	remaining := callerLeavesAt.Sub(now())
+	remaining := decision.CallerLeavesAt.Sub(now())
 	if remaining < minHandOverTime {
 		return relay.ErrNoTime
 	}
--- a/handlers/gateway/relay_test.go
+++ b/handlers/gateway/relay_test.go
@@ -319,3 +319,18 @@
 		t.Error("a request without time left was handed over")
 	}
 }
+
+// Guards against a request that is handed over late in a stop, whose answer this gateway could not pass on.
+func TestHandOverTooLateInStopIsRefused(t *testing.T) {
+	far := newRelay(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the request was handed over") }))
+	_, early, address := serveRelay(t, far)
+	early.timeLeft = errors.New("the gateway stops")
+	c := newCaller(t, address)
+	c.send(post("moved", "x"))
+	if status, body, _ := c.answer(); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, %q, want 503", status, body)
+	}
+	if outcome := <-early.results; outcome.Peer != "" || outcome.Lost {
+		t.Errorf("got outcome %+v", outcome)
+	}
+}
