router: Answer the calls in flight at the end of a drain

When the drain timeout of a router ended before its calls, their connections were closed without a byte, those of calls with and without an idempotency key.

Cause: the end of the drain closes the callers' connections and ends the contexts of the calls at once; no handler gets to write what became of its call.

Evidence: lab/fleet TestDrainAnswersCallsInFlightAtItsEnd (a service that does not answer, a drain timeout of 100 ms) failed before:

got Post "http://127.95.1.1:8101/services/samples/submit": EOF, want an answer that the outcome is unknown

for both calls.

Change: when the drain timeout is over, dispatch.Service ends the contexts in which requests wait for a target; for up to a second they are answered and the claims of keyed calls get their outcome. A begun stream is cut without an error event, as before, so that its caller resumes it at another router.

--- a/handlers/caller/caller.go
+++ b/handlers/caller/caller.go
@@ -48,7 +48,7 @@
 	inflight sync.WaitGroup
 }
 
-// New returns a handler whose request bodies have at most maxBody bytes. Once dying is closed, a
+// New returns a handler whose request bodies have at most maxBody bytes. Once dying is closed or d has given up, a
 // partial answer is cut off without an error event, so that the caller resumes it.
 func New(routerID string, maxBody int64, c *config.Service, d *dispatch.Service, dying <-chan struct{}) *Handler {
 	return &Handler{routerID: routerID, maxBody: maxBody, config: c, dispatch: d, dying: dying}
--- a/handlers/caller/chat.go
+++ b/handlers/caller/chat.go
@@ -97,6 +97,9 @@
 		panic(http.ErrAbortHandler)
 	default:
 	}
+	if h.dispatch.GaveUp() {
+		panic(http.ErrAbortHandler)
+	}
 	body, _ := api.NewError(err, c.id)
 	s.sendEvent("error", body)
 	return nil
--- a/router/router.go
+++ b/router/router.go
@@ -300,8 +300,11 @@
 	}
 }
 
+// answerTimeout bounds the time in which the requests are answered that a drain does not wait for any longer.
+const answerTimeout = time.Second
+
 // Drain stops the router gracefully: it tells the peers, refuses new requests as not run and
-// waits for those in flight.
+// waits for those in flight. At the end of that time it answers them with what is known.
 func (r *Router) Drain() {
 	r.drainOnce.Do(func() {
 		r.log.Info("Drain started.")
@@ -311,6 +314,14 @@
 		ctx, cancel := context.WithTimeout(context.Background(), r.settings.Caller.DrainTimeout.Duration)
 		defer cancel()
 		ended := r.caller.Drain(ctx)
+		if !ended {
+			r.log.Info("Drain goes on without waiting for targets.")
+			r.dispatch.GiveUp()
+			answering, cancel := context.WithTimeout(context.Background(), answerTimeout)
+			defer cancel()
+			ctx = answering
+			r.caller.Drain(ctx)
+		}
 		closed := r.claims.Wait(ctx)
 		// Refusals that are being written must arrive.
 		if err := r.callerHTTP.Shutdown(ctx); err != nil {
--- a/services/dispatch/chat.go
+++ b/services/dispatch/chat.go
@@ -160,12 +160,12 @@
 // try makes one attempt. An empty outcome means that a retry is useless.
 func (st *stream) try() (outcome string, status int, err error) {
 	j, s := st.j, st.s
-	waitCtx := st.caller
+	waitCtx, cancelWait := s.untilGiveUp(st.caller)
 	if st.callerDisconnected {
-		var cancel context.CancelFunc
-		waitCtx, cancel = s.detached(j)
-		defer cancel()
+		cancelWait()
+		waitCtx, cancelWait = s.detached(j)
 	}
+	defer cancelWait()
 	id, target, err := s.submit(waitCtx, j)
 	if err != nil {
 		if !result.IsErrResult(err) {
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -73,6 +73,8 @@
 	opts         Options
 	counters     *counters
 	exitDetector *netopt.ExitDetector
+	working      context.Context    // ends when no request waits for a target any more
+	giveUp       context.CancelFunc // ends working
 
 	mu             sync.Mutex // guards the fields below
 	budgets        *budget.Set
@@ -83,14 +85,31 @@
 
 // New returns a service whose background work ends with the tomb.
 func New(t *tomb.Tomb, logger log.Logger, o Options) *Service {
+	working, giveUp := context.WithCancel(t.Context(context.Background()))
 	return &Service{
-		t: t, log: logger, opts: o, counters: newCounters(), exitDetector: netopt.NewExitDetector(),
+		t: t, log: logger, opts: o, counters: newCounters(), exitDetector: netopt.NewExitDetector(), working: working, giveUp: giveUp,
 		budgets:   budget.NewSet(o.RetryRatio, o.RetryBurst),
 		estimates: estimates{},
 		prefixes:  map[string]*place.PrefixMap{},
 	}
 }
 
+// GiveUp ends all requests. Their callers are told that they did not run, or that this is unknown.
+func (s *Service) GiveUp() { s.giveUp() }
+
+// GaveUp reports whether all requests were ended.
+func (s *Service) GaveUp() bool { return s.working.Err() != nil }
+
+// untilGiveUp returns a context that also ends when all requests are ended.
+func (s *Service) untilGiveUp(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	stop := context.AfterFunc(s.working, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // job is the state of a request.
 type job struct {
 	requestID         string
@@ -253,7 +272,7 @@
 
 // mayRetry reports whether another attempt may follow; number is the number of attempts made.
 func (s *Service) mayRetry(j *job, number int, outcome string, status int) bool {
-	if number >= maxAttempts || !s.opts.Clock.Now().Before(j.deadline) {
+	if number >= maxAttempts || !s.opts.Clock.Now().Before(j.deadline) || s.GaveUp() {
 		return false
 	}
 	allowed := s.repeatable(j, number, outcome, status)
@@ -301,7 +320,7 @@
 	outcomeUnknown = "unknown"
 )
 
-// detached returns a context that outlives the caller and ends with the deadline or the router.
+// detached returns a context that outlives the caller and ends with the deadline or with GiveUp.
 func (s *Service) detached(j *job) (context.Context, context.CancelFunc) {
-	return clock.WithDeadline(s.t.Context(context.Background()), s.opts.Clock, j.deadline)
+	return clock.WithDeadline(s.working, s.opts.Clock, j.deadline)
 }
--- a/services/dispatch/plain.go
+++ b/services/dispatch/plain.go
@@ -48,6 +48,8 @@
 	if err != nil {
 		return PlainAnswer{}, err
 	}
+	ctx, cancel := s.untilGiveUp(ctx)
+	defer cancel()
 	s.prepare(j)
 	s.countFirstAttempt(j)
 	s.startQuarantineAttempt(j, c.Body)
@@ -157,7 +159,7 @@
 	// recorded.
 	base := ctx
 	if once {
-		base = s.t.Context(context.Background())
+		base = s.working
 	}
 	sendCtx, cancel := context.WithTimeout(base, time.Duration(j.pool.TimeoutMS)*time.Millisecond)
 	defer cancel()
