caller: Name a retry time in refusals of a stopping router

A router that stops refused new requests as not run, without a Retry-After. TestRefusalInDrainHasRetryAfter failed before:

got status 503, Retry-After "", {"error":{"code":2004,...,"retry_after_ms":0,...}}

The refusals of gateways had one.

--- a/handlers/caller/caller.go
+++ b/handlers/caller/caller.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/uptrace/bunrouter"
 
@@ -35,6 +36,9 @@
 	maxKeyLength         = 256
 )
 
+// drainingRetryAfter is long enough for the caller to be sent to another router.
+const drainingRetryAfter = 50 * time.Millisecond
+
 // Handler serves callers' requests.
 type Handler struct {
 	routerID string
@@ -91,7 +95,7 @@
 		w.Header().Set(api.HeaderRequestID, c.id)
 		w.Header().Set(HeaderRouter, h.routerID)
 		if !h.beginRequest() {
-			api.WriteError(w, result.New(result.Draining, "router %s is stopping", h.routerID), c.id)
+			api.WriteError(w, result.New(result.Draining, "router %s is stopping", h.routerID).WithRetryAfter(drainingRetryAfter), c.id)
 			return nil
 		}
 		defer h.inflight.Done()
