--- a/lab/platform/stops.go
+++ b/lab/platform/stops.go
@@ -120,10 +120,12 @@
 		c := StopCell{StopMoments[rng.IntN(len(StopMoments))], StopArrivals[rng.IntN(len(StopArrivals))], k.Name, k.Work, rng.IntN(2) == 0}
 		r := s.newRequest(rng, c)
 		if c.Kept {
-			r.keep(s.newRequest(rng, StopCell{Kind: kinds[0].Name}))
+			first := s.newRequest(rng, StopCell{Kind: kinds[0].Name})
+			warm.Go(func() { r.keep(first) })
 		}
 		requests = append(requests, r)
 	}
+	warm.Wait()
 	hanging := s.newRequest(rng, StopCell{Moment: "before", Bytes: "whole", Kind: "hanging", Work: stopHangingWork})
 	all.Go(func() { s.count(hanging.cell, hanging.send(0, 0)) })
 	time.Sleep(stopProbePause)
