--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -6,7 +6,8 @@
 // The load balancer takes seconds to notice that a process stops, and keeps sending if many
 // stop together. The process therefore serves new requests while there is time to finish
 // them, then refuses them. Once nothing is in flight it closes the connections on which no
-// request has begun, and exits when none is left.
+// request has begun, and exits when none is left. What is in flight near the end of the grace
+// period is answered with what is known of it.
 package drain
 
 import (
@@ -22,20 +23,22 @@
 	Serve  Phase = iota + 1 // new requests are served
 	Refuse                  // new requests are refused, those in flight continue
 	Close                   // as Refuse, and idle connections are closed
+	Answer                  // as Close, and requests in flight are answered without waiting for targets
 	Exit                    // the process ends
 )
 
 // String implements fmt.Stringer.
 func (p Phase) String() string {
-	return [...]string{Serve: "serve", Refuse: "refuse", Close: "close", Exit: "exit"}[p]
+	return [...]string{Serve: "serve", Refuse: "refuse", Close: "close", Answer: "answer", Exit: "exit"}[p]
 }
 
 const (
 	// serveShare is the part of the grace period in which new requests are served. A long
-	// request that starts later might not finish before the process is killed. After
-	// exitShare the requests still in flight are cut off.
-	serveShare = 0.35
-	exitShare  = 0.95
+	// request that starts later might not finish before the process is killed. Work that has not
+	// ended after answerShare is given up, so that its callers are told before exitShare.
+	serveShare  = 0.35
+	answerShare = 0.94
+	exitShare   = 0.95
 	// maxStep bounds the time between two steps that counts towards the exit. A longer one is a
 	// stall, in which no request in flight could end.
 	maxStep = 200 * time.Millisecond
@@ -51,6 +54,9 @@
 // ServeUntil returns the time from which new requests are refused.
 func (p Plan) ServeUntil() time.Time { return p.Started.Add(fraction(p.Grace, serveShare)) }
 
+// AnswerBy returns the time by which the work for requests must have ended to be answered.
+func (p Plan) AnswerBy() time.Time { return p.Started.Add(fraction(p.Grace, answerShare)) }
+
 // Machine runs through the phases of a shutdown. No phase comes back: a request that is read after
 // the last one has ended is refused.
 type Machine struct {
@@ -74,10 +80,10 @@
 	m.stepAt = now
 	next := m.phase
 	switch {
-	case m.ran >= fraction(m.plan.Grace, exitShare):
-		next = Exit
-	case m.phase == Close && inFlight == 0 && open == 0:
+	case m.phase >= Close && inFlight == 0 && open == 0, m.phase == Answer && m.ran >= fraction(m.plan.Grace, exitShare):
 		next = Exit
+	case m.ran >= fraction(m.plan.Grace, answerShare):
+		next = Answer
 	case inFlight == 0 && since >= min(m.plan.Linger, fraction(m.plan.Grace, exitShare)):
 		next = Close
 	case !now.Before(m.plan.ServeUntil()):
--- a/handlers/caller/caller.go
+++ b/handlers/caller/caller.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/uptrace/bunrouter"
 
@@ -35,6 +36,9 @@
 	maxKeyLength         = 256
 )
 
+// drainingRetryAfter is long enough for the caller to be sent to another router.
+const drainingRetryAfter = 50 * time.Millisecond
+
 // Handler serves callers' requests.
 type Handler struct {
 	routerID string
@@ -48,7 +52,7 @@
 	inflight sync.WaitGroup
 }
 
-// New returns a handler whose request bodies have at most maxBody bytes. Once dying is closed, a
+// New returns a handler whose request bodies have at most maxBody bytes. Once dying is closed or d has given up, a
 // partial answer is cut off without an error event, so that the caller resumes it.
 func New(routerID string, maxBody int64, c *config.Service, d *dispatch.Service, dying <-chan struct{}) *Handler {
 	return &Handler{routerID: routerID, maxBody: maxBody, config: c, dispatch: d, dying: dying}
@@ -91,7 +95,7 @@
 		w.Header().Set(api.HeaderRequestID, c.id)
 		w.Header().Set(HeaderRouter, h.routerID)
 		if !h.beginRequest() {
-			api.WriteError(w, result.New(result.Draining, "router %s is stopping", h.routerID), c.id)
+			api.WriteError(w, result.New(result.Draining, "router %s is stopping", h.routerID).WithRetryAfter(drainingRetryAfter), c.id)
 			return nil
 		}
 		defer h.inflight.Done()
--- a/lab/platform/siteconfig.go
+++ b/lab/platform/siteconfig.go
@@ -11,7 +11,7 @@
 	defer s.mu.Unlock()
 	s.version += 1 + s.rng.IntN(3)
 	var routes []map[string]any
-	for _, k := range Kinds() {
+	for _, k := range s.kinds() {
 		timeout := k.Deadline
 		if s.opts.RouteTimeout > 0 {
 			timeout = s.opts.RouteTimeout
@@ -25,6 +25,8 @@
 			route["kind"], route["service"], route["canResume"], route["gapAimMs"], route["sticky"] = "streaming", modelService, k.Resumable, 400, true
 		case k.Repeatable:
 			route["kind"] = "safe"
+		case k.Keyed:
+			route["kind"] = "keyed"
 		}
 		routes = append(routes, route)
 	}
@@ -45,7 +47,7 @@
 	s.config = map[string]any{
 		"version": s.version, "routes": routes, "tenants": tenants,
 		"services": []map[string]any{
-			{"name": modelService, "healthPath": "/health", "maxConnections": 200, "engine": map[string]any{"slots": 16, "kvTokens": 40_000, "stride": 1, "moves": true, "kvTokenBytes": tokenBytes, "bandwidthMbps": copyRate * tokenBytes * 8 / 1e6}},
+			{"name": modelService, "healthPath": "/health", "maxConnections": 200, "engine": map[string]any{"slots": max(modelSlots, s.opts.Slots), "kvTokens": 40_000, "stride": 1, "moves": true, "kvTokenBytes": tokenBytes, "bandwidthMbps": copyRate * tokenBytes * 8 / 1e6}},
 			{"name": plainService, "healthPath": "/health", "maxConnections": 100},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": headerTimeout.Milliseconds(), "idleTimeoutMs": 15000, "tokensPerS": 120_000},
--- a/router/gatewaydrain.go
+++ b/router/gatewaydrain.go
@@ -29,6 +29,7 @@
 		g.log.Info("Drain started.", "in_flight", g.inFlight(), "connections", g.callers.Open(), "stalled_before", standstill)
 		close(g.draining)
 		g.handler.StartClosing(plan.ServeUntil())
+		g.forward.StopBy(plan.AnswerBy())
 		g.loop.Leave()
 		phase := drain.Serve
 		for phase != drain.Exit {
@@ -69,10 +70,14 @@
 	if phase != drain.Serve {
 		g.handler.SetMode(gateway.RefuseAll)
 	}
-	if phase == drain.Close {
+	if phase >= drain.Close {
 		g.callers.StopAccepting()
 		g.callers.CloseIdle()
 	}
+	if phase >= drain.Answer {
+		g.forward.GiveUp()
+		g.callers.EndIncomplete()
+	}
 	return phase
 }
 
--- a/services/forward/forward.go
+++ b/services/forward/forward.go
@@ -23,6 +23,7 @@
 	"madderway/core/overload"
 	"madderway/core/promise"
 	"madderway/core/throttle"
+	"madderway/core/worktime"
 	"madderway/models/result"
 	"madderway/models/routing"
 	"madderway/modules/clock"
@@ -88,11 +89,12 @@
 	opts    Options
 	started time.Time
 
-	mu         sync.Mutex // guards balancer, windows, throttle, retryTimes and opts.Retry
+	mu         sync.Mutex // guards balancer, windows, throttle, retryTimes, workTimes and opts.Retry
 	balancer   *balance.Balancer
 	windows    map[string]*budget.Window
 	throttle   *throttle.Throttle
 	retryTimes promise.RetryTimes
+	workTimes  map[string]*worktime.Recent // by route
 
 	plainByRecent atomic.Bool // opts.PlainByRecent applies to the current configuration
 
@@ -100,11 +102,18 @@
 
 	counters counters
 	outcomes outcomeCounts
-	inFlight atomic.Int64 // requests to engines
+	inFlight atomic.Int64              // requests to engines
+	answerBy atomic.Pointer[time.Time] // nil unless the gateway stops
+	working  context.Context           // ends when no request waits for a target any more
+	giveUp   context.CancelFunc        // ends working
 }
 
 func New(logger log.Logger, o Options) *Service {
-	return &Service{log: logger, opts: o, started: o.Clock.Now(), balancer: balance.New(o.DataHall, rand.Float64), windows: map[string]*budget.Window{}, throttle: throttle.New(), answers: heldbytes.New(o.MaxHeldAnswerBytes), counters: newCounters()}
+	working, giveUp := context.WithCancel(context.Background())
+	return &Service{
+		log: logger, opts: o, started: o.Clock.Now(), balancer: balance.New(o.DataHall, rand.Float64), windows: map[string]*budget.Window{}, throttle: throttle.New(),
+		answers: heldbytes.New(o.MaxHeldAnswerBytes), workTimes: map[string]*worktime.Recent{}, working: working, giveUp: giveUp, counters: newCounters(),
+	}
 }
 
 // Request is an authenticated request of a caller.
@@ -132,7 +141,7 @@
 // Serve answers a request. It returns ErrAborted if the connection must be closed, and an
 // ErrResult if nothing was written yet.
 func (s *Service) Serve(ctx context.Context, w http.ResponseWriter, r *Request) error {
-	ctx, cancel := clock.WithDeadline(ctx, s.opts.Clock, r.Deadline)
+	ctx, cancel := clock.WithDeadlineOrEnd(ctx, s.opts.Clock, r.Deadline, s.working)
 	defer cancel()
 	j := &job{s: s, ctx: ctx, w: w, r: r, lastEvent: r.Call.LastEvent, history: attempt.History{Route: r.Route}, quarantineAttempt: s.opts.Quarantine.NewAttempt(r.identity(), r)}
 	j.takeFromRetryBudget = func() bool { return s.takeFromRetryBudget(r.Service.Name) }
@@ -306,4 +315,5 @@
 	defer s.mu.Unlock()
 	s.balancer.ChooseByRecent(limited)
 	s.balancer.Keep(targets)
+	s.keepWorkTimes(index)
 }
--- a/services/forward/job.go
+++ b/services/forward/job.go
@@ -90,6 +90,10 @@
 func (j *job) run() error {
 	defer j.quarantineAttempt.End()
 	defer j.releaseAnswer()
+	if err := j.checkTimeLeft(); err != nil {
+		j.disregardUnasked()
+		return err
+	}
 	if j.r.Route.Stream && j.r.Call.Resuming {
 		if err := j.bind(); err != nil {
 			return j.placementError(err)
@@ -105,6 +109,7 @@
 		}
 		j.target, j.targetID, j.placedAt = p.target(), p.target().ID, j.s.opts.Clock.Now()
 		outcome, failure := j.exchange(p)
+		j.recordWorkTime(outcome)
 		if outcome == 0 {
 			j.quarantineAttempt.Succeeded()
 			return nil
@@ -134,10 +139,16 @@
 		case attempt.Deliver:
 			return j.deliver(failure)
 		case attempt.Refuse:
+			if j.s.GaveUp() {
+				return stoppedError()
+			}
 			return result.New(result.TargetRefused, "%s", j.reason).WithRetryAfter(shortRetryAfter)
 		case attempt.Unclear:
 			return result.New(result.OutcomeUnknown, "%s", j.reason)
 		case attempt.TimedOut:
+			if j.s.GaveUp() {
+				return result.New(result.OutcomeUnknown, "the gateway stopped before the target answered")
+			}
 			return result.New(result.TimedOut, "%s", j.reason)
 		default:
 			return ErrAborted
@@ -183,6 +194,9 @@
 	if j.history.MayHaveRun {
 		return result.New(result.OutcomeUnknown, "%s; then %v", j.reason, err)
 	}
+	if j.s.GaveUp() {
+		return stoppedError()
+	}
 	if j.ctx.Err() != nil {
 		return result.New(result.QueueTimeout, "the time is over").WithRetryAfter(shortRetryAfter)
 	}
