setting: Let a gateway advertise another address to its peers

peers_advertise is the address that other gateways dial, as a router's advertise is; without it, peers. Nothing changes where it is not set.

Evidence: TestGatewayPeerAddress; an address that is none is refused with the key (TestParseGatewayErrorNamesKey).

--- a/modules/setting/gateway.go
+++ b/modules/setting/gateway.go
@@ -16,12 +16,15 @@
 // platform's store lists. The platform writes the file, which has only this section.
 // Unknown keys are ignored, since the platform may add some.
 type Gateway struct {
-	ID          string   `toml:"id"`
-	DataHall    string   `toml:"data_hall"`
-	Region      string   `toml:"region"`
-	Callers     string   `toml:"callers"`      // listen address for callers
-	Readiness   string   `toml:"readiness"`    // listen address for the load balancer's health checks
-	Peers       string   `toml:"peers"`        // listen address for other gateways
+	ID        string `toml:"id"`
+	DataHall  string `toml:"data_hall"`
+	Region    string `toml:"region"`
+	Callers   string `toml:"callers"`   // listen address for callers
+	Readiness string `toml:"readiness"` // listen address for the load balancer's health checks
+	Peers     string `toml:"peers"`     // listen address for other gateways
+	// PeersAdvertise is the address that other gateways dial, Peers if empty.
+	PeersAdvertise string `toml:"peers_advertise"`
+
 	Seeds       []string `toml:"seeds"`        // addresses of some other gateways, possibly stale
 	PeerKey     string   `toml:"peer_key"`     // shared key of all gateways
 	Metrics     string   `toml:"metrics"`      // listen address for metrics and state dumps, empty to disable
@@ -101,6 +104,14 @@
 	return g, g.check()
 }
 
+// PeerAddress returns the address that other gateways dial.
+func (g *Gateway) PeerAddress() string {
+	if g.PeersAdvertise != "" {
+		return g.PeersAdvertise
+	}
+	return g.Peers
+}
+
 func (g *Gateway) check() error {
 	if g.ID == "" {
 		return ErrSetting{"gateway.id", "must not be empty"}
@@ -111,6 +122,9 @@
 	if g.Metrics != "" {
 		addresses["gateway.metrics"] = g.Metrics
 	}
+	if g.PeersAdvertise != "" {
+		addresses["gateway.peers_advertise"] = g.PeersAdvertise
+	}
 	keys := make([]string, 0, len(addresses))
 	for key := range addresses {
 		keys = append(keys, key)
--- a/modules/setting/gateway_test.go
+++ b/modules/setting/gateway_test.go
@@ -34,6 +34,15 @@
 	}
 }
 
+func TestGatewayPeerAddress(t *testing.T) {
+	for extra, want := range map[string]string{"": "127.0.0.1:3", `peers_advertise = "127.0.0.1:9"`: "127.0.0.1:9"} {
+		g, err := ParseGateway(gatewaySample + extra)
+		if err != nil || g.PeerAddress() != want {
+			t.Errorf("with %q: got %v, %v, want %s", extra, g.PeerAddress(), err, want)
+		}
+	}
+}
+
 // Guards against settings of before that change how services are scheduled, and against values
 // out of range.
 func TestParseScheduling(t *testing.T) {
@@ -57,13 +66,14 @@
 // Guards against errors that do not name the invalid key, or span lines.
 func TestParseGatewayErrorNamesKey(t *testing.T) {
 	for key, replace := range map[string][2]string{
-		"gateway.id":          {`id = "front-1"`, `id = ""`},
-		"gateway.callers":     {`callers = "127.0.0.1:1"`, `callers = "localhost:1"`},
-		"gateway.store":       {`store = "127.0.0.1:4"`, ``},
-		"gateway.seeds":       {`"127.0.0.1:5"`, `"somewhere"`},
-		"gateway.grace":       {`grace = "8s"`, `grace = "0s"`},
-		"gateway.retry_extra": {`retry_extra = 58`, `retry_extra = -1`},
-		"grace":               {`grace = "8s"`, `grace = "long"`},
+		"gateway.id":              {`id = "front-1"`, `id = ""`},
+		"gateway.callers":         {`callers = "127.0.0.1:1"`, `callers = "localhost:1"`},
+		"gateway.store":           {`store = "127.0.0.1:4"`, ``},
+		"gateway.seeds":           {`"127.0.0.1:5"`, `"somewhere"`},
+		"gateway.grace":           {`grace = "8s"`, `grace = "0s"`},
+		"gateway.peers_advertise": {`peers = "127.0.0.1:3"`, "peers = \"127.0.0.1:3\"\npeers_advertise = \"front-1\""},
+		"gateway.retry_extra":     {`retry_extra = 58`, `retry_extra = -1`},
+		"grace":                   {`grace = "8s"`, `grace = "long"`},
 	} {
 		_, err := ParseGateway(strings.Replace(gatewaySample, replace[0], replace[1], 1))
 		if err == nil || !strings.Contains(err.Error(), key) || strings.Contains(err.Error(), "\n") {
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -108,7 +108,7 @@
 	}
 	g.settings.Store(s)
 	g.self = member.Record{
-		ID: s.ID, Incarnation: ident.Incarnation(g.clock.Now().Unix()), Address: s.Peers, DataHall: s.DataHall, Region: s.Region,
+		ID: s.ID, Incarnation: ident.Incarnation(g.clock.Now().Unix()), Address: s.PeerAddress(), DataHall: s.DataHall, Region: s.Region,
 		Strength: strengthOf(s, true),
 	}
 	addresses := []string{s.Peers, s.Callers, s.Readiness}
@@ -173,7 +173,7 @@
 	g.follow = follow.New(&g.t, log.New("follow").With(s.ID), follow.Options{
 		Source: store, Peers: fetcher{g}, Clock: g.clock, LeavingTargets: g.notices, OnChange: g.applyUpdate, OnGap: g.origins.NoteGap, OnNewEra: g.storeRestored,
 		Fleet: func() (bool, int) { return g.loop.Watches(), g.loop.Members() },
-		Seed:  len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.Peers),
+		Seed:  len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.PeerAddress()),
 	})
 	store.OnBadRow(g.follow.ReportBadRow)
 	store.OnEra(g.follow.ObserveEra)
@@ -197,7 +197,7 @@
 	g.origins.RunArchive(&g.t, origin.ArchiveOptions{Archive: platform.NewSoftwareArchive(store), Fleet: fleet})
 	g.origins.RunRecordStore(&g.t, origin.RecordStoreOptions{Store: platform.NewStreamStore(store, g.follow.StoreTime), Keeps: g.loop.KeepsOrigins, Fleet: fleet})
 	discover.Start(&g.t, log.New("discover").With(s.ID), discover.Options{
-		Self: discover.Entry{ID: s.ID, Address: s.Peers}, Registry: platform.NewGatewayRegistry(store), Peers: g.loop, Clock: g.clock, Era: g.follow.Era,
+		Self: discover.Entry{ID: s.ID, Address: s.PeerAddress()}, Registry: platform.NewGatewayRegistry(store), Peers: g.loop, Clock: g.clock, Era: g.follow.Era,
 		EmptyRegistry: s.FirstStart,
 	})
 	guard := forward.NewGuard(log.New("guard").With(s.ID), g.clock, forward.GuardOptions{
@@ -292,7 +292,7 @@
 	g.forward.SetRetryBudget(retryBudget(s))
 	g.loop.SetSeeds(s.Seeds)
 	log.SetVerbosity(s.Verbosity)
-	fixed := old.ID != s.ID || old.Callers != s.Callers || old.Readiness != s.Readiness || old.Peers != s.Peers || old.Store != s.Store ||
+	fixed := old.ID != s.ID || old.Callers != s.Callers || old.Readiness != s.Readiness || old.Peers != s.Peers || old.PeersAdvertise != s.PeersAdvertise || old.Store != s.Store ||
 		old.FairWindow != s.FairWindow || old.Scheduling != s.Scheduling
 	g.log.Info("Settings reloaded.", "seeds", len(s.Seeds), "retry_ratio", s.RetryRatio, "grace", s.Grace.Duration, "needs_restart", fixed)
 }
