--- a/cmd/madderway-lab/main.go
+++ b/cmd/madderway-lab/main.go
@@ -53,6 +53,7 @@
 		{"measure", "Run a load scenario and print its measurements", &measureCommand{}},
 		{"platform", "Run gateways against a simulated platform", &platformCommand{}},
 		{"outages", "Measure outages of gateways that others start and stop", &outagesCommand{}},
+		{"takeups", "Take up streams at a gateway out of step; others start and signal the gateways", &takeUpsCommand{}},
 		{"seconds", "Show the activity of gateways second by second, from their logs", &secondsCommand{}},
 		{"standins", "Serve the stand-ins of a configuration for routers in other processes", &standinsCommand{}},
 	}
--- a/lab/platform/client.go
+++ b/lab/platform/client.go
@@ -52,6 +52,7 @@
 	parts        []string    // IDs of the prompt's shared parts, chosen at random if empty
 	stream       *readStream // what the caller has of its stream
 	answerHeader http.Header // headers of the last answer
+	status       int         // status of the last answer
 	refusal      string      // body of the last refusal
 }
 
@@ -149,7 +150,7 @@
 		return outcomeFailed, 0
 	}
 	defer resp.Body.Close()
-	c.answerHeader = resp.Header
+	c.answerHeader, c.status = resp.Header, resp.StatusCode
 	return c.checkAnswer(id, body, resp, started)
 }
 
--- a/lab/platform/single.go
+++ b/lab/platform/single.go
@@ -42,6 +42,7 @@
 	After           time.Duration // Retry-After
 	Worker          string        // worker that signed the answer, or empty
 	Refusal         string        // body of a refusal
+	Status          int           // 0 if there was no answer
 }
 
 // Ask sends one request of a kind to a gateway, on a new connection.
@@ -52,7 +53,7 @@
 
 func (c *client) answer(result outcome, after time.Duration) Answer {
 	worker, _, _ := strings.Cut(c.answerHeader.Get("Response-Signature"), ".")
-	return Answer{Served: result == outcomeServed || result == outcomeLate, Refused: result == outcomeRefused, After: after, Worker: worker, Refusal: c.refusal}
+	return Answer{Served: result == outcomeServed || result == outcomeLate, Refused: result == outcomeRefused, After: after, Worker: worker, Refusal: c.refusal, Status: c.status}
 }
 
 // Workers returns the workers that serve a kind of request.
--- a/lab/platform/site.go
+++ b/lab/platform/site.go
@@ -28,6 +28,8 @@
 	Seed     uint64
 	Trouble  string // name of one of Troubles, or empty
 	External bool   // the gateways are processes that somebody else starts; see WriteSettings
+	// CutLinks puts a Network between the gateways and the store.
+	CutLinks bool
 	// HeaderTimeout is the configured limit on the time to read a request's header; 0 is defaultHeaderTimeout.
 	HeaderTimeout time.Duration
 	// RouteTimeout is the configured timeout of the routes of all kinds; 0 is the deadline of each kind.
@@ -48,6 +50,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	store  *Store
+	links  *Network // nil if gateways and the store are connected directly
 	ledger *Ledger
 	rng    *rand.Rand
 
@@ -95,6 +98,9 @@
 	s := &Site{
 		opts: o, number: int(siteCount.Add(1)), ctx: ctx, cancel: cancel, store: NewStore(), ledger: NewLedger(), rng: rand.New(rand.NewPCG(o.Seed, 3)), keys: map[string][]string{},
 	}
+	if o.CutLinks {
+		s.links = newNetwork()
+	}
 	for i := range o.Accounts {
 		name := fmt.Sprint("account-", i)
 		s.keys[name] = []string{"key-of-" + name}
@@ -122,7 +128,7 @@
 		}
 		s.gateways = append(s.gateways, g)
 		if len(seeds) < 3 {
-			seeds = append(seeds, g.setting.Peers)
+			seeds = append(seeds, g.setting.PeerAddress())
 		}
 	}
 	for _, g := range s.gateways {
@@ -151,7 +157,13 @@
 	}
 	set.Store, set.RetryExtra = store, 20
 	set.Callers, set.Readiness, set.Peers = s.address(i, portCallers), s.address(i, portReadiness), s.address(i, portPeers)
-	return &gatewayNode{name: name, setting: &set}, nil
+	if s.links != nil {
+		set.PeersAdvertise = s.address(i, portAdvertised)
+		if set.Store, err = s.links.linkStore(name, store); err == nil {
+			err = s.links.linkPeers(name, set.PeersAdvertise, set.Peers)
+		}
+	}
+	return &gatewayNode{name: name, setting: &set}, err
 }
 
 // Ports of a gateway, below the ephemeral ports.
@@ -159,6 +171,8 @@
 	portCallers = 8001 + iota
 	portReadiness
 	portPeers
+	portAdvertised
+	portMetrics
 )
 
 // siteCount is the number of sites started in this process.
@@ -204,29 +218,6 @@
 	return nil
 }
 
-// AddWorker starts another model worker or plain worker.
-func (s *Site) AddWorker(model bool) error { return s.AddWorkerOf(model, "") }
-
-// AddWorkerOf starts another worker of a software version.
-func (s *Site) AddWorkerOf(model bool, software string) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.nextID++
-	cfg := WorkerConfig{Service: plainService, Slots: 4, Queue: 8, Step: 10 * time.Millisecond}
-	if model {
-		cfg = WorkerConfig{Service: modelService, Slots: 16, Queue: 16, Model: true, PrefillRate: 40_000, Step: 8 * time.Millisecond, CacheTokens: 40_000, CopyRate: copyRate, PeerAt: s.workerAt}
-	}
-	cfg.Software = software
-	// Outgoing connections take ports of 127.0.0.1 only, so that a worker can restart at its address.
-	cfg.Listen = s.hostAddress(workerHost, 0)
-	cfg.Hall, cfg.OnCrash = fmt.Sprint("hall-", s.nextID%3), s.recordCrash
-	w, err := StartWorker(fmt.Sprint("worker-", s.nextID), cfg, s.store, s.ledger, s.opts.Seed+uint64(s.nextID))
-	if err == nil {
-		s.workers = append(s.workers, w)
-	}
-	return err
-}
-
 // gateway picks a gateway as a load balancer would, a random ready one or any if none is ready,
 // and returns its address.
 func (s *Site) gateway(rng *rand.Rand) string {
@@ -337,6 +328,9 @@
 		w.Crash()
 	}
 	s.store.Close()
+	if s.links != nil {
+		s.links.close()
+	}
 }
 
 // Result holds the measurements of a run.
--- a/lab/platform/stream.go
+++ b/lab/platform/stream.go
@@ -8,7 +8,9 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -72,11 +74,16 @@
 		r.software = append(r.software, software)
 	}
 	if len(r.software) > 1 {
-		return fmt.Sprintf("stream of request %s has events of %v", r.id, r.software)
+		return fmt.Sprintf("stream of request %s"+joinText+"%v", r.id, r.software)
 	}
 	return ""
 }
 
+const joinText = " has events of "
+
+// isJoin reports whether a violation is that a stream has events of several versions.
+func isJoin(violation string) bool { return strings.Contains(violation, joinText) }
+
 // begun reports whether the stream has an event but not all of them.
 func (r *readStream) begun() bool {
 	r.mu.Lock()
@@ -113,6 +120,7 @@
 		}
 		if violation := c.stream.add(id, data); violation != "" {
 			c.site.ledger.AddViolation("%s", violation)
+			_, _ = io.Copy(io.Discard, resp.Body) // the gateway logs the end of the stream
 			return outcomeFailed, 0
 		}
 	}
@@ -166,6 +174,14 @@
 // Events returns the number of events read, and whether the stream is whole.
 func (c *StreamCaller) Events() (n int, whole bool) { return c.stream.progress() }
 
+// Versions returns the ID of the attempt that began the stream and the software versions of its events,
+// without repetitions.
+func (c *StreamCaller) Versions() (attempt string, software []string) {
+	c.stream.mu.Lock()
+	defer c.stream.mu.Unlock()
+	return c.stream.id, slices.Clone(c.stream.software)
+}
+
 // Rename makes the next attempts name another attempt as the one that began the stream.
 func (c *StreamCaller) Rename(attempt string) {
 	c.stream.mu.Lock()
--- a/lab/platform/worker.go
+++ b/lab/platform/worker.go
@@ -23,14 +23,15 @@
 // Faults of a worker. FaultLost, FaultCut and FaultExtra spoil every second plain answer;
 // FaultLost and FaultCut also every stream.
 const (
-	FaultNone   Fault = iota
-	FaultSilent       // accepts requests and never answers
-	FaultErrors       // answers every second request with 500
-	FaultLost         // runs a request and loses its answer
-	FaultCut          // closes the connection in the middle of an answer
-	FaultExtra        // sends a second answer after the first
-	FaultRefuse       // refuses all requests as not run
-	FaultStall        // stops in the middle of a stream until the connection closes
+	FaultNone     Fault = iota
+	FaultSilent         // accepts requests and never answers
+	FaultErrors         // answers every second request with 500
+	FaultLost           // runs a request and loses its answer
+	FaultCut            // closes the connection in the middle of an answer
+	FaultExtra          // sends a second answer after the first
+	FaultRefuse         // refuses all requests as not run
+	FaultStall          // stops in the middle of a stream until the connection closes
+	FaultStallNew       // like FaultStall, but serves streams that continue
 )
 
 // WorkerConfig configures a worker.
@@ -39,6 +40,7 @@
 	Hall        string
 	Software    string // version, "v1" if empty
 	Listen      string // address with port 0, "127.0.0.1:0" if empty
+	Fault       Fault  // at the start
 	Slots       int
 	Queue       int
 	Model       bool
@@ -130,7 +132,7 @@
 		return nil, err
 	}
 	w := &Worker{
-		ID: id, incarnation: incarnation, seed: seed, cfg: cfg, store: store, ledger: ledger, rng: rand.New(rand.NewPCG(seed, 1)), listener: l,
+		ID: id, incarnation: incarnation, seed: seed, cfg: cfg, fault: cfg.Fault, store: store, ledger: ledger, rng: rand.New(rand.NewPCG(seed, 1)), listener: l,
 		freed: make(chan struct{}), cached: map[string]int{}, everCached: map[string]bool{},
 	}
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Second}
@@ -402,7 +404,7 @@
 			_ = flusher.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if fault == FaultStall && n > events/2 {
+		if (fault == FaultStall || fault == FaultStallNew && from == 0) && n > events/2 {
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
