--- a/router/streamversions_test.go
+++ b/router/streamversions_test.go
@@ -4,6 +4,7 @@
 package router_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"sync"
@@ -116,14 +117,24 @@
 // begin begins streams at the first gateways that stop in the middle, and waits until each caller
 // has a part of its stream.
 func (s *versionSite) begin(gateways int) {
+	s.t.Helper()
+	var first []int
+	for g := range gateways {
+		first = append(first, g)
+	}
+	s.beginAt(s.t.Context(), first...)
+}
+
+// beginAt is like begin at the given gateways. The callers' connections break when the context ends.
+func (s *versionSite) beginAt(ctx context.Context, gateways ...int) {
 	s.t.Helper()
 	s.setFault(platform.FaultStall)
 	for i := range streamCount {
 		c := s.NewStreamCaller(s.kind, "account-0", s.seed.Add(1)<<8)
 		s.callers = append(s.callers, c)
 		s.open.Go(func() {
-			for n, whole := 0, false; n == 0 && !whole && s.t.Context().Err() == nil; n, whole = c.Events() {
-				c.Try(s.t.Context(), i%gateways)
+			for n, whole := 0, false; n == 0 && !whole && ctx.Err() == nil; n, whole = c.Events() {
+				c.Try(ctx, gateways[i%len(gateways)])
 			}
 		})
 	}
