lab: Have refused callers try the gateway that began their stream

tools/takeup-rounds counted a refused take-up as an end. Callers now come back to the gateway that began the stream after the delay they were told, and the table says how many went on ("later").

--- a/cmd/madderway-lab/takeups.go
+++ b/cmd/madderway-lab/takeups.go
@@ -132,15 +132,15 @@
 	if len(refused) > 0 {
 		reasons = " (" + strings.Join(refused, ", ") + ")"
 	}
-	return fmt.Sprintf("%d joined, %d gone on, %d refused%s, %d failed of %d", c.Joined, c.GoneOn, c.AllRefused(), reasons, c.Failed, c.All())
+	return fmt.Sprintf("%d joined, %d gone on, %d refused%s of which %d later, %d failed of %d", c.Joined, c.GoneOn, c.AllRefused(), reasons, c.Later, c.Failed, c.All())
 }
 
 // summarize prints the table and returns an error if a stream was joined.
 func (t *takeUpTable) summarize() error {
-	fmt.Printf("%-15s %-8s %6s %6s %6s %7s %7s %6s %6s\n", "trouble", "to", "rounds", "joined", "streams", "gone on", "refused", "failed", "all")
+	fmt.Printf("%-15s %-8s %6s %6s %6s %7s %7s %6s %6s %6s\n", "trouble", "to", "rounds", "joined", "streams", "gone on", "refused", "later", "failed", "all")
 	line := func(trouble platform.Trouble, limit string, s *takeUpSum) {
 		c := s.outOfStep
-		fmt.Printf("%-15s %-8s %6d %6d %6d %7d %7d %6d %6d\n", trouble, limit, s.rounds, s.joinedRounds, c.Joined, c.GoneOn, c.AllRefused(), c.Failed, c.All())
+		fmt.Printf("%-15s %-8s %6d %6d %6d %7d %7d %6d %6d %6d\n", trouble, limit, s.rounds, s.joinedRounds, c.Joined, c.GoneOn, c.AllRefused(), c.Later, c.Failed, c.All())
 	}
 	for _, trouble := range append([]platform.Trouble{platform.TroubleStop}, platform.CutTroubles()...) {
 		for class, limit := range takeUpClasses {
--- a/lab/platform/takeup.go
+++ b/lab/platform/takeup.go
@@ -124,6 +124,7 @@
 	GoneOn  int
 	Refused map[string]int // by status and name of the result
 	Failed  int
+	Later   int // of the refused, those that went on at the gateway that began them after the delay they were told
 }
 
 // AllRefused returns the number of refusals.
@@ -143,7 +144,7 @@
 	if c.Refused == nil {
 		c.Refused = map[string]int{}
 	}
-	c.Joined, c.GoneOn, c.Failed = c.Joined+other.Joined, c.GoneOn+other.GoneOn, c.Failed+other.Failed
+	c.Joined, c.GoneOn, c.Failed, c.Later = c.Joined+other.Joined, c.GoneOn+other.GoneOn, c.Failed+other.Failed, c.Later+other.Later
 	for reason, n := range other.Refused {
 		c.Refused[reason] += n
 	}
@@ -295,6 +296,10 @@
 		}
 		at := time.Now()
 		a := caller.Try(ctx, to)
+		if a.Refused {
+			sleep(ctx, a.After)
+			caller.Try(ctx, from)
+		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if at.After(end) {
@@ -342,10 +347,13 @@
 	case len(software) > 1:
 		counts.Joined++
 		r.result.JoinedStreams = append(r.result.JoinedStreams, fmt.Sprintf("stream %s, taken up %v after the start of the trouble, has events of %v", attempt, at.Round(time.Millisecond), software))
-	case whole:
-		counts.GoneOn++
 	case a.Refused:
 		counts.Refused[a.reason()]++
+		if whole {
+			counts.Later++
+		}
+	case whole:
+		counts.GoneOn++
 	default:
 		counts.Failed++
 	}
