--- a/cmd/madderway-lab/main.go
+++ b/cmd/madderway-lab/main.go
@@ -54,6 +54,7 @@
 		{"platform", "Run gateways against a simulated platform", &platformCommand{}},
 		{"outages", "Measure outages of gateways that others start and stop", &outagesCommand{}},
 		{"stops", "Stop a gateway that others start, with requests all through its grace", &stopsCommand{}},
+		{"takeups", "Take up streams at a gateway out of step; others start and signal the gateways", &takeUpsCommand{}},
 		{"seconds", "Show the activity of gateways second by second, from their logs", &secondsCommand{}},
 		{"standins", "Serve the stand-ins of a configuration for routers in other processes", &standinsCommand{}},
 	}
