--- a/services/relay/version.go
+++ b/services/relay/version.go
@@ -23,7 +23,7 @@
 type announcedVersion struct {
 	mu       sync.Mutex
 	version  uint64
-	partial  []byte        // the part of an announcement that has been read
+	partial  []byte        // what has been read of an announcement, a byte more than a version at most
 	first    chan struct{} // closed by the first announcement, or when the tunnel is closed
 	isFirst  sync.Once
 	observed func(version uint64) // called with each newer version; may be nil
@@ -31,7 +31,7 @@
 
 // observe handles a piece of a probe. A gateway of an older release names no version, which counts as 0.
 func (a *announcedVersion) observe(piece []byte, last bool) {
-	a.partial = append(a.partial, piece...)
+	a.partial = append(a.partial, piece[:min(len(piece), versionSize+1-len(a.partial))]...)
 	if !last {
 		return
 	}
--- a/services/relay/version_test.go
+++ b/services/relay/version_test.go
@@ -127,3 +127,18 @@
 	_ = near.Close()
 	<-ended
 }
+
+// Guards against a probe that is kept whole, however long it is, and taken for a version.
+func TestLongProbeIsNotKept(t *testing.T) {
+	a := announcedVersion{first: make(chan struct{})}
+	for range 100 {
+		a.observe(make([]byte, versionSize), false)
+	}
+	if len(a.partial) > versionSize+1 {
+		t.Errorf("%d bytes are kept, want %d at most", len(a.partial), versionSize+1)
+	}
+	a.observe([]byte{1}, true)
+	if !a.is(0) {
+		t.Errorf("got version %d, want none", a.version)
+	}
+}
