--- a/core/head/head_test.go
+++ b/core/head/head_test.go
@@ -174,3 +174,37 @@
 		t.Fatal("did not fetch again after a failure")
 	}
 }
+
+// Guards against a configuration that is reported as in force while routers that are cut off together
+// keep each other admitting by an older one: contact with a peer that has not heard of the head row
+// either tells nothing of it.
+func TestRoutersCutOffTogetherStopAdmitting(t *testing.T) {
+	const isolation = 10 * time.Second
+	pair := []*Follower{NewFollower(epoch, isolation), NewFollower(epoch, isolation)}
+	for _, f := range pair {
+		f.Step(epoch, HeadSeen{Version{1, "h"}, true})
+		f.Step(epoch, Loaded{Version{1, "h"}})
+	}
+	for at := time.Second; at <= 2*isolation; at += time.Second {
+		pair[0].Step(epoch.Add(at), PeerVersionSeen{"b", pair[1].Version()})
+		pair[1].Step(epoch.Add(at), PeerVersionSeen{"a", pair[0].Version()})
+	}
+	for i, f := range pair {
+		if f.Admits(epoch.Add(2 * isolation)) {
+			t.Errorf("router %d admits %v after the head row was last read by either", i, 2*isolation)
+		}
+	}
+}
+
+// Guards against a router that wakes, reads what lay in its sockets and takes it for contact: the
+// configuration may have been reported as in force everywhere while it stood still.
+func TestMessageFromBeforeAStandstillIsNoContact(t *testing.T) {
+	f := NewFollower(epoch, 10*time.Second)
+	f.Step(epoch, HeadSeen{Version{1, "h"}, true})
+	f.Step(epoch, Loaded{Version{1, "h"}})
+	woke := epoch.Add(20 * time.Second)
+	f.Step(woke, PeerVersionSeen{"p", Version{1, "h"}}) // sent at epoch
+	if f.Admits(woke) {
+		t.Error("admits after a message that was sent before the standstill")
+	}
+}
