netopt, upstream: End an answer by the error that its upload got

Callers got a part of an answer as a complete one: a target answered a long upload at once, without a length, sent part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports the error of a connection once, to the call that asks first. A body of over 4 KiB is written beside the reading of the answer. If the write got the reset, the read that followed got 0 bytes, which is the end of a body that ends with its connection. Class: an error that is delivered once, and an end of input taken for a statement of the sender.

Change: connections to targets look at the state of the socket when a read comes to the end. CLOSE_WAIT: the peer has ended its data, the body is whole, nothing is waited for. CLOSE: an error has ended the connection; a write in progress returns at once then, so its error is waited for, and Read returns it. EPIPE is the exception: the kernel gives that for a reset after the end of the peer's data, and the body is whole. An error that neither Read, Write nor SO_ERROR has was taken by another call, such as Peek, and counts as a reset. It needs no time limit and no knowledge of who took the error.

The streams, cached parts and failures read the same connections.

--- a/modules/netopt/peek.go
+++ b/modules/netopt/peek.go
@@ -22,31 +22,22 @@
 
 // Peek reports whether a connection has data to read, without consuming it or blocking.
 func Peek(c net.Conn) PeekResult {
-	if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = wrapper.NetConn()
-	}
-	tcp, ok := c.(*net.TCPConn)
+	tcp, ok := unwrapTCP(c)
 	if !ok {
 		return PeekUnknown
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return PeekClosed
-	}
 	result := PeekClosed
 	var one [1]byte
-	// Unlike raw.Read, Control does not wait for a concurrent read.
-	err = raw.Control(func(fd uintptr) {
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	// Unlike a read, control does not wait for a concurrent read. It fails if the connection is closed locally.
+	_ = control(tcp, func(fd int) error {
+		n, _, err := syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
 		case errors.Is(err, syscall.EAGAIN):
 			result = PeekEmpty
 		case err == nil && n > 0:
 			result = PeekData
 		}
+		return nil
 	})
-	if err != nil {
-		return PeekClosed // closed locally
-	}
 	return result
 }
--- a/modules/netopt/reset.go
+++ b/modules/netopt/reset.go
@@ -7,10 +7,7 @@
 
 // SetResetOnClose sets whether closing a TCP connection resets it and drops unsent data.
 func SetResetOnClose(c net.Conn, on bool) error {
-	if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = wrapper.NetConn()
-	}
-	tcp, ok := c.(*net.TCPConn)
+	tcp, ok := unwrapTCP(c)
 	if !ok {
 		return nil
 	}
--- a/services/upstream/cachedparts.go
+++ b/services/upstream/cachedparts.go
@@ -17,7 +17,7 @@
 // CachedParts returns the parts of prompts that a target has cached. It opens a connection of
 // its own, since the answer has neither ID nor signature.
 func (c *Client) CachedParts(ctx context.Context, t *routing.Target) ([]routing.PromptPart, error) {
-	connection, err := c.pool.dial(ctx, t)
+	connection, err := c.pool.open(ctx, t)
 	if err != nil {
 		return nil, ErrExchange{false, err.Error()}
 	}
--- a/services/upstream/pool.go
+++ b/services/upstream/pool.go
@@ -88,7 +88,7 @@
 
 // Pool holds the idle connections to all targets.
 type Pool struct {
-	dialer   *net.Dialer
+	dial     netopt.DialFunc
 	clock    clock.Clock
 	traffic  *netopt.Traffic
 	counters connCounters
@@ -102,7 +102,8 @@
 // NewPool returns a pool that keeps at most maxIdle connections to each target and counts their
 // bytes in traffic.
 func NewPool(dialTimeout time.Duration, maxIdle int, traffic *netopt.Traffic) *Pool {
-	return &Pool{dialer: netopt.Dialer(dialTimeout), clock: clock.System{}, traffic: traffic, counters: newConnCounters(), idle: map[string][]*conn{}, maxIdle: maxIdle}
+	dial := netopt.ReportErrorsToRead(netopt.Dialer(dialTimeout).DialContext)
+	return &Pool{dial: dial, clock: clock.System{}, traffic: traffic, counters: newConnCounters(), idle: map[string][]*conn{}, maxIdle: maxIdle}
 }
 
 // Prune closes the idle connections to targets that are leaving or not in the set.
@@ -147,7 +148,7 @@
 	for {
 		c := p.take(t.ID)
 		if c == nil {
-			return p.dial(ctx, t)
+			return p.open(ctx, t)
 		}
 		if p.clock.Now().Sub(c.idleSince) >= c.maxIdle(r) {
 			p.counters.expired.Inc()
@@ -177,11 +178,11 @@
 	return c
 }
 
-func (p *Pool) dial(ctx context.Context, t *routing.Target) (*conn, error) {
+func (p *Pool) open(ctx context.Context, t *routing.Target) (*conn, error) {
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
-	raw, err := p.dialer.DialContext(ctx, "tcp4", t.Address)
+	raw, err := p.dial(ctx, "tcp4", t.Address)
 	if err != nil {
 		return nil, err
 	}
