httpresp, upstream: Refuse answers with an invalid status

Callers got an answer with a status from 600 on as an answer. After a status under 100, or one with a sign, they got the next answer on the connection, which may be anybody's: `000` and `+20` were read over as if they were interim.

Cause: http.ReadResponse takes any three characters that strconv.Atoi takes, and all statuses under 200 counted as interim.

Change: the new package httpresp checks the text of the status: three digits, 100 to 599. An answer with another one is none: the connection is closed, nothing of the head is used, and the attempt may have run. All answers of targets are read there: to requests, to earlier ones, lists of cached parts.

Decided: 600 to 999 are refused too. RFC 9110, section 15, calls them invalid and has clients treat them as a server error. The worker's status must reach callers unaltered, so neither the status nor another one with the worker's signature can be passed on; the caller gets 502, which promises nothing.

--- a/services/upstream/pool.go
+++ b/services/upstream/pool.go
@@ -14,6 +14,7 @@
 
 	"madderway/models/routing"
 	"madderway/modules/clock"
+	"madderway/modules/httpresp"
 	"madderway/modules/netopt"
 	"madderway/modules/saturate"
 )
@@ -74,6 +75,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := httpresp.Check(resp); err != nil {
+			return nil, err
+		}
 		if hasTooManyFields(resp.Header) {
 			return nil, errHeadTooManyLines
 		}
