httpresp, upstream: Refuse answers with a blank in the name of a field

Callers got an answer with a blank in the name of a field of its head as a sound one: with `X-Y : 1` and `X Y: 1` passed on, with `Content-Length : 2` or `Transfer-Encoding : chunked` not known by their names, so that the body was what came until the connection closed, chunk sizes included.

Cause: net/http refuses other bytes that are no part of a name, but accepts blanks and leaves such names as they are.

Change: httpresp refuses them, in final and interim heads and in trailers. RFC 9112, section 5.1, has a proxy remove blanks before the colon. That would give callers a body whose length the target may not have meant, and says nothing of blanks elsewhere. The caller gets 502, or another target's answer.

Decided: - Interim heads and trailers follow the rule of heads: other broken lines in them were refused already. A line behind the last chunk that is no trailer does not show that the body is whole. - A folded field is still read as one line (RFC 9112, section 5.2, lets a proxy replace the fold by blanks); one before the first field is refused, as before.

Evidence: on the commit before TestBrokenFieldIsNoAnswer failed in 72 cases (6 of 25 lines; on 200 and 500, in each framing, at the beginning and the end of the head), TestBrokenFieldOfInterimAnswerIsNoAnswer in 6 of 25 and TestBrokenTrailerIsNoEnd in 6 of 20. Now in none, on new and kept connections. Handled before and kept as rows: tab, NUL, CR, bell, DEL, a separator or a no-break space in a name, an empty name, no colon, control bytes in a value, lengths that differ, have a sign or are negative, unknown and repeated encodings. TestFoldedFieldAndTrailersAreSound passed before.

--- a/modules/httpresp/check.go
+++ b/modules/httpresp/check.go
@@ -5,8 +5,10 @@
 package httpresp
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -30,9 +32,19 @@
 	return errors.As(err, &e)
 }
 
-// Check returns an ErrMalformed if the head of a response is not valid. The response may be an interim one.
+// Check returns an ErrMalformed if the head of a response is not valid. The response may be an interim one. If it has
+// chunks, its Body fails at the end with an ErrMalformed if the trailer is not valid.
 func Check(resp *http.Response) error {
-	return checkStatus(resp.Status)
+	if err := checkStatus(resp.Status); err != nil {
+		return err
+	}
+	if err := checkFields(resp.Header); err != nil {
+		return err
+	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &chunkedBody{resp.Body, resp}
+	}
+	return nil
 }
 
 // checkStatus checks a status code and its reason. The code is read from the text, since net/http accepts a sign.
@@ -44,3 +56,28 @@
 	}
 	return nil
 }
+
+// checkFields checks the names of fields. Of the invalid ones, net/http accepts those with blanks.
+func checkFields(h http.Header) error {
+	for name := range h {
+		if strings.Contains(name, " ") {
+			return ErrMalformed{fmt.Sprintf("blank in the field name %q", name)}
+		}
+	}
+	return nil
+}
+
+// chunkedBody checks the trailer, which has been read once the body ends.
+type chunkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		err = cmp.Or(checkFields(b.resp.Trailer), io.EOF)
+	}
+	return n, err
+}
--- a/services/upstream/malformed_test.go
+++ b/services/upstream/malformed_test.go
@@ -5,7 +5,10 @@
 
 import (
 	"fmt"
+	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"testing"
 
 	"madderway/models/routing"
@@ -75,3 +78,110 @@
 		t.Errorf("after interim answers: got status %d, body %q, error %v", status, body, err)
 	}
 }
+
+// brokenLines are no fields, in a head or a trailer.
+var brokenLines = map[string]string{
+	"blank before the colon":  "X-Y : 1",
+	"blanks before the colon": "X-Y   : 1",
+	"blank in the name":       "X Y: 1",
+	"blank of the length":     "Content-Length : 2",
+	"blank of the encoding":   "Transfer-Encoding : chunked",
+	"blank of the signature":  "Signed : no",
+	"tab before the colon":    "X-Y\t: 1",
+	"tab in the name":         "X\tY: 1",
+	"no-break space":          "X\u00a0Y: 1",
+	"NUL in the name":         "X\x00Y: 1",
+	"CR in the name":          "X\rY: 1",
+	"bell in the name":        "X\aY: 1",
+	"DEL in the name":         "X\x7fY: 1",
+	"separator in the name":   "X(Y): 1",
+	"empty name":              ": 1",
+	"no colon":                "X-Y 1",
+	"NUL in the value":        "X-Y: 1\x002",
+	"CR in the value":         "X-Y: 1\r2",
+	"bell in the value":       "X-Y: 1\a2",
+	"DEL in the value":        "X-Y: 1\x7f2",
+}
+
+// brokenFraming are fields that do not tell where a body ends.
+var brokenFraming = map[string]string{
+	"two lengths":        "Content-Length: 4\r\nContent-Length: 5",
+	"length with a sign": "Content-Length: +4",
+	"negative length":    "Content-Length: -4",
+	"unknown encoding":   "Transfer-Encoding: gzip",
+	"two encodings":      "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+}
+
+func brokenFields() map[string]string {
+	fields := maps.Clone(brokenLines)
+	maps.Copy(fields, brokenFraming)
+	return fields
+}
+
+// Guards against an answer with a broken field in its head that reaches a caller, with that line or with a body that is not
+// the target's.
+func TestBrokenFieldIsNoAnswer(t *testing.T) {
+	for name, line := range brokenFields() {
+		for _, status := range earlyStatuses {
+			for _, first := range []bool{true, false} {
+				fields := ownFields + line + "\r\n"
+				if first {
+					fields = line + "\r\n" + ownFields
+				}
+				for framing, rest := range map[string]string{
+					"length": "Content-Length: 4\r\n\r\nbody",
+					"chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+					"close":  "\r\n4\r\nbody\r\n0\r\n\r\n",
+				} {
+					t.Run(fmt.Sprintf("%s/%s/%s/first %t", name, status, framing, first), func(t *testing.T) {
+						t.Parallel()
+						expectMalformed(t, "HTTP/1.1 "+status+"\r\n"+fields+rest)
+					})
+				}
+			}
+		}
+	}
+}
+
+// Guards against an answer after an interim one with a broken field, which shows that the connection's bytes are not the
+// target's answers.
+func TestBrokenFieldOfInterimAnswerIsNoAnswer(t *testing.T) {
+	for name, line := range brokenFields() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			expectMalformed(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\n"+otherAnswer)
+		})
+	}
+}
+
+// Guards against an answer that is taken for a whole one although what follows its last chunk is no trailer.
+func TestBrokenTrailerIsNoEnd(t *testing.T) {
+	for name, line := range brokenLines {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			target := answersWith(t, "HTTP/1.1 200 OK\r\n"+ownFields+"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"+line+"\r\n\r\n", false)
+			c, _ := newClient()
+			if status, body, err := sendTo(t, c, target, request("1", "")); err == nil {
+				t.Errorf("got status %d and body %q as a whole answer", status, body)
+			}
+		})
+	}
+}
+
+// Guards against refusing a folded field, which is read as one line, and trailers.
+func TestFoldedFieldAndTrailersAreSound(t *testing.T) {
+	target := answersWith(t, "HTTP/1.1 200 OK\r\nX-Y: 1,\r\n \t2\r\n"+ownFields+"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nSum: 7\r\n\r\n", false)
+	c, _ := newClient()
+	a, err := c.Send(t.Context(), target, request("1", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	if body, err := io.ReadAll(a.Body); err != nil || string(body) != "body" {
+		t.Errorf("got body %q, error %v", body, err)
+	}
+	if got := a.Header["X-Y"]; !slices.Equal(got, []string{"1, 2"}) {
+		t.Errorf("got field %q", got)
+	}
+	expectMalformed(t, "HTTP/1.1 200 OK\r\n X-Y: 1\r\n"+ownFields+"Content-Length: 4\r\n\r\nbody")
+}
