httpresp: Refuse answers of another major version

Callers got an answer whose status line named HTTP/0.9, HTTP/2.0 or HTTP/3.0 as one of HTTP/1.1.

Cause: net/http takes any digit on either side of the dot, and reads the rest as HTTP/1.

Decided: another major version is refused. The syntax of its answers is not known to a reader of HTTP/1 (RFC 9112, section 2.3), and no target can have been asked for it. A higher minor version is read as 1.1, as before.

Evidence: TestOtherVersionIsNoAnswer failed on the commit before in 6 of 18 cases (the three versions, on 200 and 500); it passes. Refused before and kept as rows: versions that are not two digits, other names, none.

--- a/modules/httpresp/check.go
+++ b/modules/httpresp/check.go
@@ -35,6 +35,9 @@
 // Check returns an ErrMalformed if the head of a response is not valid. The response may be an interim one. If it has
 // chunks, its Body fails at the end with an ErrMalformed if the trailer is not valid.
 func Check(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return ErrMalformed{"version " + resp.Proto}
+	}
 	if err := checkStatus(resp.Status); err != nil {
 		return err
 	}
--- a/services/upstream/malformed_test.go
+++ b/services/upstream/malformed_test.go
@@ -185,3 +185,15 @@
 	}
 	expectMalformed(t, "HTTP/1.1 200 OK\r\n X-Y: 1\r\n"+ownFields+"Content-Length: 4\r\n\r\nbody")
 }
+
+// Guards against an answer in another protocol that reaches a caller, read as HTTP/1.1.
+func TestOtherVersionIsNoAnswer(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.0", "HTTP/1", "HTTP/1.10", "HTTP/11", "http/1.1", "SIP/2.0", ""} {
+		for _, status := range earlyStatuses {
+			t.Run(version+"/"+status, func(t *testing.T) {
+				t.Parallel()
+				expectMalformed(t, version+" "+status+"\r\n"+ownFields+"Content-Length: 4\r\n\r\nbody")
+			})
+		}
+	}
+}
