httpresp, upstream: Refuse chunks of HTTP/1.0

Callers got chunk sizes as part of the body of an answer: a target sent HTTP/1.0 with a Transfer-Encoding.

Cause: HTTP/1.0 has no chunks, so net/http removes the field and reads the body to the end of the connection. It does so without a trace in the response, so the bytes of a head of HTTP/1.0 are kept until they are checked; heads of HTTP/1.1 are not copied.

Decided: refused (RFC 9112, section 6.1: the framing is faulty, even with a Content-Length). An HTTP/1.1 answer with a length and chunks still ends by its chunks, and the length is not passed on (section 6.3).

--- a/services/upstream/headlimit.go
+++ b/services/upstream/headlimit.go
@@ -27,13 +27,17 @@
 	inHead    bool
 	remaining int // bytes
 	lines     int
+	captured  []byte // bytes read since capture, nil if they are not captured
 }
 
 // startHead begins to count.
 func (l *headLimiter) startHead() { l.inHead, l.remaining, l.lines = true, netopt.MaxResponseHead, 0 }
 
 // endHead ends the count: a body has bounds of its own.
-func (l *headLimiter) endHead() { l.inHead = false }
+func (l *headLimiter) endHead() { l.inHead, l.captured = false, nil }
+
+// capture keeps the bytes that are read until the end of the head, after those that have been read.
+func (l *headLimiter) capture(read []byte) { l.captured = append([]byte{}, read...) }
 
 // Read implements io.Reader.
 func (l *headLimiter) Read(p []byte) (int, error) {
@@ -49,6 +53,9 @@
 	n, err := l.r.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
 	l.lines += bytes.Count(p[:n], lineEnd)
+	if l.captured != nil {
+		l.captured = append(l.captured, p[:n]...)
+	}
 	return n, err
 }
 
--- a/services/upstream/malformed_test.go
+++ b/services/upstream/malformed_test.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 
 	"madderway/models/routing"
@@ -197,3 +198,83 @@
 		}
 	}
 }
+
+// Guards against chunk sizes that reach a caller as part of a body, since HTTP/1.0 has no chunks.
+func TestChunksOfOldVersionAreNoAnswer(t *testing.T) {
+	const chunks = "4\r\nbody\r\n0\r\n\r\n"
+	long := strings.Repeat("X-Y: 1\r\n", 100) + "X-Z: " + strings.Repeat("z", 2*readBuffer) + "\r\n"
+	for name, fields := range map[string]string{
+		"last field":    ownFields + "Transfer-Encoding: chunked\r\n",
+		"first field":   "Transfer-Encoding: chunked\r\n" + ownFields,
+		"lower case":    "transfer-encoding:chunked\r\n" + ownFields,
+		"with length":   "Transfer-Encoding: chunked\r\nContent-Length: 14\r\n" + ownFields,
+		"long head":     long + "Transfer-Encoding: chunked\r\n" + ownFields,
+		"other coding":  "Transfer-Encoding: identity\r\n" + ownFields,
+		"kept alive":    "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\n" + ownFields,
+		"lines end LF":  "Transfer-Encoding: chunked\n" + ownFields,
+		"folded before": "X-Y: 1\r\n 2\r\nTransfer-Encoding: chunked\r\n" + ownFields,
+	} {
+		for _, status := range earlyStatuses {
+			t.Run(name+"/"+status, func(t *testing.T) {
+				t.Parallel()
+				expectMalformed(t, "HTTP/1.0 "+status+"\r\n"+fields+"\r\n"+chunks)
+				expectMalformed(t, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 "+status+"\r\n"+fields+"\r\n"+chunks)
+			})
+		}
+	}
+}
+
+// Guards against refusing sound answers of HTTP/1.0, and of HTTP/1.1 with both a length and chunks, which end by their chunks.
+func TestSoundVersionsAndFramingsAreAnswers(t *testing.T) {
+	for name, text := range map[string]string{
+		"1.0, length":     "HTTP/1.0 200 OK\r\n" + ownFields + "Content-Length: 4\r\n\r\nbody",
+		"1.0, close":      "HTTP/1.0 200 OK\r\n" + ownFields + "\r\nbody",
+		"1.0, long head":  "HTTP/1.0 200 OK\r\n" + ownFields + "X-Y: " + strings.Repeat("y", 2*readBuffer) + "\r\n\r\nbody",
+		"1.0, in a value": "HTTP/1.0 200 OK\r\n" + ownFields + "X-Y: Transfer-Encoding: chunked\r\n\r\nbody",
+		"1.9":             "HTTP/1.9 200 OK\r\n" + ownFields + "Content-Length: 4\r\n\r\nbody",
+		"both":            "HTTP/1.1 200 OK\r\n" + ownFields + "Content-Length: 14\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, _ := newClient()
+			a, err := c.Send(t.Context(), answersWith(t, text, false), request("1", ""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer a.Close()
+			if body, err := io.ReadAll(a.Body); err != nil || string(body) != "body" {
+				t.Errorf("got body %q, error %v", body, err)
+			}
+			if name == "both" && a.Header.Get("Content-Length") != "" {
+				t.Error("the length of the chunks is passed on as that of the body")
+			}
+		})
+	}
+}
+
+// Guards against a list of cached parts that is read from an answer that is malformed or not whole.
+func TestBrokenListOfCachedPartsIsNone(t *testing.T) {
+	const list = "[]"
+	for name, text := range map[string]string{
+		"status":      "HTTP/1.1 000 S\r\n\r\nHTTP/1.1 200 OK\r\n\r\n" + list,
+		"field":       "HTTP/1.1 200 OK\r\nX-Y : 1\r\n\r\n" + list,
+		"trailer":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n" + list + "\r\n0\r\nX-Y : 1\r\n\r\n",
+		"version":     "HTTP/2.0 200 OK\r\n\r\n" + list,
+		"old version": "HTTP/1.0 200 OK\r\nTransfer-Encoding: identity\r\n\r\n" + list,
+		"cut chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n" + list + "\r\n",
+		"cut length":  "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n" + list,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, _ := newClient()
+			if parts, err := c.CachedParts(t.Context(), answersWith(t, text, false)); err == nil {
+				t.Errorf("got %v as a list", parts)
+			}
+		})
+	}
+	c, _ := newClient()
+	if _, err := c.CachedParts(t.Context(), cutTarget(t, "HTTP/1.1 200 OK\r\n\r\n"+list, false, endByReset)); err == nil {
+		t.Error("got a list from an answer whose connection was reset")
+	}
+	if _, err := c.CachedParts(t.Context(), answersWith(t, "HTTP/1.1 200 OK\r\n\r\n"+list, false)); err != nil {
+		t.Errorf("sound list: %v", err)
+	}
+}
--- a/services/upstream/pool.go
+++ b/services/upstream/pool.go
@@ -71,13 +71,10 @@
 	c.limiter.startHead()
 	defer c.limiter.endHead()
 	for {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		resp, err := c.readAnyHead(method)
 		if err != nil {
 			return nil, err
 		}
-		if err := httpresp.Check(resp); err != nil {
-			return nil, err
-		}
 		if hasTooManyFields(resp.Header) {
 			return nil, errHeadTooManyLines
 		}
@@ -90,6 +87,27 @@
 	}
 }
 
+// readAnyHead reads a valid head of an answer, which may be an interim one.
+func (c *conn) readAnyHead(method string) (*http.Response, error) {
+	version, _ := c.reader.Peek(len(httpresp.OldVersion)) // an error is returned by the read that follows
+	old := string(version) == httpresp.OldVersion
+	if old {
+		read, _ := c.reader.Peek(c.reader.Buffered())
+		c.limiter.capture(read)
+	}
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	if err := httpresp.Check(resp); err != nil {
+		return nil, err
+	}
+	if old {
+		return resp, httpresp.CheckOldHead(c.limiter.captured[:len(c.limiter.captured)-c.reader.Buffered()])
+	}
+	return resp, nil
+}
+
 // Pool holds the idle connections to all targets.
 type Pool struct {
 	dial     netopt.DialFunc
