httpresp: End a response by the error that its upload got

Callers of the routers' own interface could get a part of an answer as a complete one: http.Client has the fault of the gateways' connections, as its upload and its response are handled by two goroutines. The same client reads the platform's store, tables and objects, and is the lab's caller, which could not have seen such an answer as cut.

Change: httpresp.Transport lets the connections of an http.Transport return the error that ended them from Read. The other readers of answers were looked at: streams of the own interface end by an event, not by the connection; links and handovers between gateways end by a frame; lab/platform's old client has written its request before it reads.

--- a/client/client.go
+++ b/client/client.go
@@ -17,6 +17,7 @@
 	"madderway/handlers/api"
 	"madderway/handlers/operator"
 	"madderway/models/result"
+	"madderway/modules/httpresp"
 	"madderway/services/config"
 	"madderway/services/trace"
 )
@@ -33,7 +34,7 @@
 // New returns a client of the router whose operators' listener is at address, an IP address and
 // port.
 func New(address, token string) *Client {
-	return &Client{"http://" + strings.TrimPrefix(address, "http://"), token, &http.Client{Timeout: timeout}}
+	return &Client{"http://" + strings.TrimPrefix(address, "http://"), token, &http.Client{Timeout: timeout, Transport: httpresp.Transport(http.DefaultTransport.(*http.Transport).Clone())}}
 }
 
 // do sends a request and decodes the response. Error responses of the router are returned as
--- a/lab/load/client.go
+++ b/lab/load/client.go
@@ -18,6 +18,7 @@
 	"madderway/handlers/api"
 	"madderway/handlers/caller"
 	"madderway/models/result"
+	"madderway/modules/httpresp"
 	"madderway/services/engine"
 )
 
@@ -26,9 +27,9 @@
 
 // NewClient returns a client that keeps many idle connections for reuse.
 func NewClient() *Client {
-	return &Client{&http.Client{Transport: &http.Transport{
+	return &Client{&http.Client{Transport: httpresp.Transport(&http.Transport{
 		MaxIdleConnsPerHost: 1024, MaxIdleConns: 8192, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
-	}}}
+	})}}
 }
 
 // Close closes idle connections.
--- a/lab/platform/client.go
+++ b/lab/platform/client.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"madderway/modules/netopt"
 )
 
 // Kind describes a kind of request and its load.
@@ -62,7 +64,7 @@
 	dialer := &net.Dialer{Timeout: time.Second}
 	return &client{
 		address: anyGateway, uri: itemURI, body: anyBody, site: s, kind: k, account: account, key: key, rng: rand.New(rand.NewPCG(seed, 2)),
-		http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}},
+		http: &http.Client{Transport: &http.Transport{DialContext: netopt.ReportErrorsToRead(dialer.DialContext), MaxIdleConnsPerHost: 4, DisableCompression: true}},
 	}
 }
 
--- a/services/engine/engine.go
+++ b/services/engine/engine.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"madderway/core/place"
+	"madderway/modules/httpresp"
 	"madderway/modules/netopt"
 	"madderway/modules/retryafter"
 )
@@ -97,7 +98,8 @@
 	}
 	fresh := transport.Clone()
 	fresh.DisableKeepAlives = true
-	return &Client{http: &http.Client{Transport: transport}, noReuse: &http.Client{Transport: fresh}, poll: &http.Client{Transport: transport, Timeout: pollTimeout}}
+	kept := httpresp.Transport(transport)
+	return &Client{http: &http.Client{Transport: kept}, noReuse: &http.Client{Transport: httpresp.Transport(fresh)}, poll: &http.Client{Transport: kept, Timeout: pollTimeout}}
 }
 
 // Close closes the idle connections.
--- a/services/platform/table.go
+++ b/services/platform/table.go
@@ -17,6 +17,7 @@
 	"net/url"
 	"time"
 
+	"madderway/modules/httpresp"
 	"madderway/modules/netopt"
 )
 
@@ -125,9 +126,9 @@
 }
 
 func newClient(timeout time.Duration) *http.Client {
-	return &http.Client{Timeout: timeout, Transport: &http.Transport{
+	return &http.Client{Timeout: timeout, Transport: httpresp.Transport(&http.Transport{
 		MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: netopt.MaxResponseHead,
-	}}
+	})}
 }
 
 // Commit implements Table.
