--- a/modules/httpresp/transport_test.go
+++ b/modules/httpresp/transport_test.go
@@ -108,3 +108,64 @@
 		}
 	}
 }
+
+const otherResponse = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+
+// malformedResponses are no responses although net/http takes them for some.
+var malformedResponses = map[string]string{
+	"status 000":           "HTTP/1.1 000 S\r\nContent-Length: 4\r\n\r\nbody",
+	"status 000, no body":  "HTTP/1.1 000 S\r\nContent-Length: 0\r\n\r\n" + otherResponse,
+	"status 099":           "HTTP/1.1 099 S\r\n\r\nbody",
+	"status +20":           "HTTP/1.1 +20 S\r\n\r\nbody",
+	"status 600":           "HTTP/1.1 600 S\r\n\r\nbody",
+	"status 999":           "HTTP/1.1 999 S\r\n\r\nbody",
+	"unasked upgrade":      "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\nbody",
+	"blank before colon":   "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nbody",
+	"blank in name":        "HTTP/1.1 500 S\r\nX Y: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"blank, coding":        "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"blank in trailer":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Y : 1\r\n\r\n",
+	"blank in interim one": "HTTP/1.1 103 S\r\nX-Y : 1\r\n\r\n" + otherResponse,
+	"version 2.0":          "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+}
+
+// Guards against a malformed response that a client takes, and against the reuse of its connection.
+func TestMalformedResponseIsNone(t *testing.T) {
+	for name, text := range malformedResponses {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			closed := make(chan error, 1)
+			url := serve(t, func(c *net.TCPConn, _ *http.Request) {
+				_, _ = io.WriteString(c, text)
+				_ = c.CloseWrite()
+				_, err := c.Read(make([]byte, 1))
+				closed <- err
+			})
+			body, err := post(t, url, 1)
+			if !IsErrMalformed(err) {
+				t.Errorf("got %q, error %v; want an ErrMalformed", body, err)
+			}
+			if err := <-closed; err == nil {
+				t.Error("another request came on the connection")
+			}
+		})
+	}
+}
+
+// Guards against refusing sound responses.
+func TestSoundResponseIsTaken(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":  otherResponse,
+		"interim": "HTTP/1.1 103 S\r\nLink: </a>\r\n\r\n" + otherResponse,
+		"chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nother\r\n0\r\nX-Y: 1\r\n\r\n",
+		"failure": "HTTP/1.1 599 S\r\n\r\nother",
+		"folded":  "HTTP/1.1 200 OK\r\nX-Y: 1\r\n 2\r\n\r\nother",
+		"1.0":     "HTTP/1.0 200 OK\r\n\r\nother",
+	} {
+		t.Run(name, func(t *testing.T) {
+			url := serve(t, func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, text) })
+			if body, err := post(t, url, 1); err != nil || body != "other" {
+				t.Errorf("got %q, error %v", body, err)
+			}
+		})
+	}
+}
