engine, platform: Take reports and confirmations by whole answers only

Answers that broke off behind the end of their JSON, or before a body that nobody read, were taken for whole: load reports and cache events of targets, orders, canceled streams, commits of the routers' table, objects that were put or deleted. No caller got them; a router could take an order, a claim or a kept answer for done that the service in trouble never did.

Cause: json.Decoder stops at the end of the first value, and bodies that are not needed were not read.

Change: these bodies are read to their end, within the bounds that they had, before they count. A commit without a whole answer is unknown, an order or an object failed; all are repeated or looked up as after a lost answer.

Handled before, kept: rows, objects and lists that are cut. Events of streams are whole by their last event.

--- a/services/engine/brokenanswer_test.go
+++ b/services/engine/brokenanswer_test.go
@@ -114,3 +114,27 @@
 		})
 	}
 }
+
+// Guards against a body that is not whole, or ends in no trailer, and is taken for a report or for a confirmation.
+func TestBrokenBodyIsNone(t *testing.T) {
+	for name, format := range map[string]string{
+		"cut length":       "HTTP/1.1 200 OK\r\nX-Length: %d\r\nContent-Length: 1000\r\n\r\n%s",
+		"cut chunks":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n",
+		"blank in trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nX-Y : 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			expectNone(t, format)
+		})
+	}
+}
+
+// Guards against a report followed by other bytes that is taken for one.
+func TestReportWithOtherBytesIsNone(t *testing.T) {
+	c := NewClient(time.Second)
+	defer c.Close()
+	address := cutServer(t, "HTTP/1.1 200 OK\r\n\r\n{\"running\":1}{\"running\":2}", func(*net.TCPConn) {})
+	if l, err := c.Load(t.Context(), address); err == nil {
+		t.Errorf("got %+v", l)
+	}
+}
--- a/services/engine/engine.go
+++ b/services/engine/engine.go
@@ -24,6 +24,8 @@
 	"madderway/modules/retryafter"
 )
 
+const maxReport = 1 << 20 // bytes of an answer to a poll
+
 // Headers of the engines' protocol.
 const (
 	HeaderStreamID = "X-Stream-Id"
@@ -191,7 +193,8 @@
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
 		return ErrAttempt{Status: resp.StatusCode, MayHaveRun: false, Cause: errors.New(string(text))}
 	}
-	return nil
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxReport))
+	return err
 }
 
 func (c *Client) getJSON(ctx context.Context, u string, into any) error {
@@ -207,7 +210,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return ErrAttempt{Status: resp.StatusCode}
 	}
-	return json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(into)
+	content, err := io.ReadAll(io.LimitReader(resp.Body, maxReport))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(content, into)
 }
 
 // Load returns a target's load report.
--- a/services/platform/object.go
+++ b/services/platform/object.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -76,6 +77,9 @@
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return ErrPlatform{"object store", fmt.Errorf("status %d", resp.StatusCode)}
 	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponse)); err != nil {
+		return ErrPlatform{"object store", err}
+	}
 	return nil
 }
 
--- a/services/platform/table.go
+++ b/services/platform/table.go
@@ -173,7 +173,8 @@
 	default:
 		return TxResult{Outcome: OutcomeUnknown}
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponse)).Decode(&result); err != nil {
+	content, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse))
+	if err != nil || json.Unmarshal(content, &result) != nil {
 		return TxResult{Outcome: OutcomeUnknown}
 	}
 	return result
