lab, router: Send answers that break off in an upload or are malformed

Workers answer long uploads early, without a length, and reset; they send a status of 000 with another answer behind it, and a blank in a field's name. The soak does so in a series of its own (the draws of the other three stay), and `upload-reset` and `answer-malformed` do it alone. The lab's callers check the heads that they get.

--- a/lab/platform/client.go
+++ b/lab/platform/client.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"madderway/modules/httpresp"
 	"madderway/modules/netopt"
 )
 
@@ -27,6 +28,7 @@
 	Resumable    bool
 	Keyed        bool
 	Work         time.Duration // time that workers take; 0 for their own
+	Upload       int           // bytes of the body of a POST; 0 for a short one
 	Prefixes     int           // different shared prompt prefixes
 	SharedTokens int           // tokens of a shared prompt prefix
 	OwnTokens    int           // mean tokens of the rest of a prompt
@@ -74,7 +76,12 @@
 	return fmt.Sprintf("%sitem/%%2F%d?q=%d", c.kind.Path, c.sent, c.rng.IntN(100))
 }
 
-func anyBody(c *client) string { return strings.Repeat("x", 50+c.rng.IntN(200)) }
+func anyBody(c *client) string {
+	if c.kind.Upload > 0 {
+		return strings.Repeat("x", c.kind.Upload)
+	}
+	return strings.Repeat("x", 50+c.rng.IntN(200))
+}
 
 // sendWithRetry sends a request, continues a resumable stream once if it breaks off, retries once if
 // it is refused with a short Retry-After, and counts the outcome.
@@ -154,6 +161,9 @@
 		return outcomeFailed, 0
 	}
 	defer resp.Body.Close()
+	if err := httpresp.Check(resp); err != nil {
+		c.site.ledger.AddViolation("request %s got a %v", id, err)
+	}
 	c.answerHeader, c.status = resp.Header, resp.StatusCode
 	return c.checkAnswer(id, body, resp, started)
 }
--- a/lab/platform/framing.go
+++ b/lab/platform/framing.go
@@ -23,10 +23,10 @@
 	CloseFraming // neither: the end of the connection
 )
 
-// BreakOff is the way in which a worker ends an answer early.
+// BreakOff is the way in which a worker ends an answer early, or makes it malformed.
 type BreakOff int
 
-// Ways to end an answer early.
+// Ways to end an answer early, or to send what is no answer.
 const (
 	NoBreakOff       BreakOff = iota
 	BreakByClose              // an orderly close of the connection
@@ -34,6 +34,9 @@
 	BreakByCrash              // the worker crashes; its connections are closed in order
 	BreakByHalfClose          // the worker writes no more and goes on reading
 	BreakByFinish             // the framing says that the answer is complete
+	BreakInUpload             // the connection is reset before a long upload has been read
+	BadStatus                 // the status is 000, and another answer follows
+	BadField                  // a blank is in the name of a field
 	EndlessHead               // header lines come until the connection is closed
 	EndlessBody               // bytes that end no line come until the connection is closed
 )
@@ -60,6 +63,9 @@
 	LineEnd string
 }
 
+// minUpload is the size from which a body is a long upload, in bytes. A shorter one fits into the buffers of its connection.
+const minUpload = 64 << 10
+
 // SetAnswers sets how the worker frames its answers and ends them.
 func (w *Worker) SetAnswers(a Answers) {
 	w.mu.Lock()
@@ -73,10 +79,14 @@
 	return w.answers
 }
 
+// areOwn reports whether the worker writes the answers to requests that it has read by itself, not by net/http.
+func (a Answers) areOwn() bool { return a != (Answers{}) && a.BreakOff != BreakInUpload }
+
 // write writes an answer with its own framing and end, on the connection of the request.
 func (a Answers) write(w *Worker, rw http.ResponseWriter, body string) {
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: %s\r\n", rw.Header().Get("Attempt-Id"), rw.Header().Get("Response-Signature"))
-	if a.BreakOff != NoBreakOff && a.HeadBytes == 0 {
+	malformed := a.BreakOff == BadStatus || a.BreakOff == BadField
+	if a.BreakOff != NoBreakOff && !malformed && a.HeadBytes == 0 {
 		body = body[:min(a.After, len(body))]
 	}
 	if a.LineEnd != "" {
@@ -87,7 +97,13 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer conn.Close()
-	whole := a.BreakOff == NoBreakOff || a.BreakOff == BreakByFinish
+	whole := a.BreakOff == NoBreakOff || a.BreakOff == BreakByFinish || malformed
+	switch a.BreakOff {
+	case BadStatus:
+		head = strings.Replace(head, "200", "000", 1) + "\r\n" + head
+	case BadField:
+		head += "X-Field : 1\r\n"
+	}
 	text := head + a.frame(body, whole || a.HeadBytes > 0)
 	if a.Interim {
 		text = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + text
@@ -107,7 +123,7 @@
 	case BreakByHalfClose:
 		_ = conn.(*net.TCPConn).CloseWrite()
 		_, _ = io.Copy(io.Discard, conn)
-	case BreakByReset:
+	case BreakByReset, BreakInUpload:
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	case BreakByCrash:
 		w.Crash()
@@ -117,6 +133,21 @@
 	}
 }
 
+// writeEarly answers an upload before it has been read, with the first part of an answer and no length.
+func (w *Worker) writeEarly(rw http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Attempt-Id")
+	part := PlainBody(id, nil)
+	if w.cfg.Model {
+		content, from := continuedStream(r)
+		first, _, _ := strings.Cut(streamBody(content, w.cfg.Software, from), "\n\n")
+		part = first + "\n\n"
+		w.setHeaders(rw, id, "")
+	} else {
+		w.setHeaders(rw, id, part)
+	}
+	Answers{Framing: CloseFraming, BreakOff: BreakInUpload, After: len(part)}.write(w, rw, part)
+}
+
 // writeEndless repeats a text until the connection is closed.
 func writeEndless(conn net.Conn, text string) {
 	piece := []byte(strings.Repeat(text, endlessPiece/len(text)))
--- a/lab/platform/site.go
+++ b/lab/platform/site.go
@@ -4,6 +4,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -30,6 +31,8 @@
 	External bool   // the gateways are processes that somebody else starts; see WriteSettings
 	// CutLinks puts a Network between the gateways and the store.
 	CutLinks bool
+	// MaxBody is the configured limit on the bytes of a request's body; 0 is defaultMaxBody.
+	MaxBody int
 	// HeaderTimeout is the configured limit on the time to read a request's header; 0 is defaultHeaderTimeout.
 	HeaderTimeout time.Duration
 	// RouteTimeout is the configured timeout of the routes of all kinds; 0 is the deadline of each kind.
@@ -39,7 +42,10 @@
 	Slots        int           // of each worker, 0 for those of a small site
 }
 
-const defaultHeaderTimeout = 3 * time.Second
+const (
+	defaultHeaderTimeout = 3 * time.Second
+	defaultMaxBody       = 1 << 20
+)
 
 // SmallSite returns the options of a site that runs on a laptop.
 func SmallSite(seed uint64, length time.Duration) Options {
@@ -87,6 +93,7 @@
 // Start starts a store with a configuration, the workers and the gateways. Run starts the
 // clients.
 func Start(o Options) (*Site, error) {
+	o.MaxBody = cmp.Or(o.MaxBody, defaultMaxBody)
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Site{
 		opts: o, number: int(siteCount.Add(1)), ctx: ctx, cancel: cancel, store: NewStore(), ledger: NewLedger(), rng: rand.New(rand.NewPCG(o.Seed, 3)), keys: map[string][]string{},
--- a/lab/platform/siteconfig.go
+++ b/lab/platform/siteconfig.go
@@ -50,7 +50,7 @@
 			{"name": modelService, "healthPath": "/health", "maxConnections": 200, "engine": map[string]any{"slots": max(modelSlots, s.opts.Slots), "kvTokens": 40_000, "stride": 1, "moves": true, "kvTokenBytes": tokenBytes, "bandwidthMbps": copyRate * tokenBytes * 8 / 1e6}},
 			{"name": plainService, "healthPath": "/health", "maxConnections": 100},
 		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": headerTimeout.Milliseconds(), "idleTimeoutMs": 15000, "tokensPerS": 120_000},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": s.opts.MaxBody, "headerTimeoutMs": headerTimeout.Milliseconds(), "idleTimeoutMs": 15000, "tokensPerS": 120_000},
 	}
 	s.store.Put("op", "config", s.config)
 }
--- a/lab/platform/soak.go
+++ b/lab/platform/soak.go
@@ -9,12 +9,12 @@
 	"time"
 )
 
-// soak injects faults in series for half of the run, drawn from the site's seed: three series of
-// gateways, workers and the store that overlap.
+// soak injects faults in series for half of the run, drawn from the site's seed: four series of
+// gateways, workers, the store and answers that overlap.
 func (s *Site) soak() {
 	end := time.Now().Add(s.opts.Length / 2)
 	var series sync.WaitGroup
-	for i, faults := range [][]func(rng *rand.Rand){s.gatewayFaults(), s.workerFaults(), s.storeFaults()} {
+	for i, faults := range [][]func(rng *rand.Rand){s.gatewayFaults(), s.workerFaults(), s.storeFaults(), s.answerFaults()} {
 		rng := rand.New(rand.NewPCG(s.opts.Seed, uint64(100+i)))
 		series.Go(func() {
 			for time.Now().Before(end) {
@@ -52,3 +52,11 @@
 		func(*rand.Rand) { s.store.Compact() },
 	}
 }
+
+func (s *Site) answerFaults() []func(*rand.Rand) {
+	return []func(*rand.Rand){
+		func(*rand.Rand) { s.answerMalformed(BadStatus) },
+		func(*rand.Rand) { s.answerMalformed(BadField) },
+		func(*rand.Rand) { s.resetUploads() },
+	}
+}
--- a/lab/platform/trouble.go
+++ b/lab/platform/trouble.go
@@ -14,6 +14,8 @@
 	// Requests sent before a gateway knew of an evacuation reach their worker within this time.
 	inFlightTime   = time.Second
 	evacuationPoll = 10 * time.Millisecond
+	uploadInterval = 20 * time.Millisecond
+	uploadKinds    = 3 // the first ones of Kinds are POSTs
 )
 
 // Troubles returns the faults that Run can inject, by name.
@@ -33,6 +35,8 @@
 		"answer-cut":               func(s *Site) { s.injectFault(FaultCut) },
 		"answer-extra":             func(s *Site) { s.injectFault(FaultExtra) },
 		"answer-unframed":          func(s *Site) { s.answerUnframed() },
+		"answer-malformed":         func(s *Site) { s.answerMalformed(BadStatus); s.answerMalformed(BadField) },
+		"upload-reset":             func(s *Site) { s.resetUploads() },
 		"worker-shed":              func(s *Site) { s.injectFault(FaultRefuse) },
 		"worker-drain":             func(s *Site) { s.replaceWorker() },
 		"software-rollout":         func(s *Site) { s.upgradeWorkers() },
@@ -91,6 +95,28 @@
 	s.setAnswers(Answers{})
 }
 
+// answerMalformed makes a model worker and a plain worker send malformed answers for a while.
+func (s *Site) answerMalformed(way BreakOff) {
+	for _, i := range []int{0, s.opts.Models} {
+		w := s.worker(i)
+		w.SetAnswers(Answers{Framing: CloseFraming, BreakOff: way})
+		defer w.SetAnswers(Answers{})
+	}
+	time.Sleep(outage)
+}
+
+// resetUploads makes all workers reset long uploads for a while, and sends some of each kind to all gateways.
+func (s *Site) resetUploads() {
+	s.setAnswers(Answers{BreakOff: BreakInUpload})
+	for end, n := time.Now().Add(outage), 0; time.Now().Before(end); n++ {
+		kind := Kinds()[n%uploadKinds]
+		kind.Upload = s.opts.MaxBody - 1
+		s.Ask(s.ctx, n%len(s.gateways), kind, "account-0", uint64(n))
+		time.Sleep(uploadInterval)
+	}
+	s.setAnswers(Answers{})
+}
+
 func (s *Site) setAnswers(a Answers) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/lab/platform/worker.go
+++ b/lab/platform/worker.go
@@ -4,6 +4,7 @@
 package platform
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -248,6 +249,10 @@
 		w.serveCacheList(rw)
 		return
 	}
+	if w.framedAnswers().BreakOff == BreakInUpload && r.ContentLength >= minUpload {
+		w.writeEarly(rw, r)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -347,7 +352,7 @@
 		return
 	}
 	w.setHeaders(rw, id, body)
-	if a := w.framedAnswers(); a != (Answers{}) {
+	if a := w.framedAnswers(); a.areOwn() {
 		a.write(w, rw, body)
 		return
 	}
@@ -387,14 +392,10 @@
 	if hasPart(r.Header.Get("Prompt-Prefix"), PoisonPart) {
 		w.crashUnder(r)
 	}
-	content, from := id, 0
-	if r.Header.Get("Resumes") != "" {
-		content = r.Header.Get("Resumes")
-	}
-	from, _ = strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	content, from := continuedStream(r)
 	events := Events(content)
 	w.setHeaders(rw, id, "")
-	if a := w.framedAnswers(); a != (Answers{}) {
+	if a := w.framedAnswers(); a.areOwn() {
 		a.write(w, rw, streamBody(content, w.cfg.Software, from))
 		return
 	}
@@ -418,6 +419,12 @@
 	}
 }
 
+// continuedStream returns the ID whose stream a request asks for, and the event after which it goes on.
+func continuedStream(r *http.Request) (id string, after int) {
+	after, _ = strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 without the header
+	return cmp.Or(r.Header.Get("Resumes"), r.Header.Get("Attempt-Id")), after
+}
+
 // Signature returns a worker's signature of an answer.
 func Signature(worker, id, content string) string {
 	return fmt.Sprintf("%s.%x", worker, hash(worker+"/"+id+"/"+content))
--- a/router/endings_test.go
+++ b/router/endings_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -23,9 +24,12 @@
 	seed uint64
 }
 
+// maxUpload is the limit on the bytes of a request's body.
+const maxUpload = 4 << 20
+
 func newEndingSite(t *testing.T, kind platform.Kind, gateways int) *endingSite {
 	t.Helper()
-	site, err := platform.Start(platform.Options{Gateways: gateways, Models: 2, Plains: 2, Accounts: 1, Length: time.Minute, Seed: 11})
+	site, err := platform.Start(platform.Options{Gateways: gateways, Models: 2, Plains: 2, Accounts: 1, Length: time.Minute, Seed: 11, MaxBody: maxUpload})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -103,7 +107,24 @@
 		for _, a := range breaks(s.kind, f) {
 			s.expect(a)
 		}
+		s.expect(platform.Answers{Framing: f, BreakOff: platform.BadStatus})
+		s.expect(platform.Answers{Framing: f, BreakOff: platform.BadField})
+	}
+	s.expectBrokenUploads()
+}
+
+// expectBrokenUploads checks answers that are reset before their upload has been read.
+func (s *endingSite) expectBrokenUploads() {
+	s.t.Helper()
+	if s.kind.Method != http.MethodPost {
+		return
+	}
+	const repetitions = 12
+	s.kind.Upload = maxUpload - 1
+	for range repetitions {
+		s.expect(platform.Answers{BreakOff: platform.BreakInUpload})
 	}
+	s.expect(platform.Answers{})
 }
 
 // A broken answer must not look complete to its caller, however the target frames and ends it.
