httpresp: Refuse chunks of HTTP/1.0 of all HTTP clients

Cause: http.Transport parses heads itself, and removes the field that tells.

Change: connections keep the bytes that are read while a request waits for its head, at most the heads and what http.Transport reads ahead (4 KiB), and CheckOldHeads looks through those of HTTP/1.0. Gateways use it too.

Evidence: the three rows of HTTP/1.0 in TestMalformedResponseIsNone failed without it. TestOldHeadsEndBeforeBody holds that the field in a body, or in a head of HTTP/1.1, is none. All pass three times under the race detector.

--- a/modules/httpresp/transport_test.go
+++ b/modules/httpresp/transport_test.go
@@ -125,6 +125,9 @@
 	"blank, coding":        "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 	"blank in trailer":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Y : 1\r\n\r\n",
 	"blank in interim one": "HTTP/1.1 103 S\r\nX-Y : 1\r\n\r\n" + otherResponse,
+	"1.0, chunks":          "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"1.0 after interim":    "HTTP/1.1 103 S\r\n\r\nHTTP/1.0 500 S\r\ntransfer-encoding:chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"1.0, long head":       "HTTP/1.0 200 OK\r\nX-Y: " + strings.Repeat("y", 32<<10) + "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 	"version 2.0":          "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\nbody",
 }
 
@@ -159,7 +162,7 @@
 		"chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nother\r\n0\r\nX-Y: 1\r\n\r\n",
 		"failure": "HTTP/1.1 599 S\r\n\r\nother",
 		"folded":  "HTTP/1.1 200 OK\r\nX-Y: 1\r\n 2\r\n\r\nother",
-		"1.0":     "HTTP/1.0 200 OK\r\n\r\nother",
+		"1.0":     "HTTP/1.0 200 OK\r\nX-Y: Transfer-Encoding: chunked\r\n\r\nother",
 	} {
 		t.Run(name, func(t *testing.T) {
 			url := serve(t, func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, text) })
@@ -169,3 +172,23 @@
 		})
 	}
 }
+
+// Guards against a field of a body that is taken for one of a head.
+func TestOldHeadsEndBeforeBody(t *testing.T) {
+	const field = "Transfer-Encoding: chunked\r\n\r\n"
+	for text, want := range map[string]bool{
+		"HTTP/1.0 200 OK\r\n" + field:                                                     true,
+		"HTTP/1.0 200 OK\nTRANSFER-ENCODING : x\n\n":                                      true,
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 200 OK\r\n" + field:                        true,
+		"HTTP/1.0 100 Continue\r\n" + field + "HTTP/1.1 200 OK\r\n\r\n":                   true,
+		"HTTP/1.0 200 OK\r\n\r\n" + field:                                                 false,
+		"HTTP/1.0 200 OK\r\n\r\nHTTP/1.0 200 OK\r\n" + field:                              false,
+		"HTTP/1.1 200 OK\r\n" + field:                                                     false,
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nHTTP/1.0 200 OK\r\n" + field: false,
+		"": false,
+	} {
+		if err := CheckOldHeads([]byte(text)); IsErrMalformed(err) != want {
+			t.Errorf("%q: got %v", text, err)
+		}
+	}
+}
--- a/services/upstream/pool.go
+++ b/services/upstream/pool.go
@@ -90,8 +90,7 @@
 // readAnyHead reads a valid head of an answer, which may be an interim one.
 func (c *conn) readAnyHead(method string) (*http.Response, error) {
 	version, _ := c.reader.Peek(len(httpresp.OldVersion)) // an error is returned by the read that follows
-	old := string(version) == httpresp.OldVersion
-	if old {
+	if string(version) == httpresp.OldVersion {
 		read, _ := c.reader.Peek(c.reader.Buffered())
 		c.limiter.capture(read)
 	}
@@ -102,10 +101,7 @@
 	if err := httpresp.Check(resp); err != nil {
 		return nil, err
 	}
-	if old {
-		return resp, httpresp.CheckOldHead(c.limiter.captured[:len(c.limiter.captured)-c.reader.Buffered()])
-	}
-	return resp, nil
+	return resp, httpresp.CheckOldHeads(c.limiter.captured)
 }
 
 // Pool holds the idle connections to all targets.
