--- a/client/client_test.go
+++ b/client/client_test.go
@@ -4,11 +4,12 @@
 package client
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+
+	"madderway/modules/httpresp/httpresptest"
 )
 
 // Guards against an answer that is malformed or not whole and is taken for the router's.
@@ -24,22 +25,8 @@
 		"cut, no length":   "HTTP/1.1 200 OK\r\n\r\n" + body[:len(body)-1],
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp4", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			go func() {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, text)
-				}
-			}()
-			if got, err := New(l.Addr().String(), "token").Get(t.Context()); err == nil {
+			address := httpresptest.Serve(t, func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, text) })
+			if got, err := New(address, "token").Get(t.Context()); err == nil {
 				t.Errorf("got %+v", got)
 			}
 		})
--- a/modules/httpresp/transport_test.go
+++ b/modules/httpresp/transport_test.go
@@ -4,7 +4,6 @@
 package httpresp
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -12,31 +11,13 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+
+	"madderway/modules/httpresp/httpresptest"
 )
 
-// serve starts a server that passes each request and its connection to a function, and closes the connection then.
 func serve(t *testing.T, answer func(c *net.TCPConn, r *http.Request)) (url string) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					answer(c.(*net.TCPConn), r)
-				}
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String() + "/"
+	return "http://" + httpresptest.Serve(t, answer) + "/"
 }
 
 func post(t *testing.T, url string, size int) (body string, err error) {
--- a/services/platform/brokenanswer_test.go
+++ b/services/platform/brokenanswer_test.go
@@ -4,39 +4,23 @@
 package platform
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"madderway/modules/httpresp/httpresptest"
 )
 
 // rawService sends a text to each request and closes the connection.
 func rawService(t *testing.T, text string) (base string) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.Copy(io.Discard, r.Body)
-					_, _ = io.WriteString(c, text)
-				}
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String()
+	return "http://" + httpresptest.Serve(t, func(c *net.TCPConn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, text)
+	})
 }
 
 // brokenFormats are answers that are malformed or not whole, given the length of a body and the body.
--- a/services/upstream/earlyanswer_test.go
+++ b/services/upstream/earlyanswer_test.go
@@ -4,7 +4,6 @@
 package upstream
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +14,7 @@
 	"testing"
 
 	"madderway/models/routing"
+	"madderway/modules/httpresp/httpresptest"
 )
 
 const earlyBody = "the body, or the part of it that came"
@@ -28,30 +28,11 @@
 
 func (e earlyTarget) start(t *testing.T) *routing.Target {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go e.answer(c.(*net.TCPConn))
-		}
-	}()
-	return &routing.Target{ID: "t", Address: l.Addr().String()}
+	return &routing.Target{ID: "t", Address: httpresptest.Serve(t, e.answer)}
 }
 
-func (e earlyTarget) answer(c *net.TCPConn) {
-	defer c.Close()
-	req, err := http.ReadRequest(bufio.NewReader(c))
-	if err != nil {
-		return
-	}
-	if _, err := io.CopyN(io.Discard, req.Body, e.read); err != nil {
+func (e earlyTarget) answer(c *net.TCPConn, r *http.Request) {
+	if _, err := io.CopyN(io.Discard, r.Body, e.read); err != nil {
 		return
 	}
 	if _, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\nId: 1\r\nSigned: yes\r\n\r\n%s", e.status, earlyBody); err == nil {
